--- /dev/null
+++ b/scripts/run_tests.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Compiles, then runs every test file under dist (all, or those of the folders
+# that are named, such as src/admission).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+npm run --silent build
+if [ $# -eq 0 ]; then set -- src tests; fi
+mapfile -t files < <(
+  for folder in "$@"; do
+    git ls-files --cached --others --exclude-standard -- "$folder/*_test.ts"
+  done | sort -u | sed 's#^#dist/#; s#\.ts$#.js#'
+)
+exec node --enable-source-maps --test --test-concurrency=4 "${files[@]}"
--- /dev/null
+++ b/src/common/clock.ts
@@ -0,0 +1,16 @@
+/** Tells the time; passed in, so that tests decide what time it is. */
+export interface Clock {
+  /** Gets the wall-clock time. */
+  now(): Date;
+  /**
+   * Gets the time since an arbitrary start, in milliseconds with fractions.
+   * Never goes backwards.
+   */
+  monotonicMilliseconds(): number;
+}
+
+/** The clock of this process. */
+export const systemClock: Clock = {
+  now: () => new Date(),
+  monotonicMilliseconds: () => performance.now(),
+};
--- /dev/null
+++ b/src/common/finding.ts
@@ -0,0 +1,23 @@
+/** A fault in an input file, with its place. */
+export interface Finding {
+  readonly file: string;
+  /** Line, counted from 1; 0 when the fault has no line. */
+  readonly line: number;
+  /** Dotted path of the key, such as `services.treasury.slots`. */
+  readonly key: string;
+  readonly message: string;
+}
+
+/**
+ * Formats a finding as `file:line: key: message`.
+ * @param finding The finding.
+ * @returns One line of text.
+ */
+export function formatFinding(finding: Finding): string {
+  const place = finding.line > 0
+    ? `${finding.file}:${finding.line}`
+    : finding.file;
+  return finding.key === ""
+    ? `${place}: ${finding.message}`
+    : `${place}: ${finding.key}: ${finding.message}`;
+}
--- /dev/null
+++ b/src/common/metrics.ts
@@ -0,0 +1,54 @@
+import { StatsD } from "hot-shots";
+
+/** Tags of a counter, such as `{ service: "treasury" }`. */
+export type MetricTags = Readonly<Record<string, string>>;
+
+/** Receives counters and gauges. */
+export interface Metrics {
+  /** Adds to a counter. */
+  increment(name: string, tags: MetricTags, by?: number): void;
+  /** Sets a gauge. */
+  gauge(name: string, value: number, tags: MetricTags): void;
+  /** Releases the socket. */
+  close(): void;
+}
+
+/** Where a process sends its metrics. */
+export interface MetricsOptions {
+  /** Address of the statsd server; absent to send nothing. */
+  readonly address?: string | undefined;
+  /** UDP port of the statsd server. */
+  readonly port?: number | undefined;
+}
+
+/** Discards everything. */
+export const discardedMetrics: Metrics = {
+  increment: () => {},
+  gauge: () => {},
+  close: () => {},
+};
+
+/**
+ * Creates metrics that go to a statsd server over UDP. Lost packets and an
+ * unreachable server have no effect on the process.
+ * @param options Where to send them.
+ * @returns The metrics.
+ */
+export function createMetrics(options: MetricsOptions): Metrics {
+  if (options.address === undefined) {
+    return discardedMetrics;
+  }
+  const client = new StatsD({
+    host: options.address,
+    port: options.port ?? 8125,
+    prefix: "dogwoodwalk.",
+    maxBufferSize: 1400,
+    bufferFlushInterval: 1000,
+    errorHandler: () => {},
+  });
+  return {
+    increment: (name, tags, by = 1) => client.increment(name, by, { ...tags }),
+    gauge: (name, value, tags) => client.gauge(name, value, { ...tags }),
+    close: () => client.close(() => {}),
+  };
+}
--- /dev/null
+++ b/src/common/mod.ts
@@ -0,0 +1,20 @@
+export { type Clock, systemClock } from "./clock.ts";
+export { ManualClock } from "./manual_clock.ts";
+export { createSeededRandom, type RandomSource } from "./random_source.ts";
+export { type Finding, formatFinding } from "./finding.ts";
+export { failed, ok, type Result } from "./result.ts";
+export { getBytesHash, getStableHash } from "./stable_hash.ts";
+export {
+  createMetrics,
+  discardedMetrics,
+  type Metrics,
+  type MetricsOptions,
+  type MetricTags,
+} from "./metrics.ts";
+export {
+  createLog,
+  formatKeyValues,
+  type Log,
+  type LogFields,
+  type LogOptions,
+} from "./log.ts";
--- /dev/null
+++ b/src/document/document_digest.ts
@@ -0,0 +1,10 @@
+import { createHash } from "node:crypto";
+
+/**
+ * Gets the digest by which a document's exact bytes are compared.
+ * @param bytes The bytes of the TOML file.
+ * @returns SHA-256 in hexadecimal digits.
+ */
+export function getDocumentDigest(bytes: Uint8Array): string {
+  return createHash("sha256").update(bytes).digest("hex");
+}
--- /dev/null
+++ b/src/document/document_part.ts
@@ -0,0 +1,52 @@
+import { CallGraph } from "./call_graph.ts";
+import type { EnvironmentDocument } from "./environment_document.ts";
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/**
+ * Gets the part of a document that concerns one service: itself, the services
+ * that its calls can reach, and the links.
+ * @param document The whole document.
+ * @param service The service of the node that gets the part.
+ * @returns A document with fewer services and routes.
+ */
+export function getDocumentPart(
+  document: EnvironmentDocument,
+  service: string,
+): EnvironmentDocument {
+  const kept = new Set(new CallGraph(document).getReachedFrom(service));
+  kept.add(service);
+  return {
+    ...document,
+    services: new Map(
+      [...document.services].filter(([name]) => kept.has(name)),
+    ),
+    routes: document.routes.filter((route) => kept.has(route.service)),
+  };
+}
+
+/**
+ * Encodes a part of a document for a node.
+ * @param part The part.
+ * @returns UTF-8 JSON.
+ */
+export function encodeDocumentPart(part: EnvironmentDocument): Uint8Array {
+  const plain = { ...part, services: [...part.services.values()] };
+  return encoder.encode(JSON.stringify(plain));
+}
+
+/**
+ * Decodes a part of a document.
+ * @param bytes What {@link encodeDocumentPart} returned.
+ * @returns The part.
+ */
+export function decodeDocumentPart(bytes: Uint8Array): EnvironmentDocument {
+  const plain = JSON.parse(decoder.decode(bytes));
+  return {
+    ...plain,
+    services: new Map(
+      plain.services.map((each: { name: string }) => [each.name, each]),
+    ),
+  };
+}
--- /dev/null
+++ b/src/document/mod.ts
@@ -0,0 +1,20 @@
+export type {
+  DeclaredCall,
+  EnvironmentDocument,
+  KeyRule,
+  LedgerRules,
+  Link,
+  Objective,
+  Route,
+  Service,
+  ShedSignal,
+} from "./environment_document.ts";
+export { defaultLedgerRules, parseDocument } from "./parse_document.ts";
+export { CallGraph } from "./call_graph.ts";
+export { RouteTable } from "./route_table.ts";
+export {
+  decodeDocumentPart,
+  encodeDocumentPart,
+  getDocumentPart,
+} from "./document_part.ts";
+export { getDocumentDigest } from "./document_digest.ts";
--- /dev/null
+++ b/src/document/parse_document.ts
@@ -0,0 +1,366 @@
+import { failed, type Finding, ok, type Result } from "../common/mod.ts";
+import { parseTomlFile, type ValueReader } from "../toml/mod.ts";
+import { CallGraph } from "./call_graph.ts";
+import type {
+  DeclaredCall,
+  EnvironmentDocument,
+  KeyRule,
+  LedgerRules,
+  Link,
+  Route,
+  Service,
+  ShedSignal,
+} from "./environment_document.ts";
+
+/** Longest deadline that a document may give, in milliseconds. */
+const maximumDeadlineMilliseconds = 600_000;
+/** Largest attempt allowance that a document may give. */
+const maximumAttemptAllowance = 10_000;
+const maximumRetentionSeconds = 90 * 24 * 3600;
+const maximumAnswerBytes = 65_536;
+
+/**
+ * Parses and checks a document. All findings are reported together.
+ * @param text The TOML text.
+ * @param file Name of the file, for findings.
+ * @returns The document, or every finding.
+ */
+export function parseDocument(
+  text: string,
+  file: string,
+): Result<EnvironmentDocument, Finding[]> {
+  const parsed = parseTomlFile(text, file);
+  if (parsed.kind === "error") {
+    return parsed;
+  }
+  const { reader, findings } = parsed.value;
+  const document = readDocument(reader);
+  if (findings.length > 0) {
+    return failed(findings.toSorted((a, b) => a.line - b.line));
+  }
+  return ok(document);
+}
+
+function readDocument(reader: ValueReader): EnvironmentDocument {
+  readFormat(reader);
+  const classes = readClasses(reader);
+  const services = readServices(reader);
+  const routeReaders = reader.readTables("routes");
+  const routes = routeReaders.map((each) => readRoute(each, classes));
+  const document: EnvironmentDocument = {
+    format: 1,
+    objective: reader.readChoice("objective", ["goodput", "recovery"]),
+    classes,
+    callerHeader: reader.readText("caller_header", { optional: true })
+      ?.toLowerCase(),
+    maximumDepth: reader.readNumber("maximum_depth", {
+      minimum: 1,
+      maximum: 64,
+      isInteger: true,
+      fallback: 10,
+    }),
+    callerShare: reader.readNumber("caller_share", {
+      minimum: 0.01,
+      maximum: 1,
+      isInteger: false,
+      fallback: 0.5,
+    }),
+    quarantineSeconds: reader.readNumber("quarantine_seconds", {
+      minimum: 1,
+      maximum: maximumRetentionSeconds,
+      isInteger: true,
+      fallback: 3600,
+    }),
+    services,
+    routes,
+    links: reader.readTables("links").map(readLink),
+    ledger: readLedgerRules(reader),
+  };
+  reader.reportUnknownKeys();
+  checkReferences(reader, document);
+  checkRoutes(routeReaders, document);
+  return document;
+}
+
+function readFormat(reader: ValueReader): void {
+  reader.readNumber("format", { minimum: 1, maximum: 1, isInteger: true });
+}
+
+function readClasses(reader: ValueReader): string[] {
+  const classes = reader.readTexts("classes");
+  if (new Set(classes).size !== classes.length) {
+    reader.addFinding("classes", "A class is named twice");
+  }
+  if (classes.length > 16) {
+    reader.addFinding("classes", "Expected at most 16 classes");
+  }
+  return classes;
+}
+
+function readServices(reader: ValueReader): Map<string, Service> {
+  const services = new Map<string, Service>();
+  for (const [name, each] of reader.readNamedTables("services")) {
+    services.set(name, readService(name, each));
+  }
+  if (services.size === 0) {
+    reader.addFinding("services", "Expected at least one service");
+  }
+  return services;
+}
+
+function readService(name: string, reader: ValueReader): Service {
+  if (!/^[a-z0-9]([a-z0-9-]*[a-z0-9])?$/.test(name)) {
+    reader.addFinding("", "Expected a name of a-z, 0-9 and inner hyphens");
+  }
+  const service: Service = {
+    name,
+    slots: reader.readNumber("slots", {
+      minimum: 1,
+      maximum: 100_000,
+      isInteger: true,
+    }),
+    connections: reader.readNumber("connections", {
+      minimum: 1,
+      maximum: 100_000,
+      isInteger: true,
+    }),
+    shedSignal: readShedSignal(reader.readTable("shed_signal")),
+    retryRatio: reader.readNumber("retry_ratio", {
+      minimum: 0,
+      maximum: 1,
+      isInteger: false,
+      fallback: 0.1,
+    }),
+    warmUpMilliseconds: reader.readNumber("warm_up_ms", {
+      minimum: 0,
+      maximum: maximumDeadlineMilliseconds,
+      isInteger: true,
+      fallback: 3000,
+    }),
+    loadPath: reader.readText("load_path", { optional: true }),
+  };
+  reader.reportUnknownKeys();
+  return service;
+}
+
+function readShedSignal(
+  reader: ValueReader | undefined,
+): ShedSignal | undefined {
+  if (reader === undefined) {
+    return undefined;
+  }
+  const signal: ShedSignal = {
+    status: reader.readNumber("status", {
+      minimum: 400,
+      maximum: 599,
+      isInteger: true,
+    }),
+    header: reader.readText("header", { optional: true })?.toLowerCase(),
+  };
+  reader.reportUnknownKeys();
+  return signal;
+}
+
+function readRoute(reader: ValueReader, classes: readonly string[]): Route {
+  const className = reader.readText("class");
+  const classIndex = classes.indexOf(className);
+  if (className !== "" && classIndex < 0) {
+    reader.addFinding("class", `Class "${className}" is not in classes`);
+  }
+  const idempotent = reader.readBoolean("idempotent");
+  const key = reader.readChoice<KeyRule>(
+    "key",
+    ["required", "optional", "none"],
+    idempotent ? "none" : "optional",
+  );
+  const route: Route = {
+    service: reader.readText("service"),
+    method: reader.readText("method"),
+    path: reader.readText("path"),
+    classIndex: Math.max(classIndex, 0),
+    idempotent,
+    key,
+    deadlineMilliseconds: reader.readNumber("deadline_ms", {
+      minimum: 1,
+      maximum: maximumDeadlineMilliseconds,
+      isInteger: true,
+    }),
+    attemptAllowance: reader.readNumber("attempt_allowance", {
+      minimum: 1,
+      maximum: maximumAttemptAllowance,
+      isInteger: true,
+    }),
+    calls: reader.readTables("calls").map(readDeclaredCall),
+  };
+  reader.reportUnknownKeys();
+  checkRouteText(reader, route);
+  return route;
+}
+
+function checkRouteText(reader: ValueReader, route: Route): void {
+  if (route.path !== "" && !/^\/[^*?#\s]*\*?$/.test(route.path)) {
+    reader.addFinding("path", "Expected a path such as /sheets or /sheets/*");
+  }
+  if (route.method !== "" && !/^([A-Z]+|\*)$/.test(route.method)) {
+    reader.addFinding("method", "Expected a method in upper case, or *");
+  }
+}
+
+function readDeclaredCall(reader: ValueReader): DeclaredCall {
+  const call: DeclaredCall = {
+    service: reader.readText("service"),
+    count: reader.readNumber("count", {
+      minimum: 1,
+      maximum: 1000,
+      isInteger: true,
+      fallback: 1,
+    }),
+  };
+  reader.reportUnknownKeys();
+  return call;
+}
+
+function readLink(reader: ValueReader): Link {
+  const link: Link = {
+    from: reader.readText("from"),
+    to: reader.readText("to"),
+    bytesPerSecond: reader.readNumber("bytes_per_second", {
+      minimum: 1,
+      maximum: Number.MAX_SAFE_INTEGER,
+      isInteger: true,
+    }),
+    reservedShare: reader.readNumber("reserved_share", {
+      minimum: 0,
+      maximum: 0.9,
+      isInteger: false,
+      fallback: 0.2,
+    }),
+  };
+  if (link.from === link.to && link.from !== "") {
+    reader.addFinding("to", "A link needs two regions");
+  }
+  reader.reportUnknownKeys();
+  return link;
+}
+
+function readLedgerRules(top: ValueReader): LedgerRules {
+  const reader = top.readTable("ledger");
+  const rules = defaultLedgerRules;
+  if (reader === undefined) {
+    return rules;
+  }
+  const read = (key: string, fallback: number, maximum: number) =>
+    reader.readNumber(key, { minimum: 0, maximum, isInteger: true, fallback });
+  const result: LedgerRules = {
+    retentionSeconds: read(
+      "retention_seconds",
+      rules.retentionSeconds,
+      maximumRetentionSeconds,
+    ),
+    answerSeconds: read(
+      "answer_seconds",
+      rules.answerSeconds,
+      maximumRetentionSeconds,
+    ),
+    answerBytes: read("answer_bytes", rules.answerBytes, maximumAnswerBytes),
+    maximumClaims: read("maximum_claims", rules.maximumClaims, 50_000_000),
+  };
+  if (result.answerSeconds > result.retentionSeconds) {
+    reader.addFinding("answer_seconds", "Longer than retention_seconds");
+  }
+  reader.reportUnknownKeys();
+  return result;
+}
+
+/** Rules of the ledger where the document says nothing. */
+export const defaultLedgerRules: LedgerRules = {
+  // Eight days: longer than a weekly cycle after which a caller sends again.
+  retentionSeconds: 8 * 24 * 3600,
+  answerSeconds: 3600,
+  answerBytes: 4096,
+  maximumClaims: 200_000,
+};
+
+function checkReferences(
+  reader: ValueReader,
+  document: EnvironmentDocument,
+): void {
+  document.routes.forEach((route, index) => {
+    if (route.service !== "" && !document.services.has(route.service)) {
+      reader.addFinding(
+        `routes.${index}.service`,
+        `Service "${route.service}" is not in services`,
+      );
+    }
+    route.calls.forEach((call, callIndex) => {
+      if (call.service !== "" && !document.services.has(call.service)) {
+        reader.addFinding(
+          `routes.${index}.calls.${callIndex}.service`,
+          `Service "${call.service}" is not in services`,
+        );
+      }
+    });
+  });
+  reportRepeatedLinks(reader, document.links);
+}
+
+function reportRepeatedLinks(
+  reader: ValueReader,
+  links: readonly Link[],
+): void {
+  const seen = new Set<string>();
+  links.forEach((link, index) => {
+    const pair = [link.from, link.to].toSorted().join(" ");
+    if (seen.has(pair)) {
+      reader.addFinding(`links.${index}`, "The link is given twice");
+    }
+    seen.add(pair);
+  });
+}
+
+function checkRoutes(
+  readers: readonly ValueReader[],
+  document: EnvironmentDocument,
+): void {
+  const graph = new CallGraph(document);
+  const seen = new Set<string>();
+  document.routes.forEach((route, index) => {
+    const reader = readers[index];
+    if (reader === undefined) {
+      return;
+    }
+    const pattern = `${route.service} ${route.method} ${route.path}`;
+    if (seen.has(pattern)) {
+      reader.addFinding("path", "The route is given twice");
+    }
+    seen.add(pattern);
+    checkRouteGraph(reader, graph, route, document);
+  });
+}
+
+function checkRouteGraph(
+  reader: ValueReader,
+  graph: CallGraph,
+  route: Route,
+  document: EnvironmentDocument,
+): void {
+  const cycle = graph.getCycle(route.service);
+  if (cycle !== undefined) {
+    reader.addFinding("calls", `Calls form a cycle: ${cycle.join(" -> ")}`);
+    return;
+  }
+  const need = graph.getRouteNeed(route);
+  if (need > route.attemptAllowance) {
+    reader.addFinding(
+      "attempt_allowance",
+      `Smaller than the ${need} attempts that the declared calls need`,
+    );
+  }
+  const depth = graph.getRouteDepth(route);
+  if (depth > document.maximumDepth) {
+    reader.addFinding(
+      "calls",
+      `Declared calls are ${depth} deep, more than maximum_depth`,
+    );
+  }
+}
--- /dev/null
+++ b/src/request/refusal_reason.ts
@@ -0,0 +1,38 @@
+/** Every reason for which a call is refused or fails. */
+export const refusalReasons = [
+  "unknown-route",
+  "malformed-request",
+  "too-large",
+  "deadline-exceeded",
+  "deadline-too-short",
+  "queue-full",
+  "evicted",
+  "shed-early",
+  "caller-share",
+  "allowance-spent",
+  "depth-exceeded",
+  "no-target",
+  "target-shed",
+  "target-draining",
+  "target-unreachable",
+  "target-reset",
+  "target-timeout",
+  "answer-incomplete",
+  "key-required",
+  "key-conflict",
+  "claim-in-progress",
+  "claim-ran",
+  "claim-unknown",
+  "claim-superseded",
+  "ledger-unavailable",
+  "ledger-full",
+  "suspect",
+  "quarantined",
+  "cancelled",
+  "stopping",
+  "node-unreachable",
+  "link-budget",
+] as const;
+
+/** A reason for which a call is refused or fails; each has a counter. */
+export type RefusalReason = (typeof refusalReasons)[number];
--- /dev/null
+++ b/src/toml/mod.ts
@@ -0,0 +1,7 @@
+export { parseTomlFile, type TomlFile } from "./toml_file.ts";
+export {
+  type LineOfKey,
+  type NumberRange,
+  type ReadContext,
+  ValueReader,
+} from "./value_reader.ts";
--- /dev/null
+++ b/src/toml/toml_file.ts
@@ -0,0 +1,98 @@
+import { type AST, getStaticTOMLValue, parseTOML } from "toml-eslint-parser";
+import { failed, type Finding, ok, type Result } from "../common/mod.ts";
+import { ValueReader } from "./value_reader.ts";
+
+/** A parsed TOML file, ready to be read key by key. */
+export interface TomlFile {
+  readonly reader: ValueReader;
+  /** Findings that the readers collect. */
+  readonly findings: Finding[];
+}
+
+/**
+ * Parses a TOML text and remembers the line of each key.
+ * @param text The text.
+ * @param file Name of the file, for findings.
+ * @returns A reader of its top level, or the finding that stopped the parser.
+ */
+export function parseTomlFile(
+  text: string,
+  file: string,
+): Result<TomlFile, Finding[]> {
+  let program: AST.TOMLProgram;
+  let values: unknown;
+  try {
+    program = parseTOML(text);
+    values = getStaticTOMLValue(program);
+  } catch (error) {
+    return failed([createSyntaxFinding(error, file)]);
+  }
+  const lines = collectLines(program);
+  const findings: Finding[] = [];
+  const reader = new ValueReader(values as Record<string, unknown>, "", {
+    file,
+    getLine: (key) => lines.get(key) ?? 0,
+    findings,
+  });
+  return ok({ reader, findings });
+}
+
+function createSyntaxFinding(error: unknown, file: string): Finding {
+  const { lineNumber, message } = error as {
+    lineNumber?: number;
+    message?: string;
+  };
+  return {
+    file,
+    line: lineNumber ?? 0,
+    key: "",
+    message: message ?? String(error),
+  };
+}
+
+function collectLines(program: AST.TOMLProgram): Map<string, number> {
+  const lines = new Map<string, number>();
+  for (const node of program.body[0].body) {
+    if (node.type === "TOMLTable") {
+      const path = node.resolvedKey.join(".");
+      lines.set(path, node.loc.start.line);
+      for (const pair of node.body) {
+        addPair(lines, path, pair);
+      }
+    } else {
+      addPair(lines, "", node);
+    }
+  }
+  return lines;
+}
+
+function addPair(
+  lines: Map<string, number>,
+  parent: string,
+  pair: AST.TOMLKeyValue,
+): void {
+  let path = parent;
+  for (const part of pair.key.keys) {
+    const name = part.type === "TOMLBare" ? part.name : part.value;
+    path = path === "" ? name : `${path}.${name}`;
+    if (!lines.has(path)) {
+      lines.set(path, pair.loc.start.line);
+    }
+  }
+  addContent(lines, path, pair.value);
+}
+
+function addContent(
+  lines: Map<string, number>,
+  path: string,
+  content: AST.TOMLContentNode,
+): void {
+  if (content.type === "TOMLInlineTable") {
+    content.body.forEach((pair) => addPair(lines, path, pair));
+  } else if (content.type === "TOMLArray") {
+    content.elements.forEach((element, index) => {
+      lines.set(`${path}.${index}`, element.loc.start.line);
+      addContent(lines, `${path}.${index}`, element);
+    });
+  }
+}
--- /dev/null
+++ b/src/toml/value_reader.ts
@@ -0,0 +1,238 @@
+import type { Finding } from "../common/mod.ts";
+
+/** A whole or fractional number and its allowed range. */
+export interface NumberRange {
+  readonly minimum: number;
+  readonly maximum: number;
+  readonly isInteger: boolean;
+  /** Used when the key is absent; without it the key is required. */
+  readonly fallback?: number;
+}
+
+/** Gets the line of a dotted key, or 0 when it is not in the file. */
+export type LineOfKey = (key: string) => number;
+
+/**
+ * Reads the keys of one TOML table, and collects a finding for each key that
+ * is missing, unknown, of another type or out of range.
+ */
+export class ValueReader {
+  readonly #table: Readonly<Record<string, unknown>>;
+  readonly #seen = new Set<string>();
+
+  /**
+   * @param table The parsed table.
+   * @param path Dotted path of the table; empty for the top level.
+   * @param context The file, its lines and the list that takes findings.
+   */
+  constructor(
+    table: Readonly<Record<string, unknown>>,
+    readonly path: string,
+    readonly context: ReadContext,
+  ) {
+    this.#table = table;
+  }
+
+  /**
+   * Adds a finding about a key of this table.
+   * @param key The key; empty for the table itself.
+   * @param message What is wrong.
+   */
+  addFinding(key: string, message: string): void {
+    const path = this.getPath(key);
+    this.context.findings.push({
+      file: this.context.file,
+      line: this.context.getLine(path) || this.context.getLine(this.path),
+      key: path,
+      message,
+    });
+  }
+
+  /**
+   * Gets the dotted path of a key of this table.
+   * @param key The key; empty for the table itself.
+   * @returns The path.
+   */
+  getPath(key: string): string {
+    return [this.path, key].filter((part) => part !== "").join(".");
+  }
+
+  /** Reports whether the table has the key. */
+  hasKey(key: string): boolean {
+    return this.#table[key] !== undefined;
+  }
+
+  /** Reads a number within a range. */
+  readNumber(key: string, range: NumberRange): number {
+    const value = this.#take(key);
+    if (value === undefined) {
+      if (range.fallback === undefined) {
+        this.addFinding(key, "Missing key");
+      }
+      return range.fallback ?? range.minimum;
+    }
+    const isNumber = typeof value === "number" && Number.isFinite(value) &&
+      (!range.isInteger || Number.isInteger(value));
+    if (!isNumber || value < range.minimum || value > range.maximum) {
+      const kind = range.isInteger ? "a whole number" : "a number";
+      this.addFinding(
+        key,
+        `Expected ${kind} from ${range.minimum} to ${range.maximum}`,
+      );
+      return range.fallback ?? range.minimum;
+    }
+    return value;
+  }
+
+  /** Reads a text that is not empty; `undefined` when absent and optional. */
+  readText(key: string, options: { optional: true }): string | undefined;
+  readText(key: string, options?: { optional?: false }): string;
+  readText(
+    key: string,
+    options: { optional?: boolean } = {},
+  ): string | undefined {
+    const value = this.#take(key);
+    if (value === undefined) {
+      if (options.optional) {
+        return undefined;
+      }
+      this.addFinding(key, "Missing key");
+      return "";
+    }
+    if (typeof value !== "string" || value === "") {
+      this.addFinding(key, "Expected a text that is not empty");
+      return options.optional ? undefined : "";
+    }
+    return value;
+  }
+
+  /** Reads one of several texts. */
+  readChoice<Choice extends string>(
+    key: string,
+    choices: readonly Choice[],
+    fallback?: Choice,
+  ): Choice {
+    const value = this.#take(key);
+    if (value === undefined && fallback !== undefined) {
+      return fallback;
+    }
+    const choice = choices.find((each) => each === value);
+    if (choice === undefined) {
+      const names = choices.map((each) => `"${each}"`).join(", ");
+      this.addFinding(
+        key,
+        value === undefined ? "Missing key" : `Expected one of ${names}`,
+      );
+    }
+    return choice ?? (choices[0] as Choice);
+  }
+
+  /** Reads true or false. */
+  readBoolean(key: string, fallback?: boolean): boolean {
+    const value = this.#take(key);
+    if (typeof value === "boolean") {
+      return value;
+    }
+    if (value !== undefined || fallback === undefined) {
+      this.addFinding(
+        key,
+        value === undefined ? "Missing key" : "Expected true or false",
+      );
+    }
+    return fallback ?? false;
+  }
+
+  /** Reads a list of texts. */
+  readTexts(key: string, options: { optional?: boolean } = {}): string[] {
+    const value = this.#take(key);
+    if (value === undefined && options.optional) {
+      return [];
+    }
+    if (
+      !Array.isArray(value) || value.length === 0 ||
+      value.some((each) => typeof each !== "string" || each === "")
+    ) {
+      this.addFinding(
+        key,
+        value === undefined ? "Missing key" : "Expected a list of texts",
+      );
+      return [];
+    }
+    return value as string[];
+  }
+
+  /** Reads a table; `undefined` when it is absent or not a table. */
+  readTable(key: string): ValueReader | undefined {
+    const value = this.#take(key);
+    if (value === undefined) {
+      return undefined;
+    }
+    if (!isTable(value)) {
+      this.addFinding(key, "Expected a table");
+      return undefined;
+    }
+    return new ValueReader(value, this.getPath(key), this.context);
+  }
+
+  /** Reads a table whose keys are names chosen by the operator. */
+  readNamedTables(key: string): Map<string, ValueReader> {
+    const readers = new Map<string, ValueReader>();
+    const value = this.#take(key);
+    if (value === undefined) {
+      return readers;
+    }
+    if (!isTable(value)) {
+      this.addFinding(key, "Expected a table");
+      return readers;
+    }
+    const parent = new ValueReader(value, this.getPath(key), this.context);
+    for (const name of Object.keys(value)) {
+      const reader = parent.readTable(name);
+      if (reader !== undefined) {
+        readers.set(name, reader);
+      }
+    }
+    return readers;
+  }
+
+  /** Reads a list of tables; empty when absent. */
+  readTables(key: string): ValueReader[] {
+    const value = this.#take(key);
+    if (value === undefined) {
+      return [];
+    }
+    if (!Array.isArray(value) || !value.every(isTable)) {
+      this.addFinding(key, "Expected a list of tables");
+      return [];
+    }
+    return value.map((each, index) =>
+      new ValueReader(each, `${this.getPath(key)}.${index}`, this.context)
+    );
+  }
+
+  /** Adds a finding for each key that nothing has read. */
+  reportUnknownKeys(): void {
+    for (const key of Object.keys(this.#table)) {
+      if (!this.#seen.has(key)) {
+        this.addFinding(key, "Unknown key");
+      }
+    }
+  }
+
+  #take(key: string): unknown {
+    this.#seen.add(key);
+    return Object.hasOwn(this.#table, key) ? this.#table[key] : undefined;
+  }
+}
+
+/** What the readers of one file share. */
+export interface ReadContext {
+  readonly file: string;
+  readonly getLine: LineOfKey;
+  readonly findings: Finding[];
+}
+
+function isTable(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null &&
+    !Array.isArray(value) && !(value instanceof Date);
+}
