--- /dev/null
+++ b/src/consensus/consensus_core.ts
@@ -0,0 +1,1576 @@
+import type { RandomSource } from "../common/mod.ts";
+import { EntryLog } from "./entry_log.ts";
+import type { EntryContent, LogEntry, SnapshotInfo } from "./log_entry.ts";
+import { getMajority, isVoter, type Member } from "./member.ts";
+import type { ConsensusMessage, Envelope } from "./message.ts";
+import { advanceMemory, judgeStart, type PeerMemory } from "./peer_memory.ts";
+import type {
+  HardState,
+  Identity,
+  PersistedState,
+  StorageRequest,
+} from "./persisted_state.ts";
+import { createProgress, type Progress } from "./progress.ts";
+
+/** Times and sizes of the protocol. */
+export interface ConsensusTiming {
+  readonly heartbeatMilliseconds: number;
+  /** Elections start after a random time from this to its double. */
+  readonly electionMilliseconds: number;
+  /** Silence after which an instance reports itself isolated. */
+  readonly isolationMilliseconds: number;
+  /** How long a started instance waits for the voters that are silent. */
+  readonly confirmationMilliseconds: number;
+}
+
+/** The times of the design page. */
+export const defaultTiming: ConsensusTiming = {
+  heartbeatMilliseconds: 250,
+  electionMilliseconds: 1000,
+  isolationMilliseconds: 1500,
+  confirmationMilliseconds: 1000,
+};
+
+/** The time at an input of the core. */
+export interface CoreTime {
+  readonly monotonicMilliseconds: number;
+  readonly wallMilliseconds: number;
+}
+
+/** Settings of the core. */
+export interface CoreOptions {
+  readonly address: string;
+  /** Addresses that form a new group; the first one founds it. */
+  readonly initialMembers: readonly string[];
+  readonly random: RandomSource;
+  readonly time: CoreTime;
+  readonly timing?: ConsensusTiming;
+}
+
+/** Part that an instance plays. */
+export type Role =
+  /** Has no group yet. */
+  | "unformed"
+  /** Started and not yet confirmed by the voters. */
+  | "recovering"
+  /** Found behind its own past; has to be replaced. */
+  | "denied"
+  | "non-voter"
+  | "follower"
+  | "candidate"
+  | "leader";
+
+/** What the owner of the core has to act on, in order. */
+export type CoreEvent =
+  | { readonly kind: "committed"; readonly entries: readonly LogEntry[] }
+  /** The state machine must be replaced; the snapshot is durable. */
+  | {
+    readonly kind: "restore";
+    readonly info: SnapshotInfo;
+    readonly data: Uint8Array;
+  }
+  | { readonly kind: "read"; readonly token: number; readonly index: number }
+  | { readonly kind: "readFailed"; readonly token: number }
+  | { readonly kind: "leadershipLost" }
+  | {
+    readonly kind: "notice";
+    readonly text: string;
+    readonly detail: string;
+  };
+
+/** Why the core refused a proposal. */
+export type CoreRefusal =
+  | { readonly kind: "not-leader" }
+  | { readonly kind: "member-change-refused"; readonly message: string };
+
+/** A change of the members that the core can append as one entry. */
+export type SingleMemberChange =
+  | { readonly kind: "add"; readonly id: string; readonly address: string }
+  | { readonly kind: "promote"; readonly id: string }
+  | { readonly kind: "remove"; readonly id: string };
+
+/** Appends that may be unacknowledged per member. */
+const maximumInFlight = 16;
+
+/** Keeps an append with its headers well below the 4 MiB default of gRPC. */
+const maximumAppendBytes = 512 * 1024;
+
+/** A non-voter this close to the leader's log may become a voter. */
+const promotionDistance = 256;
+
+/** Time without progress after which a leader sends again. */
+const resendMilliseconds = 1000;
+
+type PendingRead = {
+  token: number;
+  /** Empty for a read of this instance. */
+  fromId: string;
+  fromAddress: string;
+  index: number;
+  round: number;
+};
+
+/**
+ * The replication protocol without socket, file or clock: messages, times and
+ * finished writes come in; messages, writes and events go out.
+ */
+export class ConsensusCore {
+  readonly identity: Identity;
+  readonly #address: string;
+  readonly #initialMembers: readonly string[];
+  readonly #random: RandomSource;
+  readonly #timing: ConsensusTiming;
+  #now: number;
+  #wall: number;
+  readonly #startedAt: number;
+
+  #hardState: HardState;
+  #snapshot: SnapshotInfo;
+  readonly #log: EntryLog;
+  readonly #peers: Map<string, PeerMemory>;
+  #commitIndex: number;
+  /** Highest index handed out as committed. */
+  #deliveredIndex: number;
+  #durableIndex: number;
+
+  #role: "follower" | "pre-candidate" | "candidate" | "leader" = "follower";
+  #leader: { id: string; address: string } | undefined;
+  #heardLeaderAt: number;
+  #electionAt = 0;
+  #nextHeartbeatAt = 0;
+  #votes = new Set<string>();
+  #progress = new Map<string, Progress>();
+  #leaderSince = 0;
+  #firstIndexOfTerm = 0;
+
+  readonly #startState: { term: number; lastIndex: number };
+  /** True once a majority of the voters confirmed this start. */
+  #isConfirmed: boolean;
+  readonly #confirmations = new Map<string, "confirmed" | "unknown">();
+  #nextConfirmAt = 0;
+  readonly #hellos = new Map<string, { id: string; at: number }>();
+  #isWelcomeDenied = false;
+
+  #round = 0;
+  /** True when reads wait for the next round to start. */
+  #isRoundDue = false;
+  #reads: PendingRead[] = [];
+  readonly #forwardedReads = new Map<number, number>();
+  #incoming:
+    | { info: SnapshotInfo; chunks: Uint8Array[]; size: number }
+    | undefined;
+
+  #messages: Envelope[] = [];
+  #events: CoreEvent[] = [];
+  /** Messages that wait for the next write. */
+  #held: Envelope[] = [];
+  #pendingHardState = false;
+  #pendingPeers = false;
+  /** Memory of peers that goes out with the next write or heartbeat. */
+  #arePeersDirty = false;
+  #pendingFrom: number | undefined;
+  #pendingSnapshot: { info: SnapshotInfo; data: Uint8Array } | undefined;
+  #restore: { info: SnapshotInfo; data: Uint8Array } | undefined;
+  #sequence = 0;
+  #inWrite: {
+    sequence: number;
+    held: Envelope[];
+    term: number;
+    lastIndex: number;
+    lastTerm: number;
+    restore: { info: SnapshotInfo; data: Uint8Array } | undefined;
+  } | undefined;
+
+  /**
+   * @param state What the data folder holds.
+   * @param options Address, initial members, randomness and time.
+   */
+  constructor(state: PersistedState, options: CoreOptions) {
+    this.identity = state.identity;
+    this.#address = options.address;
+    this.#initialMembers = options.initialMembers;
+    this.#random = options.random;
+    this.#timing = options.timing ?? defaultTiming;
+    this.#now = options.time.monotonicMilliseconds;
+    this.#wall = options.time.wallMilliseconds;
+    this.#startedAt = this.#now;
+    this.#hardState = state.hardState;
+    this.#snapshot = state.snapshot;
+    this.#log = new EntryLog(state.snapshot, state.entries);
+    this.#peers = new Map(state.peers);
+    this.#commitIndex = state.snapshot.index;
+    this.#deliveredIndex = state.snapshot.index;
+    this.#durableIndex = this.#log.lastIndex;
+    this.#heardLeaderAt = this.#now;
+    this.#startState = {
+      term: state.hardState.term,
+      lastIndex: this.#log.lastIndex,
+    };
+    // An identity that was made in this start has no past to fall behind.
+    this.#isConfirmed = state.hardState.groupId === "" &&
+      state.identity.bootCount === 1;
+    this.#resetElectionTimer();
+    this.#updateConfirmation();
+  }
+
+  // --- State that others may look at ---
+
+  get groupId(): string {
+    return this.#hardState.groupId;
+  }
+  get term(): number {
+    return this.#hardState.term;
+  }
+  get commitIndex(): number {
+    return this.#commitIndex;
+  }
+  get lastIndex(): number {
+    return this.#log.lastIndex;
+  }
+  get snapshotIndex(): number {
+    return this.#snapshot.index;
+  }
+  get members(): readonly Member[] {
+    return this.#log.members;
+  }
+  get leader(): { readonly id: string; readonly address: string } | undefined {
+    return this.#leader;
+  }
+  get isLeader(): boolean {
+    return this.#role === "leader";
+  }
+  /** True when a hello was refused because the group has other members. */
+  get isWelcomeDenied(): boolean {
+    return this.#isWelcomeDenied;
+  }
+
+  /** Gets the part that this instance plays. */
+  getRole(): Role {
+    if (this.#hardState.groupId === "") {
+      return "unformed";
+    }
+    if (this.#hardState.isRegressed) {
+      return "denied";
+    }
+    if (this.#role === "leader") {
+      return "leader";
+    }
+    if (!isVoter(this.members, this.identity.id)) {
+      return "non-voter";
+    }
+    if (!this.#isConfirmed) {
+      return "recovering";
+    }
+    return this.#role === "follower" ? "follower" : "candidate";
+  }
+
+  /**
+   * Reports whether this instance heard too little to call its state current.
+   * @param nowMilliseconds Monotonic time.
+   */
+  isIsolated(nowMilliseconds: number): boolean {
+    const heardAt = this.#role === "leader"
+      ? Math.max(this.#getMajorityHeardAt(), this.#leaderSince)
+      : this.#heardLeaderAt;
+    return nowMilliseconds - heardAt > this.#timing.isolationMilliseconds;
+  }
+
+  /** Gets how far each member is, as known to a leader. */
+  getMatchIndexes(): ReadonlyMap<string, number> {
+    const indexes = new Map<string, number>();
+    for (const [id, progress] of this.#progress) {
+      indexes.set(id, progress.matchIndex);
+    }
+    indexes.set(this.identity.id, this.#durableIndex);
+    return indexes;
+  }
+
+  // --- Inputs ---
+
+  /** Sets the time of the inputs that follow. */
+  setTime(time: CoreTime): void {
+    this.#now = Math.max(this.#now, time.monotonicMilliseconds);
+    this.#wall = time.wallMilliseconds;
+  }
+
+  /** Starts what is due: elections, heartbeats, resends, questions. */
+  tick(): void {
+    if (this.#hardState.groupId === "") {
+      this.#tickUnformed();
+      return;
+    }
+    this.#tickConfirmation();
+    if (this.#role === "leader") {
+      this.#tickLeader();
+    } else if (
+      this.#now >= this.#electionAt && this.#canVote() &&
+      isVoter(this.members, this.identity.id)
+    ) {
+      this.#startPreVote();
+    }
+    for (const [token, deadline] of this.#forwardedReads) {
+      if (this.#now >= deadline) {
+        this.#forwardedReads.delete(token);
+        this.#events.push({ kind: "readFailed", token });
+      }
+    }
+  }
+
+  /**
+   * Appends commands on the leader.
+   * @returns The first index and the term, or a refusal.
+   */
+  propose(
+    commands: readonly Uint8Array[],
+  ): { kind: "appended"; index: number; term: number } | CoreRefusal {
+    if (this.#role !== "leader") {
+      return { kind: "not-leader" };
+    }
+    const index = this.#log.lastIndex + 1;
+    for (const command of commands) {
+      this.#appendOwn({ kind: "command", command });
+    }
+    return { kind: "appended", index, term: this.term };
+  }
+
+  /** Appends one change of the members on the leader. */
+  changeMembers(
+    change: SingleMemberChange,
+  ): { kind: "appended"; index: number; term: number } | CoreRefusal {
+    if (this.#role !== "leader") {
+      return { kind: "not-leader" };
+    }
+    const refuse = (message: string): CoreRefusal => ({
+      kind: "member-change-refused",
+      message,
+    });
+    // Without an entry of its own term committed, a leader does not know
+    // whether an earlier change is still under way.
+    if (
+      this.#commitIndex < this.#firstIndexOfTerm ||
+      this.#log.membersIndex > this.#commitIndex
+    ) {
+      return refuse("another change of members is under way");
+    }
+    const members = [...this.members];
+    const position = members.findIndex((each) => each.id === change.id);
+    const member = members[position];
+    switch (change.kind) {
+      case "add":
+        if (member !== undefined) {
+          return refuse(`${change.id} is a member already`);
+        }
+        members.push({
+          id: change.id,
+          address: change.address,
+          isVoter: false,
+        });
+        break;
+      case "promote": {
+        if (member === undefined || member.isVoter) {
+          return refuse(`${change.id} is not a non-voter of the group`);
+        }
+        const progress = this.#progress.get(change.id);
+        if (
+          progress === undefined || !progress.isTrusted ||
+          progress.matchIndex + promotionDistance < this.#log.lastIndex ||
+          progress.matchIndex < this.#firstIndexOfTerm
+        ) {
+          return refuse(`${change.id} has not caught up`);
+        }
+        members[position] = { ...member, isVoter: true };
+        break;
+      }
+      case "remove":
+        if (member === undefined) {
+          return refuse(`${change.id} is not a member`);
+        }
+        members.splice(position, 1);
+        if (!members.some((each) => each.isVoter)) {
+          return refuse(`${change.id} is the last voter`);
+        }
+        break;
+    }
+    const index = this.#appendOwn({ kind: "members", members });
+    this.#updateProgressMembers();
+    return { kind: "appended", index, term: this.term };
+  }
+
+  /**
+   * Starts a read; a `read` or `readFailed` event with the token follows.
+   * @param token Chosen by the caller, unique in this start.
+   */
+  requestRead(token: number): void {
+    if (this.#role === "leader") {
+      this.#startRead({ token, fromId: "", fromAddress: "" });
+    } else if (this.#leader === undefined) {
+      this.#events.push({ kind: "readFailed", token });
+    } else {
+      this.#forwardedReads.set(token, this.#now + resendMilliseconds);
+      this.#send(this.#leader, { kind: "readRequest", token });
+    }
+  }
+
+  /**
+   * Records that the state machine wrote its state at an applied index.
+   * @param index An index not above the applied one.
+   * @param options The bytes, and how many entries to keep for slow members.
+   */
+  recordSnapshot(
+    index: number,
+    options: { data: Uint8Array; keepEntries: number },
+  ): void {
+    if (index <= this.#snapshot.index || index > this.#commitIndex) {
+      return;
+    }
+    const info = this.#log.describeSnapshot(index);
+    this.#snapshot = info;
+    this.#pendingSnapshot = { info, data: options.data };
+    this.#log.discardTo(Math.max(0, index - options.keepEntries));
+  }
+
+  /** Takes a message in. */
+  receive(envelope: Envelope): void {
+    const { message } = envelope;
+    if (envelope.toId !== "" && envelope.toId !== this.identity.id) {
+      return;
+    }
+    if (envelope.groupId !== this.groupId) {
+      this.#receiveFromOtherGroup(envelope);
+      return;
+    }
+    if (this.groupId === "") {
+      if (message.kind === "hello") {
+        this.#hellos.set(envelope.fromAddress, {
+          id: envelope.fromId,
+          at: this.#now,
+        });
+      }
+      return;
+    }
+    if (!this.#acceptTerm(envelope)) {
+      return;
+    }
+    switch (message.kind) {
+      case "hello":
+      case "welcome":
+        return;
+      case "confirmRequest":
+        return this.#onConfirmRequest(envelope, message);
+      case "confirmResponse":
+        return this.#onConfirmResponse(envelope, message);
+      case "preVoteRequest":
+        return this.#onPreVoteRequest(envelope, message);
+      case "preVoteResponse":
+        return this.#onPreVoteResponse(envelope, message);
+      case "voteRequest":
+        return this.#onVoteRequest(envelope, message);
+      case "voteResponse":
+        return this.#onVoteResponse(envelope, message);
+      case "append":
+        return this.#onAppend(envelope, message);
+      case "appendResponse":
+        return this.#onAppendResponse(envelope, message);
+      case "snapshotChunk":
+        return this.#onSnapshotChunk(envelope, message);
+      case "snapshotResponse":
+        return this.#onSnapshotResponse(envelope, message);
+      case "readRequest":
+        return this.#onReadRequest(envelope, message.token);
+      case "readResponse":
+        if (this.#forwardedReads.delete(message.token)) {
+          this.#events.push(
+            message.isConfirmed
+              ? { kind: "read", token: message.token, index: message.index }
+              : { kind: "readFailed", token: message.token },
+          );
+        }
+        return;
+    }
+  }
+
+  /** Takes in that a write is durable. */
+  onStored(sequence: number): void {
+    const write = this.#inWrite;
+    if (write === undefined || write.sequence !== sequence) {
+      throw new Error(`Write ${sequence} was not requested`);
+    }
+    this.#inWrite = undefined;
+    if (this.#log.getTerm(write.lastIndex) === write.lastTerm) {
+      this.#durableIndex = Math.max(
+        this.#snapshot.index,
+        Math.min(write.lastIndex, (this.#pendingFrom ?? Infinity) - 1),
+      );
+    }
+    if (write.restore !== undefined) {
+      this.#events.push({ kind: "restore", ...write.restore });
+      this.#deliveredIndex = Math.max(
+        this.#deliveredIndex,
+        write.restore.info.index,
+      );
+    }
+    // A message of an earlier term would speak for a state that this
+    // instance has left.
+    for (const envelope of write.held) {
+      if (envelope.term === this.term) {
+        this.#messages.push(envelope);
+      }
+    }
+    if (this.#role === "candidate" && write.term === this.term) {
+      this.#countVote(this.identity.id);
+    }
+    if (this.#role === "leader") {
+      this.#advanceCommit();
+    }
+    this.#deliverCommitted();
+  }
+
+  // --- Outputs ---
+
+  /** Takes the messages that may be sent now. */
+  takeMessages(): Envelope[] {
+    if (this.#role === "leader") {
+      for (const member of this.members) {
+        this.#replicate(member);
+      }
+      if (this.#isRoundDue) {
+        this.#round++;
+        this.#sendHeartbeats();
+        this.#completeReads();
+      }
+    }
+    this.#isRoundDue = false;
+    if (!this.#hasPendingWrite() && this.#inWrite === undefined) {
+      this.#messages.push(...this.#held);
+      this.#held = [];
+    }
+    const messages = this.#messages;
+    this.#messages = [];
+    return messages;
+  }
+
+  /** Takes the events since the last time. */
+  takeEvents(): CoreEvent[] {
+    const events = this.#events;
+    this.#events = [];
+    return events;
+  }
+
+  /** Takes the next write; none while one is under way. */
+  takeStorageRequest(): StorageRequest | undefined {
+    if (this.#inWrite !== undefined || !this.#hasPendingWrite()) {
+      return undefined;
+    }
+    const sequence = ++this.#sequence;
+    const snapshot = this.#pendingSnapshot;
+    const from = snapshot !== undefined
+      ? this.#log.baseIndex + 1
+      : this.#pendingFrom;
+    const entries = from === undefined ? [] : this.#log.getEntries(from);
+    const request: StorageRequest = {
+      sequence,
+      entries,
+      ...(this.#pendingHardState ? { hardState: this.#hardState } : {}),
+      ...(snapshot === undefined ? {} : { snapshot }),
+      ...(this.#pendingPeers || this.#arePeersDirty || snapshot !== undefined
+        ? { peers: new Map(this.#peers) }
+        : {}),
+    };
+    this.#inWrite = {
+      sequence,
+      held: this.#held,
+      term: this.term,
+      lastIndex: this.#log.lastIndex,
+      lastTerm: this.#log.lastTerm,
+      restore: this.#restore,
+    };
+    this.#held = [];
+    this.#pendingHardState = false;
+    this.#pendingPeers = false;
+    this.#arePeersDirty = false;
+    this.#pendingFrom = undefined;
+    this.#pendingSnapshot = undefined;
+    this.#restore = undefined;
+    return request;
+  }
+
+  // --- Terms and roles ---
+
+  #hasPendingWrite(): boolean {
+    return this.#pendingHardState || this.#pendingFrom !== undefined ||
+      this.#pendingSnapshot !== undefined || this.#pendingPeers;
+  }
+
+  #setHardState(change: Partial<HardState>): void {
+    this.#hardState = { ...this.#hardState, ...change };
+    this.#pendingHardState = true;
+  }
+
+  #canVote(): boolean {
+    return this.#isConfirmed && !this.#hardState.isRegressed;
+  }
+
+  #resetElectionTimer(): void {
+    const { electionMilliseconds } = this.#timing;
+    this.#electionAt = this.#now + electionMilliseconds +
+      this.#random() * electionMilliseconds;
+  }
+
+  /** Follows the term of a message; false when it must be dropped. */
+  #acceptTerm({ term, message, ...envelope }: Envelope): boolean {
+    const isQuestion = message.kind === "preVoteRequest" ||
+      message.kind === "confirmRequest" ||
+      message.kind === "confirmResponse" ||
+      (message.kind === "preVoteResponse" && message.isGranted);
+    if (isQuestion) {
+      return true;
+    }
+    if (term > this.term) {
+      if (message.kind === "voteRequest" && this.#hearsLeader()) {
+        return false;
+      }
+      const leads = message.kind === "append" ||
+        message.kind === "snapshotChunk";
+      this.#becomeFollower(
+        term,
+        leads
+          ? { id: envelope.fromId, address: envelope.fromAddress }
+          : undefined,
+      );
+      return true;
+    }
+    if (term < this.term) {
+      // The response carries the newer term, so that a stale leader or
+      // candidate stops.
+      if (message.kind === "append" || message.kind === "snapshotChunk") {
+        this.#hold(envelope, {
+          kind: "appendResponse",
+          isSuccess: false,
+          index: 0,
+          round: 0,
+          canVote: this.#canVote(),
+        });
+      } else if (message.kind === "voteRequest") {
+        this.#hold(envelope, { kind: "voteResponse", isGranted: false });
+      }
+      return false;
+    }
+    return true;
+  }
+
+  #becomeFollower(
+    term: number,
+    leader: { id: string; address: string } | undefined,
+  ): void {
+    const wasLeader = this.#role === "leader";
+    if (term > this.term) {
+      this.#setHardState({ term, votedFor: "" });
+      this.#incoming = undefined;
+    }
+    this.#role = "follower";
+    this.#leader = leader;
+    if (wasLeader) {
+      for (const read of this.#reads) {
+        this.#failRead(read);
+      }
+      this.#reads = [];
+      this.#progress.clear();
+      this.#resetElectionTimer();
+      this.#events.push({ kind: "leadershipLost" });
+    }
+  }
+
+  #hearsLeader(): boolean {
+    return this.#role === "leader" ||
+      (this.#leader !== undefined &&
+        this.#now - this.#heardLeaderAt < this.#timing.electionMilliseconds);
+  }
+
+  #isUpToDate(message: { lastIndex: number; lastTerm: number }): boolean {
+    return message.lastTerm > this.#log.lastTerm ||
+      (message.lastTerm === this.#log.lastTerm &&
+        message.lastIndex >= this.#log.lastIndex);
+  }
+
+  #startPreVote(): void {
+    this.#role = "pre-candidate";
+    this.#leader = undefined;
+    this.#votes = new Set([this.identity.id]);
+    this.#resetElectionTimer();
+    if (this.#votes.size >= getMajority(this.members)) {
+      this.#campaign();
+      return;
+    }
+    for (const member of this.#otherVoters()) {
+      this.#send(member, {
+        kind: "preVoteRequest",
+        lastIndex: this.#log.lastIndex,
+        lastTerm: this.#log.lastTerm,
+      }, this.term + 1);
+    }
+  }
+
+  #campaign(): void {
+    this.#role = "candidate";
+    this.#leader = undefined;
+    this.#votes = new Set();
+    this.#setHardState({ term: this.term + 1, votedFor: this.identity.id });
+    this.#resetElectionTimer();
+    for (const member of this.#otherVoters()) {
+      this.#hold(member, {
+        kind: "voteRequest",
+        lastIndex: this.#log.lastIndex,
+        lastTerm: this.#log.lastTerm,
+      });
+    }
+  }
+
+  #onPreVoteRequest(
+    envelope: Envelope,
+    message: { lastIndex: number; lastTerm: number },
+  ): void {
+    const isGranted = this.#canVote() && envelope.term > this.term &&
+      !this.#hearsLeader() && this.#isUpToDate(message);
+    this.#send(
+      this.#senderOf(envelope),
+      { kind: "preVoteResponse", isGranted },
+      isGranted ? envelope.term : this.term,
+    );
+  }
+
+  #onPreVoteResponse(
+    envelope: Envelope,
+    message: { isGranted: boolean },
+  ): void {
+    if (
+      this.#role === "pre-candidate" && message.isGranted &&
+      envelope.term === this.term + 1 &&
+      isVoter(this.members, envelope.fromId)
+    ) {
+      this.#votes.add(envelope.fromId);
+      if (this.#votes.size >= getMajority(this.members)) {
+        this.#campaign();
+      }
+    }
+  }
+
+  #onVoteRequest(
+    envelope: Envelope,
+    message: { lastIndex: number; lastTerm: number },
+  ): void {
+    const { votedFor } = this.#hardState;
+    const isGranted = this.#canVote() && this.#role !== "leader" &&
+      (votedFor === "" || votedFor === envelope.fromId) &&
+      this.#isUpToDate(message);
+    if (isGranted) {
+      if (votedFor === "") {
+        this.#setHardState({ votedFor: envelope.fromId });
+      }
+      this.#resetElectionTimer();
+    }
+    this.#hold(this.#senderOf(envelope), { kind: "voteResponse", isGranted });
+  }
+
+  #onVoteResponse(envelope: Envelope, message: { isGranted: boolean }): void {
+    if (this.#role !== "candidate" || !message.isGranted) {
+      return;
+    }
+    // A vote counts only if it can be held against the voter when it starts
+    // again with an older disk.
+    if (this.#remember(envelope, 0)) {
+      this.#countVote(envelope.fromId);
+    }
+  }
+
+  #countVote(id: string): void {
+    if (isVoter(this.members, id)) {
+      this.#votes.add(id);
+    }
+    if (this.#votes.size >= getMajority(this.members)) {
+      this.#becomeLeader();
+    }
+  }
+
+  #becomeLeader(): void {
+    this.#role = "leader";
+    this.#leader = { id: this.identity.id, address: this.#address };
+    this.#leaderSince = this.#now;
+    this.#progress.clear();
+    this.#reads = [];
+    this.#updateProgressMembers();
+    this.#firstIndexOfTerm = this.#appendOwn({ kind: "empty" });
+    this.#nextHeartbeatAt = this.#now;
+    this.#events.push({
+      kind: "notice",
+      text: "became leader",
+      detail: `term ${this.term}`,
+    });
+    this.#tickLeader();
+  }
+
+  #otherVoters(): Member[] {
+    return this.members.filter((each) =>
+      each.isVoter && each.id !== this.identity.id
+    );
+  }
+
+  // --- Messages ---
+
+  #senderOf(envelope: Envelope): { id: string; address: string } {
+    return { id: envelope.fromId, address: envelope.fromAddress };
+  }
+
+  #createEnvelope(
+    to: { id: string; address: string } | {
+      fromId: string;
+      fromAddress: string;
+    },
+    message: ConsensusMessage,
+    term: number,
+  ): Envelope {
+    return {
+      groupId: this.groupId,
+      fromId: this.identity.id,
+      fromAddress: this.#address,
+      fromBootId: this.identity.bootId,
+      toId: "id" in to ? to.id : to.fromId,
+      toAddress: "id" in to ? to.address : to.fromAddress,
+      term,
+      message,
+    };
+  }
+
+  #send(
+    to: { id: string; address: string },
+    message: ConsensusMessage,
+    term: number = this.term,
+  ): void {
+    this.#messages.push(this.#createEnvelope(to, message, term));
+  }
+
+  /** Sends once everything that is now in memory is durable. */
+  #hold(
+    to: { id: string; address: string } | {
+      fromId: string;
+      fromAddress: string;
+    },
+    message: ConsensusMessage,
+  ): void {
+    this.#held.push(this.#createEnvelope(to, message, this.term));
+  }
+
+  // --- Leader ---
+
+  #appendOwn(content: EntryContent): number {
+    const index = this.#log.lastIndex + 1;
+    this.#log.append([{
+      index,
+      term: this.term,
+      timeMilliseconds: Math.max(this.#wall, this.#log.lastTimeMilliseconds),
+      content,
+    }]);
+    this.#pendingFrom = Math.min(this.#pendingFrom ?? index, index);
+    return index;
+  }
+
+  #updateProgressMembers(): void {
+    const ids = new Set(this.members.map((each) => each.id));
+    for (const id of this.#progress.keys()) {
+      if (!ids.has(id)) {
+        this.#progress.delete(id);
+      }
+    }
+    for (const id of ids) {
+      if (id !== this.identity.id && !this.#progress.has(id)) {
+        this.#progress.set(
+          id,
+          createProgress(this.#log.lastIndex + 1, this.#now),
+        );
+      }
+    }
+  }
+
+  /** Gets the time since which a majority, itself included, was heard. */
+  #getMajorityHeardAt(): number {
+    return this.#getMajorityValue((id) => {
+      if (id === this.identity.id) {
+        return this.#now;
+      }
+      const progress = this.#progress.get(id);
+      return progress?.isTrusted ? progress.heardAtMilliseconds : -Infinity;
+    });
+  }
+
+  /** Gets the highest value that a majority of the voters reached. */
+  #getMajorityValue(getValue: (id: string) => number): number {
+    const values = this.members.filter((each) => each.isVoter)
+      .map((each) => getValue(each.id)).sort((a, b) => b - a);
+    return values[getMajority(this.members) - 1] ?? -Infinity;
+  }
+
+  #tickLeader(): void {
+    if (
+      this.#now - Math.max(this.#getMajorityHeardAt(), this.#leaderSince) >
+        this.#timing.isolationMilliseconds
+    ) {
+      this.#events.push({
+        kind: "notice",
+        text: "leader hears no majority",
+        detail: `term ${this.term}`,
+      });
+      this.#becomeFollower(this.term, undefined);
+      return;
+    }
+    if (this.#now < this.#nextHeartbeatAt) {
+      return;
+    }
+    this.#nextHeartbeatAt = this.#now + this.#timing.heartbeatMilliseconds;
+    this.#pendingPeers ||= this.#arePeersDirty;
+    this.#sendHeartbeats();
+  }
+
+  #sendHeartbeats(): void {
+    for (const member of this.members) {
+      const progress = this.#progress.get(member.id);
+      if (progress !== undefined) {
+        this.#sendHeartbeat(member, progress);
+      }
+    }
+  }
+
+  #sendHeartbeat(member: Member, progress: Progress): void {
+    const isStuck = this.#now - progress.advancedAtMilliseconds >
+      resendMilliseconds;
+    if (
+      isStuck && progress.mode === "replicate" && progress.inFlight.length > 0
+    ) {
+      progress.mode = "probe";
+      progress.nextIndex = progress.matchIndex + 1;
+      progress.inFlight = [];
+      progress.advancedAtMilliseconds = this.#now;
+    }
+    if (progress.mode === "snapshot") {
+      this.#sendAppend(member, { from: 1, entries: [] });
+      if (isStuck) {
+        this.#sendSnapshotChunk(member, progress);
+      }
+      return;
+    }
+    if (progress.mode === "probe") {
+      progress.inFlight = [];
+      this.#replicate(member);
+      return;
+    }
+    this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
+  }
+
+  /** Sends what a member lacks, as far as its mode allows. */
+  #replicate(member: Member): void {
+    const progress = this.#progress.get(member.id);
+    if (progress === undefined || progress.mode === "snapshot") {
+      return;
+    }
+    if (progress.nextIndex <= this.#log.baseIndex) {
+      progress.mode = "snapshot";
+      progress.snapshotIndex = this.#snapshot.index;
+      progress.snapshotOffset = 0;
+      progress.inFlight = [];
+      this.#sendSnapshotChunk(member, progress);
+      return;
+    }
+    if (progress.mode === "probe") {
+      // A probe is empty: the member may lack what precedes the entries, or
+      // be unable to take them at all.
+      if (progress.inFlight.length === 0) {
+        this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
+        progress.inFlight.push(progress.nextIndex - 1);
+      }
+      return;
+    }
+    while (
+      progress.inFlight.length < maximumInFlight &&
+      progress.nextIndex <= this.#log.lastIndex
+    ) {
+      const entries = this.#log.getEntries(progress.nextIndex, {
+        maximumBytes: maximumAppendBytes,
+      });
+      this.#sendAppend(member, { from: progress.nextIndex, entries });
+      if (progress.inFlight.length === 0) {
+        progress.advancedAtMilliseconds = this.#now;
+      }
+      progress.nextIndex += entries.length;
+      progress.inFlight.push(progress.nextIndex - 1);
+    }
+  }
+
+  #sendAppend(
+    member: Member,
+    options: { from: number; entries: readonly LogEntry[] },
+  ): void {
+    const previousIndex = options.from - 1;
+    this.#send(member, {
+      kind: "append",
+      previousIndex,
+      previousTerm: previousIndex === 0
+        ? 0
+        : this.#log.getTerm(previousIndex) ?? 0,
+      entries: options.entries,
+      commitIndex: this.#commitIndex,
+      round: this.#round,
+    });
+  }
+
+  #onAppendResponse(
+    envelope: Envelope,
+    message: {
+      isSuccess: boolean;
+      index: number;
+      round: number;
+      canVote: boolean;
+    },
+  ): void {
+    const progress = this.#onFollowerResponse(envelope, message.canVote);
+    if (progress === undefined) {
+      return;
+    }
+    progress.round = Math.max(progress.round, message.round);
+    this.#completeReads();
+    if (message.isSuccess) {
+      this.#advanceProgress(envelope, progress, message.index);
+      if (progress.mode === "probe") {
+        progress.mode = "replicate";
+        progress.inFlight = [];
+        progress.nextIndex = progress.matchIndex + 1;
+      }
+    } else if (
+      progress.mode !== "snapshot" && message.index + 1 < progress.nextIndex
+    ) {
+      progress.mode = "probe";
+      progress.inFlight = [];
+      progress.nextIndex = Math.max(progress.matchIndex, message.index) + 1;
+    }
+  }
+
+  /** Records that a member responded; `undefined` when it is of no concern. */
+  #onFollowerResponse(
+    envelope: Envelope,
+    canVote: boolean,
+  ): Progress | undefined {
+    const progress = this.#progress.get(envelope.fromId);
+    if (this.#role !== "leader" || progress === undefined) {
+      return undefined;
+    }
+    progress.heardAtMilliseconds = this.#now;
+    progress.isTrusted = canVote &&
+      this.#peers.get(envelope.fromId)?.bootId === envelope.fromBootId;
+    return progress;
+  }
+
+  #advanceProgress(
+    envelope: Envelope,
+    progress: Progress,
+    index: number,
+  ): void {
+    if (progress.isTrusted) {
+      this.#remember(envelope, index);
+    }
+    if (index > progress.matchIndex) {
+      progress.matchIndex = index;
+      progress.advancedAtMilliseconds = this.#now;
+    }
+    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+    progress.inFlight = progress.inFlight.filter((last) => last > index);
+    this.#advanceCommit();
+  }
+
+  #advanceCommit(): void {
+    const index = this.#getMajorityValue((id) => {
+      if (id === this.identity.id) {
+        return this.#durableIndex;
+      }
+      const progress = this.#progress.get(id);
+      return progress?.isTrusted ? progress.matchIndex : 0;
+    });
+    if (
+      index > this.#commitIndex && this.#log.getTerm(index) === this.term
+    ) {
+      this.#commitIndex = index;
+      this.#deliverCommitted();
+      this.#completeReads();
+      const isMember = this.members.some((each) =>
+        each.id === this.identity.id && each.isVoter
+      );
+      if (!isMember && this.#log.membersIndex <= index) {
+        // Tells the others the commit index before it stops leading.
+        this.#nextHeartbeatAt = this.#now;
+        this.#tickLeader();
+        this.#becomeFollower(this.term, undefined);
+      }
+    }
+  }
+
+  #deliverCommitted(): void {
+    if (this.#restore !== undefined || this.#inWrite?.restore !== undefined) {
+      return;
+    }
+    if (this.#commitIndex > this.#deliveredIndex) {
+      const entries = this.#log.getEntries(this.#deliveredIndex + 1, {
+        to: this.#commitIndex,
+      });
+      this.#deliveredIndex = this.#commitIndex;
+      this.#events.push({ kind: "committed", entries });
+    }
+  }
+
+  // --- Follower ---
+
+  #followLeader(envelope: Envelope): void {
+    this.#role = "follower";
+    this.#leader = this.#senderOf(envelope);
+    this.#heardLeaderAt = this.#now;
+    this.#resetElectionTimer();
+  }
+
+  #onAppend(
+    envelope: Envelope,
+    message: Extract<ConsensusMessage, { kind: "append" }>,
+  ): void {
+    this.#followLeader(envelope);
+    const respond = (isSuccess: boolean, index: number) =>
+      this.#hold(envelope, {
+        kind: "appendResponse",
+        isSuccess,
+        index,
+        round: message.round,
+        canVote: this.#canVote(),
+      });
+    let { previousIndex, previousTerm, entries } = message;
+    // Entries up to the base are committed and in a snapshot.
+    if (previousIndex < this.#log.baseIndex) {
+      entries = entries.filter((each) => each.index > this.#log.baseIndex);
+      if (previousIndex + message.entries.length < this.#log.baseIndex) {
+        return respond(true, previousIndex + message.entries.length);
+      }
+      previousIndex = this.#log.baseIndex;
+      previousTerm = this.#log.getTerm(previousIndex) ?? 0;
+    }
+    if (this.#log.getTerm(previousIndex) !== previousTerm) {
+      return respond(false, this.#getHint(previousIndex));
+    }
+    const firstNew = entries.findIndex((each) =>
+      this.#log.getTerm(each.index) !== each.term
+    );
+    const added = firstNew < 0 ? [] : entries.slice(firstNew);
+    const first = added[0];
+    if (first !== undefined) {
+      if (first.index <= this.#commitIndex) {
+        throw new Error(
+          `Entry ${first.index} differs from a committed entry`,
+        );
+      }
+      this.#log.truncateFrom(first.index);
+      this.#log.append(added);
+      this.#pendingFrom = Math.min(this.#pendingFrom ?? Infinity, first.index);
+      this.#durableIndex = Math.min(this.#durableIndex, first.index - 1);
+      this.#updateConfirmation();
+    }
+    const match = previousIndex + entries.length;
+    this.#commitIndex = Math.max(
+      this.#commitIndex,
+      Math.min(message.commitIndex, match),
+    );
+    this.#deliverCommitted();
+    respond(true, match);
+  }
+
+  /** Gets an index before the entries of the term that conflicts. */
+  #getHint(previousIndex: number): number {
+    const term = this.#log.getTerm(previousIndex);
+    if (term === undefined) {
+      return Math.min(this.#log.lastIndex, previousIndex - 1);
+    }
+    let hint = previousIndex - 1;
+    while (hint > this.#commitIndex && this.#log.getTerm(hint) === term) {
+      hint--;
+    }
+    return hint;
+  }
+
+  // --- Snapshots ---
+
+  #sendSnapshotChunk(member: Member, progress: Progress): void {
+    if (progress.snapshotIndex !== this.#snapshot.index) {
+      progress.snapshotIndex = this.#snapshot.index;
+      progress.snapshotOffset = 0;
+    }
+    progress.advancedAtMilliseconds = this.#now;
+    this.#send(member, {
+      kind: "snapshotChunk",
+      info: this.#snapshot,
+      offset: progress.snapshotOffset,
+      data: new Uint8Array(),
+      isLast: false,
+    });
+  }
+
+  #onSnapshotChunk(
+    envelope: Envelope,
+    message: Extract<ConsensusMessage, { kind: "snapshotChunk" }>,
+  ): void {
+    this.#followLeader(envelope);
+    const { info } = message;
+    const respond = (nextOffset: number, isInstalled: boolean) =>
+      this.#hold(envelope, {
+        kind: "snapshotResponse",
+        index: info.index,
+        nextOffset,
+        isInstalled,
+        canVote: this.#canVote(),
+      });
+    if (info.index <= this.#commitIndex) {
+      return respond(0, true);
+    }
+    if (this.#incoming?.info.index !== info.index || message.offset === 0) {
+      this.#incoming = { info, chunks: [], size: 0 };
+    }
+    const incoming = this.#incoming;
+    if (message.offset !== incoming.size) {
+      return respond(incoming.size, false);
+    }
+    incoming.chunks.push(message.data);
+    incoming.size += message.data.length;
+    if (!message.isLast) {
+      return respond(incoming.size, false);
+    }
+    const data = Buffer.concat(incoming.chunks);
+    this.#incoming = undefined;
+    this.#log.reset(info);
+    this.#snapshot = info;
+    this.#commitIndex = info.index;
+    this.#durableIndex = info.index;
+    this.#pendingSnapshot = { info, data };
+    this.#pendingFrom = undefined;
+    this.#restore = { info, data };
+    this.#updateConfirmation();
+    respond(incoming.size, true);
+  }
+
+  #onSnapshotResponse(
+    envelope: Envelope,
+    message: Extract<ConsensusMessage, { kind: "snapshotResponse" }>,
+  ): void {
+    const progress = this.#onFollowerResponse(envelope, message.canVote);
+    const member = this.members.find((each) => each.id === envelope.fromId);
+    if (
+      progress === undefined || member === undefined ||
+      progress.mode !== "snapshot" || message.index !== progress.snapshotIndex
+    ) {
+      return;
+    }
+    if (message.isInstalled) {
+      progress.mode = "probe";
+      this.#advanceProgress(envelope, progress, message.index);
+      progress.nextIndex = progress.matchIndex + 1;
+      return;
+    }
+    if (message.nextOffset !== progress.snapshotOffset) {
+      progress.snapshotOffset = message.nextOffset;
+      this.#sendSnapshotChunk(member, progress);
+    }
+  }
+
+  // --- Reads ---
+
+  #startRead(
+    read: { token: number; fromId: string; fromAddress: string },
+  ): void {
+    this.#reads.push({
+      ...read,
+      // Until an entry of this term is committed, earlier leaders may have
+      // committed more than this one knows.
+      index: Math.max(this.#commitIndex, this.#firstIndexOfTerm),
+      round: this.#round + 1,
+    });
+    this.#isRoundDue = true;
+  }
+
+  #onReadRequest(envelope: Envelope, token: number): void {
+    const { fromId, fromAddress } = envelope;
+    if (this.#role === "leader") {
+      this.#startRead({ token, fromId, fromAddress });
+    } else {
+      this.#failRead({ token, fromId, fromAddress });
+    }
+  }
+
+  #completeReads(): void {
+    if (
+      this.#reads.length === 0 || this.#commitIndex < this.#firstIndexOfTerm
+    ) {
+      return;
+    }
+    const round = this.#getMajorityValue((id) => {
+      if (id === this.identity.id) {
+        return Infinity;
+      }
+      const progress = this.#progress.get(id);
+      return progress?.isTrusted ? progress.round : 0;
+    });
+    const done = this.#reads.filter((each) => each.round <= round);
+    this.#reads = this.#reads.filter((each) => each.round > round);
+    for (const { token, fromId, fromAddress, index } of done) {
+      if (fromId === "") {
+        this.#events.push({ kind: "read", token, index });
+      } else {
+        this.#send({ id: fromId, address: fromAddress }, {
+          kind: "readResponse",
+          token,
+          isConfirmed: true,
+          index,
+        });
+      }
+    }
+  }
+
+  #failRead(
+    read: { token: number; fromId: string; fromAddress: string },
+  ): void {
+    if (read.fromId === "") {
+      this.#events.push({ kind: "readFailed", token: read.token });
+      return;
+    }
+    this.#send({ id: read.fromId, address: read.fromAddress }, {
+      kind: "readResponse",
+      token: read.token,
+      isConfirmed: false,
+      index: 0,
+    });
+  }
+
+  // --- Confirmation of a start ---
+
+  /** Keeps what a peer promised; false when its start is not confirmed here. */
+  #remember(envelope: Envelope, lastIndex: number): boolean {
+    const memory = this.#peers.get(envelope.fromId);
+    if (memory === undefined || memory.bootId !== envelope.fromBootId) {
+      return false;
+    }
+    const advanced = advanceMemory(memory, { term: this.term, lastIndex });
+    if (advanced !== memory) {
+      this.#peers.set(envelope.fromId, advanced);
+      this.#arePeersDirty = true;
+    }
+    return true;
+  }
+
+  #tickConfirmation(): void {
+    this.#updateConfirmation();
+    if (this.#now < this.#nextConfirmAt || this.#hardState.isRegressed) {
+      return;
+    }
+    this.#nextConfirmAt = this.#now + this.#timing.heartbeatMilliseconds;
+    for (const member of this.#otherVoters()) {
+      // Every voter is asked, also after the majority: one that answers late
+      // may still deny, and a leader counts only starts that it confirmed.
+      if (this.#confirmations.get(member.id) !== "confirmed") {
+        this.#send(member, {
+          kind: "confirmRequest",
+          bootCount: this.identity.bootCount,
+          startTerm: this.#startState.term,
+          startLastIndex: this.#startState.lastIndex,
+        });
+      }
+    }
+  }
+
+  #updateConfirmation(): void {
+    if (this.#isConfirmed || this.groupId === "") {
+      return;
+    }
+    const others = this.#otherVoters();
+    const self = isVoter(this.members, this.identity.id) ? 1 : 0;
+    const confirmed =
+      others.filter((each) => this.#confirmations.get(each.id) === "confirmed")
+        .length;
+    const haveAllAnswered = others.every((each) =>
+      this.#confirmations.has(each.id)
+    );
+    const hasWaited = this.#now - this.#startedAt >=
+      this.#timing.confirmationMilliseconds;
+    if (
+      confirmed + self >= getMajority(this.members) &&
+      (haveAllAnswered || hasWaited)
+    ) {
+      this.#isConfirmed = true;
+      this.#events.push({
+        kind: "notice",
+        text: "start confirmed",
+        detail: `by ${confirmed} of ${others.length} other voters`,
+      });
+      if (others.length === 0) {
+        this.#electionAt = this.#now;
+      }
+    }
+  }
+
+  #onConfirmRequest(
+    envelope: Envelope,
+    message: Extract<ConsensusMessage, { kind: "confirmRequest" }>,
+  ): void {
+    const respond = (
+      verdict: "confirmed" | "denied" | "unknown",
+      reason: string,
+    ) =>
+      this.#hold(envelope, {
+        kind: "confirmResponse",
+        bootId: envelope.fromBootId,
+        verdict,
+        reason,
+      });
+    if (!this.members.some((each) => each.id === envelope.fromId)) {
+      return respond("unknown", "not a member");
+    }
+    const known = this.#peers.get(envelope.fromId);
+    const { verdict, reason, memory } = judgeStart(known, {
+      bootCount: message.bootCount,
+      bootId: envelope.fromBootId,
+      term: message.startTerm,
+      lastIndex: message.startLastIndex,
+    });
+    if (memory !== known) {
+      this.#peers.set(envelope.fromId, memory);
+      this.#pendingPeers = true;
+    }
+    respond(verdict, reason);
+  }
+
+  #onConfirmResponse(
+    envelope: Envelope,
+    message: Extract<ConsensusMessage, { kind: "confirmResponse" }>,
+  ): void {
+    if (message.bootId !== this.identity.bootId) {
+      return;
+    }
+    if (message.verdict === "denied") {
+      if (!this.#hardState.isRegressed) {
+        this.#setHardState({ isRegressed: true });
+        this.#events.push({
+          kind: "notice",
+          text: "start denied",
+          detail: `${envelope.fromAddress}: ${message.reason}`,
+        });
+        this.#becomeFollower(this.term, undefined);
+      }
+      return;
+    }
+    this.#confirmations.set(envelope.fromId, message.verdict);
+    this.#updateConfirmation();
+  }
+
+  // --- Forming a group ---
+
+  #tickUnformed(): void {
+    if (this.#initialMembers.length === 0 || this.#isWelcomeDenied) {
+      return;
+    }
+    if (this.#now >= this.#nextHeartbeatAt) {
+      this.#nextHeartbeatAt = this.#now + this.#timing.heartbeatMilliseconds;
+      for (const address of this.#initialMembers) {
+        if (address !== this.#address) {
+          this.#send({ id: "", address }, { kind: "hello" });
+        }
+      }
+    }
+    if (this.#initialMembers[0] !== this.#address) {
+      return;
+    }
+    const members: Member[] = [];
+    for (const address of this.#initialMembers) {
+      const hello = this.#hellos.get(address);
+      const isRecent = hello !== undefined &&
+        this.#now - hello.at < this.#timing.isolationMilliseconds;
+      if (address !== this.#address && !isRecent) {
+        return;
+      }
+      members.push({
+        id: address === this.#address ? this.identity.id : hello?.id ?? "",
+        address,
+        isVoter: true,
+      });
+    }
+    this.#join(this.#createGroupId(), {
+      index: 1,
+      term: 1,
+      timeMilliseconds: this.#wall,
+      content: { kind: "members", members },
+    });
+  }
+
+  #createGroupId(): string {
+    return Array.from(
+      { length: 16 },
+      () => Math.floor(this.#random() * 16).toString(16),
+    ).join("");
+  }
+
+  #join(groupId: string, firstEntry: LogEntry | undefined): void {
+    this.#setHardState({ groupId, term: Math.max(this.term, 1) });
+    if (firstEntry !== undefined) {
+      this.#log.append([firstEntry]);
+      this.#pendingFrom = 1;
+    }
+    this.#heardLeaderAt = this.#now;
+    this.#resetElectionTimer();
+    this.#updateConfirmation();
+    if (this.#otherVoters().length === 0) {
+      this.#electionAt = this.#now;
+    }
+    this.#events.push({
+      kind: "notice",
+      text: "joined group",
+      detail: groupId,
+    });
+  }
+
+  #receiveFromOtherGroup(envelope: Envelope): void {
+    const { message } = envelope;
+    if (this.groupId !== "") {
+      if (message.kind === "hello") {
+        this.#onHello(envelope);
+      }
+      return;
+    }
+    if (message.kind === "welcome") {
+      const { firstEntry } = message;
+      const isMember = firstEntry?.content.kind === "members" &&
+        firstEntry.content.members.some((each) => each.id === this.identity.id);
+      if (message.isDenied) {
+        this.#isWelcomeDenied = true;
+        this.#events.push({
+          kind: "notice",
+          text: "group has other members",
+          detail: envelope.fromAddress,
+        });
+      } else if (isMember) {
+        this.#join(envelope.groupId, firstEntry);
+      }
+    } else if (
+      // Only a leader that has this identity as a member sends these to it.
+      envelope.toId === this.identity.id &&
+      (message.kind === "append" || message.kind === "snapshotChunk")
+    ) {
+      this.#join(envelope.groupId, undefined);
+      this.receive(envelope);
+    }
+  }
+
+  #onHello(envelope: Envelope): void {
+    const isMember = this.members.some((each) => each.id === envelope.fromId);
+    const firstEntry = this.#log.getEntry(1);
+    this.#hold(envelope, {
+      kind: "welcome",
+      isDenied: !isMember,
+      ...(isMember && firstEntry !== undefined ? { firstEntry } : {}),
+    });
+  }
+}
--- /dev/null
+++ b/src/consensus/durable_storage.ts
@@ -0,0 +1,348 @@
+import { randomBytes } from "node:crypto";
+import type { Log } from "../common/mod.ts";
+import {
+  decodeHardState,
+  decodeIdentity,
+  decodeLogRecord,
+  decodeSnapshotInfo,
+  encodeHardState,
+  encodeIdentity,
+  encodeLogRecord,
+  encodeSnapshotInfo,
+} from "./codec.ts";
+import type { FileSystem, OpenFile } from "./file_system.ts";
+import {
+  emptySnapshotInfo,
+  type LogEntry,
+  type SnapshotInfo,
+} from "./log_entry.ts";
+import type { PeerMemory } from "./peer_memory.ts";
+import {
+  emptyHardState,
+  type Identity,
+  type PersistedState,
+  type StorageRequest,
+} from "./persisted_state.ts";
+import {
+  createFileHeader,
+  createRecord,
+  fileHeaderBytes,
+  readRecords,
+  readSingleRecord,
+} from "./record_file.ts";
+import { StorageError, throwCorrupt } from "./storage_error.ts";
+
+/** Settings of the storage. */
+export interface DurableStorageOptions {
+  readonly log: Log;
+  /** Creates an identity or the number of a start; random by default. */
+  readonly createId?: () => string;
+}
+
+/** The data folder of one instance. */
+export class DurableStorage {
+  /** What the folder held when it was opened. */
+  readonly state: PersistedState;
+  /** State of the state machine in the snapshot; empty without one. */
+  readonly snapshotData: Uint8Array;
+  readonly #files: FileSystem;
+  readonly #unlock: () => void;
+  #logFile: OpenFile;
+  #snapshot: { index: number; data: Uint8Array };
+  #failure: StorageError | undefined;
+
+  private constructor(
+    files: FileSystem,
+    parts: {
+      state: PersistedState;
+      snapshotData: Uint8Array;
+      logFile: OpenFile;
+      unlock: () => void;
+    },
+  ) {
+    this.#files = files;
+    this.state = parts.state;
+    this.snapshotData = parts.snapshotData;
+    this.#logFile = parts.logFile;
+    this.#unlock = parts.unlock;
+    this.#snapshot = {
+      index: parts.state.snapshot.index,
+      data: parts.snapshotData,
+    };
+  }
+
+  /**
+   * Locks and reads the folder, and counts the start durably.
+   * @param files The folder.
+   * @param options Log and source of identities.
+   * @returns The storage; throws a `StorageError`.
+   */
+  static async open(
+    files: FileSystem,
+    options: DurableStorageOptions,
+  ): Promise<DurableStorage> {
+    await files.prepare();
+    const unlock = await files.lock("lock");
+    if (unlock === undefined) {
+      throw new StorageError("locked", "Another process uses the data folder");
+    }
+    try {
+      const createId = options.createId ??
+        (() => randomBytes(16).toString("hex"));
+      const stored = await readIdentity(files);
+      const identity: Identity = {
+        id: stored?.id ?? createId(),
+        bootCount: (stored?.bootCount ?? 0) + 1,
+        bootId: createId(),
+      };
+      const hardState = await readHardState(files);
+      const snapshot = await readSnapshot(files);
+      if (
+        stored === undefined && (hardState !== undefined || snapshot.info.index)
+      ) {
+        throwCorrupt("identity", "it is missing beside other files");
+      }
+      const log = await readLog(files, snapshot.info, {
+        isRequired: hardState !== undefined,
+        log: options.log,
+      });
+      if (
+        hardState === undefined &&
+        (log.entries.length > 0 || snapshot.info.index > 0)
+      ) {
+        throwCorrupt("hard_state", "it is missing beside other files");
+      }
+      await replaceFile(files, "identity", [encodeIdentity(identity)]);
+      return new DurableStorage(files, {
+        state: {
+          identity,
+          hardState: hardState ?? emptyHardState,
+          snapshot: snapshot.info,
+          entries: log.entries,
+          peers: log.peers,
+        },
+        snapshotData: snapshot.data,
+        logFile: log.file,
+        unlock,
+      });
+    } catch (error) {
+      unlock();
+      throw error;
+    }
+  }
+
+  /**
+   * Makes a request durable. After a failure every write fails, because what
+   * the failed one left on the disk is not known.
+   * @param request The parts to write.
+   */
+  async write(request: StorageRequest): Promise<void> {
+    if (this.#failure !== undefined) {
+      throw this.#failure;
+    }
+    try {
+      await this.#write(request);
+    } catch (error) {
+      this.#failure = new StorageError(
+        "write-failed",
+        `Writing the data folder failed: ${(error as Error).message}`,
+      );
+      throw this.#failure;
+    }
+  }
+
+  /**
+   * Reads a part of the latest snapshot.
+   * @param index Index of the snapshot.
+   * @param range Offset and largest length.
+   * @returns `undefined` when that snapshot was replaced.
+   */
+  readSnapshotChunk(
+    index: number,
+    range: { offset: number; length: number },
+  ): { data: Uint8Array; isLast: boolean } | undefined {
+    const { data } = this.#snapshot;
+    if (this.#snapshot.index !== index) {
+      return undefined;
+    }
+    const end = range.offset + range.length;
+    return {
+      data: data.subarray(range.offset, end),
+      isLast: end >= data.length,
+    };
+  }
+
+  /** Closes the files and releases the lock. */
+  async close(): Promise<void> {
+    await this.#logFile.close();
+    this.#unlock();
+  }
+
+  async #write(request: StorageRequest): Promise<void> {
+    // The term comes first: entries of a term must not be on a disk that does
+    // not know the term.
+    if (request.hardState !== undefined) {
+      await replaceFile(this.#files, "hard_state", [
+        encodeHardState(request.hardState),
+      ]);
+    }
+    const { snapshot } = request;
+    if (snapshot !== undefined) {
+      await replaceFile(this.#files, "snapshot", [
+        encodeSnapshotInfo(snapshot.info),
+        // A record has at least one byte.
+        Buffer.concat([Buffer.of(0), snapshot.data]),
+      ]);
+      this.#snapshot = { index: snapshot.info.index, data: snapshot.data };
+      await replaceFile(this.#files, "log", [
+        encodeLogRecord(request.entries, request.peers),
+      ]);
+      await this.#logFile.close();
+      this.#logFile = await this.#files.open("log");
+      return;
+    }
+    if (request.entries.length > 0 || request.peers !== undefined) {
+      await this.#logFile.append(
+        createRecord(encodeLogRecord(request.entries, request.peers)),
+      );
+      await this.#logFile.sync();
+    }
+  }
+}
+
+async function replaceFile(
+  files: FileSystem,
+  name: string,
+  payloads: readonly Uint8Array[],
+): Promise<void> {
+  const temporary = `${name}.new`;
+  await files.remove(temporary);
+  const file = await files.open(temporary);
+  try {
+    await file.append(Buffer.concat([
+      createFileHeader(),
+      ...payloads.filter((each) => each.length > 0).map(createRecord),
+    ]));
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+  await files.rename(temporary, name);
+  await files.syncFolder();
+}
+
+async function readIdentity(files: FileSystem): Promise<Identity | undefined> {
+  const bytes = await files.readFile("identity");
+  return bytes && decodeIdentity(readSingleRecord("identity", bytes));
+}
+
+async function readHardState(files: FileSystem) {
+  const bytes = await files.readFile("hard_state");
+  return bytes && decodeHardState(readSingleRecord("hard_state", bytes));
+}
+
+async function readSnapshot(
+  files: FileSystem,
+): Promise<{ info: SnapshotInfo; data: Uint8Array }> {
+  const bytes = await files.readFile("snapshot");
+  if (bytes === undefined) {
+    return { info: emptySnapshotInfo, data: new Uint8Array() };
+  }
+  const { payloads: [info, data], validLength } = readRecords(
+    "snapshot",
+    bytes,
+  );
+  if (
+    info === undefined || data === undefined || validLength !== bytes.length
+  ) {
+    throwCorrupt("snapshot", "its records are incomplete");
+  }
+  return { info: decodeSnapshotInfo(info), data: data.subarray(1) };
+}
+
+async function readLog(
+  files: FileSystem,
+  snapshot: SnapshotInfo,
+  options: { isRequired: boolean; log: Log },
+): Promise<{
+  file: OpenFile;
+  entries: LogEntry[];
+  peers: ReadonlyMap<string, PeerMemory>;
+}> {
+  const stored = await files.readFile("log");
+  if (stored === undefined && options.isRequired) {
+    throwCorrupt("log", "it is missing beside other files");
+  }
+  const bytes = stored ?? new Uint8Array();
+  const { payloads, validLength } = readRecords("log", bytes);
+  const { entries, peers } = collectEntries(payloads);
+  const continued = getEntriesAfter(snapshot, entries);
+  if (continued === undefined) {
+    await replaceFile(files, "log", [encodeLogRecord([], peers)]);
+    return { file: await files.open("log"), entries: [], peers };
+  }
+  const file = await files.open("log");
+  if (validLength < bytes.length) {
+    options.log.warn("truncated torn tail of the log", {
+      bytes: bytes.length - validLength,
+      at: validLength,
+    });
+    await file.truncate(validLength);
+  }
+  if (validLength < fileHeaderBytes) {
+    await file.append(createFileHeader());
+  }
+  await file.sync();
+  await files.syncFolder();
+  return { file, entries: continued, peers };
+}
+
+/** Plays the records in order; an entry replaces all from its index on. */
+function collectEntries(
+  payloads: readonly Uint8Array[],
+): { entries: LogEntry[]; peers: ReadonlyMap<string, PeerMemory> } {
+  const entries: LogEntry[] = [];
+  const peers = new Map<string, PeerMemory>();
+  for (const payload of payloads) {
+    const record = decodeLogRecord(payload);
+    const first = entries[0]?.index ?? record.entries[0]?.index ?? 0;
+    for (const entry of record.entries) {
+      const position = entry.index - first;
+      if (position < 0 || position > entries.length) {
+        throwCorrupt("log", `entry ${entry.index} is out of order`);
+      }
+      entries.length = position;
+      entries.push(entry);
+    }
+    for (const [id, memory] of record.peers) {
+      peers.set(id, memory);
+    }
+  }
+  return { entries, peers };
+}
+
+/**
+ * Gets the entries that continue a snapshot; `undefined` when the log was left
+ * by a crash between writing the snapshot and the new log.
+ */
+function getEntriesAfter(
+  snapshot: SnapshotInfo,
+  entries: readonly LogEntry[],
+): LogEntry[] | undefined {
+  const first = entries[0];
+  if (first === undefined) {
+    return [];
+  }
+  if (first.index > snapshot.index + 1) {
+    throwCorrupt(
+      "log",
+      `it starts at entry ${first.index} after a snapshot up to ${snapshot.index}`,
+    );
+  }
+  const position = snapshot.index - first.index;
+  const last = entries[position];
+  if (position >= 0 && last?.term !== snapshot.term) {
+    return undefined;
+  }
+  return entries.slice(position + 1);
+}
--- /dev/null
+++ b/src/consensus/grpc_transport.ts
@@ -0,0 +1,311 @@
+import { timingSafeEqual } from "node:crypto";
+import {
+  type ChannelOptions,
+  credentials,
+  Metadata,
+  Server,
+  ServerCredentials,
+  type ServerUnaryCall,
+  type ServiceError,
+  status,
+} from "@grpc/grpc-js";
+import type { Log } from "../common/mod.ts";
+import {
+  ConsensusClient,
+  type ConsensusServer,
+  ConsensusService,
+} from "../protocol/generated/consensus.ts";
+import { fromEnvelopeRecord, toEnvelopeRecord } from "./codec.ts";
+import { getEntrySize } from "./log_entry.ts";
+import type { Envelope } from "./message.ts";
+import type {
+  PeerIdentity,
+  Transport,
+  TransportReceiver,
+} from "./transport.ts";
+
+/** Settings of the gRPC transport. */
+export interface GrpcTransportOptions {
+  /** Address of this instance, on which it listens. */
+  readonly address: string;
+  /** Authenticates instances to each other; needed beyond loopback. */
+  readonly token?: string | undefined;
+  /** A server of the process that listens by itself; else one is created. */
+  readonly server?: Server | undefined;
+  readonly receiver: TransportReceiver;
+  readonly log: Log;
+}
+
+const formatVersion = 1;
+const deadlineMilliseconds = 1000;
+
+/** Deliveries to one instance that may be unanswered. */
+const maximumInFlight = 8;
+
+/** A delivery above this size is split; one large entry may exceed it. */
+const deliveryBytes = 1024 * 1024;
+
+/** Bounds the memory for an instance that does not respond. */
+const maximumQueueBytes = 16 * 1024 * 1024;
+
+const channelOptions: ChannelOptions = {
+  "grpc.initial_reconnect_backoff_ms": 100,
+  "grpc.max_reconnect_backoff_ms": 1000,
+  // A connection through a silent partition is given up, so that the first
+  // message after the partition does not wait for TCP's back-off.
+  "grpc.keepalive_time_ms": 1000,
+  "grpc.keepalive_timeout_ms": 1000,
+  "grpc.keepalive_permit_without_calls": 1,
+  "grpc.max_receive_message_length": 64 * 1024 * 1024,
+  "grpc.max_send_message_length": 64 * 1024 * 1024,
+};
+
+/**
+ * Starts to listen, or adds the service to a given server.
+ * @param options Address, token, server and receiver.
+ * @returns The transport.
+ */
+export async function createGrpcTransport(
+  options: GrpcTransportOptions,
+): Promise<Transport> {
+  const service = createService(options);
+  let ownServer: Server | undefined;
+  if (options.server !== undefined) {
+    options.server.addService(ConsensusService, service);
+  } else {
+    ownServer = new Server(channelOptions);
+    ownServer.addService(ConsensusService, service);
+    await listen(ownServer, options);
+  }
+  const peers = new Map<string, PeerSender>();
+  const getPeer = (address: string) => {
+    let peer = peers.get(address);
+    if (peer === undefined) {
+      peer = new PeerSender(address, options);
+      peers.set(address, peer);
+    }
+    return peer;
+  };
+  return {
+    send: (envelopes) => {
+      const touched = new Set<PeerSender>();
+      for (const envelope of envelopes) {
+        const peer = getPeer(envelope.toAddress);
+        peer.enqueue(envelope);
+        touched.add(peer);
+      }
+      for (const peer of touched) {
+        peer.flush();
+      }
+    },
+    identify: (address) => getPeer(address).identify(),
+    stop: () => {
+      for (const peer of peers.values()) {
+        peer.close();
+      }
+      ownServer?.forceShutdown();
+      return Promise.resolve();
+    },
+  };
+}
+
+/** Reports whether only this machine reaches an address. */
+export function isLoopback(address: string): boolean {
+  return /^(127\.\d+\.\d+\.\d+|localhost|\[::1\]):\d+$/.test(address);
+}
+
+function listen(server: Server, options: GrpcTransportOptions): Promise<void> {
+  const { address, token } = options;
+  if (token === undefined && !isLoopback(address)) {
+    return Promise.reject(
+      new Error(`Listening on ${address} beyond loopback needs a token`),
+    );
+  }
+  return new Promise((resolve, reject) => {
+    server.bindAsync(
+      address,
+      ServerCredentials.createInsecure(),
+      (error) => error === null ? resolve() : reject(error),
+    );
+  });
+}
+
+function createService(options: GrpcTransportOptions): ConsensusServer {
+  const { receiver } = options;
+  const expected = options.token && Buffer.from(`Bearer ${options.token}`);
+  const check = (
+    call: ServerUnaryCall<{ formatVersion: number }, unknown>,
+  ): Partial<ServiceError> | undefined => {
+    const given = Buffer.from(
+      String(call.metadata.get("authorization")[0] ?? ""),
+    );
+    if (
+      expected &&
+      (given.length !== expected.length || !timingSafeEqual(given, expected))
+    ) {
+      return { code: status.UNAUTHENTICATED, details: "wrong token" };
+    }
+    if (call.request.formatVersion !== formatVersion) {
+      return {
+        code: status.FAILED_PRECONDITION,
+        details: `format version ${call.request.formatVersion} is not spoken`,
+      };
+    }
+    return undefined;
+  };
+  return {
+    deliver: (call, respond) => {
+      const refusal = check(call);
+      if (refusal !== undefined) {
+        respond(refusal);
+        return;
+      }
+      let envelopes: (Envelope | undefined)[];
+      try {
+        envelopes = call.request.envelopes.map((record) =>
+          fromEnvelopeRecord(record, options.address)
+        );
+      } catch (error) {
+        respond({
+          code: status.INVALID_ARGUMENT,
+          details: (error as Error).message,
+        });
+        return;
+      }
+      respond(null, { formatVersion });
+      for (const envelope of envelopes) {
+        if (envelope !== undefined) {
+          receiver.receive(envelope);
+        }
+      }
+    },
+    identify: (call, respond) => {
+      const refusal = check(call);
+      if (refusal !== undefined) {
+        respond(refusal);
+        return;
+      }
+      respond(null, { formatVersion, ...receiver.getIdentity() });
+    },
+  };
+}
+
+/** Sends to one address; joins what waits into one delivery. */
+class PeerSender {
+  readonly #client: ConsensusClient;
+  readonly #metadata = new Metadata();
+  readonly #address: string;
+  readonly #log: Log;
+  #queue: { envelope: Envelope; bytes: number }[] = [];
+  #queueBytes = 0;
+  #inFlight = 0;
+  #isReachable = true;
+  #isClosed = false;
+
+  constructor(address: string, options: GrpcTransportOptions) {
+    this.#address = address;
+    this.#log = options.log;
+    this.#client = new ConsensusClient(
+      address,
+      credentials.createInsecure(),
+      channelOptions,
+    );
+    if (options.token !== undefined) {
+      this.#metadata.set("authorization", `Bearer ${options.token}`);
+    }
+  }
+
+  enqueue(envelope: Envelope): void {
+    const bytes = getEnvelopeSize(envelope);
+    if (this.#queueBytes + bytes > maximumQueueBytes) {
+      // The protocol sends again what is lost; what is old is of no use.
+      this.#queue = [];
+      this.#queueBytes = 0;
+    }
+    this.#queue.push({ envelope, bytes });
+    this.#queueBytes += bytes;
+  }
+
+  flush(): void {
+    while (
+      this.#queue.length > 0 && this.#inFlight < maximumInFlight &&
+      !this.#isClosed
+    ) {
+      this.#deliver(this.#takeBatch());
+    }
+  }
+
+  identify(): Promise<PeerIdentity | undefined> {
+    return new Promise((resolve) => {
+      this.#client.identify(
+        { formatVersion },
+        this.#metadata,
+        { deadline: Date.now() + deadlineMilliseconds },
+        (error, answer) => resolve(error === null ? answer : undefined),
+      );
+    });
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#client.close();
+  }
+
+  #takeBatch(): Envelope[] {
+    const batch: Envelope[] = [];
+    let total = 0;
+    for (const { envelope, bytes } of this.#queue) {
+      if (batch.length > 0 && total + bytes > deliveryBytes) {
+        break;
+      }
+      batch.push(envelope);
+      total += bytes;
+    }
+    this.#queue.splice(0, batch.length);
+    this.#queueBytes -= total;
+    return batch;
+  }
+
+  #deliver(batch: readonly Envelope[]): void {
+    this.#inFlight++;
+    this.#client.deliver(
+      { formatVersion, envelopes: batch.map(toEnvelopeRecord) },
+      this.#metadata,
+      { deadline: Date.now() + deadlineMilliseconds },
+      (error) => {
+        this.#inFlight--;
+        this.#reportReachable(error);
+        this.flush();
+      },
+    );
+  }
+
+  #reportReachable(error: ServiceError | null): void {
+    const isReachable = error === null;
+    if (isReachable !== this.#isReachable && !this.#isClosed) {
+      this.#isReachable = isReachable;
+      if (error === null) {
+        this.#log.info("instance reachable", { address: this.#address });
+      } else {
+        this.#log.warn("instance unreachable", {
+          address: this.#address,
+          reason: `${status[error.code]}: ${error.details}`,
+        });
+      }
+    }
+  }
+}
+
+function getEnvelopeSize({ message }: Envelope): number {
+  switch (message.kind) {
+    case "append":
+      return message.entries.reduce(
+        (bytes, entry) => bytes + getEntrySize(entry),
+        128,
+      );
+    case "snapshotChunk":
+      return message.data.length + 128;
+    default:
+      return 128;
+  }
+}
--- /dev/null
+++ b/src/consensus/mod.ts
@@ -0,0 +1,11 @@
+export {
+  type ConsensusStatus,
+  createReplicatedLog,
+  type ProposeError,
+  type ReplicatedLog,
+  type ReplicatedLogOptions,
+} from "./replicated_log.ts";
+export type { StateMachine } from "./state_machine.ts";
+export type { Member, MemberChange } from "./member.ts";
+export { StorageError, type StorageErrorKind } from "./storage_error.ts";
+export type { ConsensusTiming, Role } from "./consensus_core.ts";
--- /dev/null
+++ b/src/consensus/persisted_state.ts
@@ -0,0 +1,60 @@
+import type { Envelope } from "./message.ts";
+import type { LogEntry, SnapshotInfo } from "./log_entry.ts";
+import type { PeerMemory } from "./peer_memory.ts";
+
+/** Who an instance is; made once for a data folder. */
+export interface Identity {
+  readonly id: string;
+  /** Number of starts, this one included. */
+  readonly bootCount: number;
+  /** Random number of this start. */
+  readonly bootId: string;
+}
+
+/** State that must be durable before a message depends on it. */
+export interface HardState {
+  readonly term: number;
+  /** Identity voted for in `term`; empty for none. */
+  readonly votedFor: string;
+  /** Empty before the instance joined a group. */
+  readonly groupId: string;
+  /** True after a voter found this instance behind its own past. */
+  readonly isRegressed: boolean;
+}
+
+/** The hard state of an empty folder. */
+export const emptyHardState: HardState = {
+  term: 0,
+  votedFor: "",
+  groupId: "",
+  isRegressed: false,
+};
+
+/** Everything that an instance finds in its data folder. */
+export interface PersistedState {
+  readonly identity: Identity;
+  readonly hardState: HardState;
+  readonly snapshot: SnapshotInfo;
+  /** What precedes `entries`: the snapshot, or an entry before it. */
+  readonly entries: readonly LogEntry[];
+  readonly peers: ReadonlyMap<string, PeerMemory>;
+}
+
+/** One durable write; its parts are written in the order of the members. */
+export interface StorageRequest {
+  readonly sequence: number;
+  readonly hardState?: HardState;
+  readonly snapshot?: {
+    readonly info: SnapshotInfo;
+    readonly data: Uint8Array;
+  };
+  /** Continuous entries; they replace all from the first index on. */
+  readonly entries: readonly LogEntry[];
+  readonly peers?: ReadonlyMap<string, PeerMemory>;
+}
+
+/** What a stored request lets go. */
+export interface HeldMessages {
+  readonly sequence: number;
+  readonly envelopes: readonly Envelope[];
+}
--- /dev/null
+++ b/tests/support/log_group.ts
@@ -0,0 +1,188 @@
+import { createHash } from "node:crypto";
+import { mkdtemp, rm } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createLog, type Log } from "../../src/common/mod.ts";
+import {
+  createReplicatedLog,
+  type ReplicatedLog,
+  type ReplicatedLogOptions,
+  type StateMachine,
+} from "../../src/consensus/mod.ts";
+
+/** Keeps the texts of all commands in order. */
+export class TextMachine implements StateMachine {
+  readonly texts: string[] = [];
+
+  apply(entry: { readonly command: Uint8Array }): Uint8Array {
+    this.texts.push(Buffer.from(entry.command).toString());
+    return Buffer.from(String(this.texts.length));
+  }
+
+  takeSnapshot(): Uint8Array {
+    return Buffer.from(JSON.stringify(this.texts));
+  }
+
+  restoreSnapshot(bytes: Uint8Array): void {
+    this.texts.splice(
+      0,
+      this.texts.length,
+      ...JSON.parse(Buffer.from(bytes).toString()) as string[],
+    );
+  }
+
+  getDigest(): string {
+    return createHash("sha256").update(JSON.stringify(this.texts))
+      .digest("hex");
+  }
+}
+
+/** One instance of a group under test. */
+export interface LogInstance {
+  readonly address: string;
+  readonly dataFolder: string;
+  readonly machine: TextMachine;
+  readonly log: ReplicatedLog;
+}
+
+/** A group on loopback, in this process, with real files. */
+export class LogGroup {
+  readonly instances: LogInstance[] = [];
+  readonly #root: string;
+  readonly #overrides: Partial<ReplicatedLogOptions>;
+  #folders = 0;
+
+  private constructor(root: string, overrides: Partial<ReplicatedLogOptions>) {
+    this.#root = root;
+    this.#overrides = overrides;
+  }
+
+  /**
+   * Starts a new group and waits for its leader.
+   * @param size Number of instances.
+   * @param overrides Settings of every instance.
+   */
+  static async start(
+    size: number,
+    overrides: Partial<ReplicatedLogOptions> = {},
+  ): Promise<LogGroup> {
+    const root = await mkdtemp(join(tmpdir(), "dogwoodwalk-log-"));
+    const group = new LogGroup(root, overrides);
+    const addresses = await Promise.all(
+      Array.from({ length: size }, () => getFreeAddress()),
+    );
+    for (const address of addresses) {
+      await group.startInstance({ address, initialMembers: addresses });
+    }
+    await group.getLeader();
+    return group;
+  }
+
+  /**
+   * Starts one instance.
+   * @param options Address, folder of an earlier instance, initial members.
+   */
+  async startInstance(
+    options: {
+      address: string;
+      dataFolder?: string;
+      initialMembers?: readonly string[];
+    },
+  ): Promise<LogInstance> {
+    const dataFolder = options.dataFolder ??
+      join(this.#root, String(++this.#folders));
+    const machine = new TextMachine();
+    const log = await createReplicatedLog({
+      dataFolder,
+      address: options.address,
+      initialMembers: options.initialMembers ?? [],
+      stateMachine: machine,
+      log: silentLog,
+      ...this.#overrides,
+    });
+    const instance = { address: options.address, dataFolder, machine, log };
+    this.instances.push(instance);
+    return instance;
+  }
+
+  /** Stops one instance and keeps its folder. */
+  async stopInstance(instance: LogInstance): Promise<void> {
+    this.instances.splice(this.instances.indexOf(instance), 1);
+    await instance.log.stop();
+  }
+
+  /** Waits until an instance leads and is not isolated. */
+  async getLeader(): Promise<LogInstance> {
+    return await waitFor(() =>
+      this.instances.find(({ log }) => {
+        const { role, isolated } = log.getStatus();
+        return role === "leader" && !isolated;
+      }), "a leader");
+  }
+
+  /** Proposes on the leader until a proposal is committed. */
+  async propose(text: string): Promise<void> {
+    await waitFor(async () => {
+      const leader = await this.getLeader();
+      const result = await leader.log.propose(Buffer.from(text));
+      return result.kind === "ok" ? true : undefined;
+    }, `commit of ${text}`);
+  }
+
+  /** Waits until all instances applied the same entries. */
+  async waitForEqualState(): Promise<void> {
+    await waitFor(() => {
+      const states = this.instances.map(({ log }) => log.getStatus());
+      const [first] = states;
+      return states.every((each) =>
+          each.appliedIndex === first?.appliedIndex &&
+          each.lastIndex === each.appliedIndex &&
+          each.digest === first.digest
+        )
+        ? true
+        : undefined;
+    }, "equal states");
+  }
+
+  /** Stops all instances and removes their folders. */
+  async stop(): Promise<void> {
+    await Promise.all(this.instances.map(({ log }) => log.stop()));
+    await rm(this.#root, { recursive: true, force: true });
+  }
+}
+
+const silentLog: Log = process.env["LOG"]
+  ? createLog()
+  : { info: () => {}, warn: () => {}, error: () => {} };
+
+/** Gets an address on loopback on which nothing listens. */
+export async function getFreeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  await new Promise((resolve) => server.close(resolve));
+  return typeof address === "object" && address !== null
+    ? `127.0.0.1:${address.port}`
+    : "";
+}
+
+/**
+ * Waits for a condition, up to 60 s.
+ * @param check Gets a value once the condition holds.
+ * @param what What is awaited, for the message of the error.
+ */
+export async function waitFor<Value>(
+  check: () => Value | undefined | Promise<Value | undefined>,
+  what: string,
+): Promise<Value> {
+  const end = Date.now() + 60_000;
+  while (Date.now() < end) {
+    const value = await check();
+    if (value !== undefined) {
+      return value;
+    }
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  throw new Error(`Waited 60 s in vain for ${what}`);
+}
