--- /dev/null
+++ b/src/control_client/control_session.ts
@@ -0,0 +1,658 @@
+import { inflateRawSync } from "node:zlib";
+import type { Interceptor } from "@grpc/grpc-js";
+import { match } from "ts-pattern";
+import {
+  type Clock,
+  getBytesHash,
+  type Log,
+  type RandomSource,
+  systemClock,
+} from "../common/mod.ts";
+import {
+  parseTargetRecord,
+  type TargetRecord,
+  toKnownTarget,
+  toTargetRecord,
+  ViewCopy,
+} from "../membership/mod.ts";
+import type {
+  ControlMessage,
+  CrashReport,
+  DocumentUpdate,
+  Hello,
+  LinkBytes,
+  LinkShare,
+  NodeMessage,
+  Redirect,
+  RenewAnswer,
+  SuspectUpdate,
+  ViewUpdate,
+} from "../protocol/generated/session.ts";
+import { AnnouncedTargets } from "./announced_targets.ts";
+import { SessionConnection } from "./session_connection.ts";
+
+/** Who the node is. */
+export type NodeIdentity = Pick<
+  Hello,
+  | "environment"
+  | "nodeId"
+  | "incarnation"
+  | "region"
+  | "availabilityZone"
+  | "service"
+  | "nodeAddress"
+>;
+
+/** What a node reports with each renewal. */
+export interface NodeReport {
+  readonly admissionLevel: number;
+  readonly ledgerIndex: number;
+  /** Bytes sent since the last report. */
+  readonly linkBytes: readonly LinkBytes[];
+}
+
+/** State of a session with the control group. */
+export interface ControlSessionStatus {
+  /** Whether a control instance answered within the silence limit. */
+  readonly connected: boolean;
+  readonly controlAddress?: string;
+  /** Revision of the document in force; 0 for none. */
+  readonly revision: number;
+}
+
+/** Settings of a control session; times in milliseconds. */
+export interface ControlSessionOptions {
+  readonly controlAddresses: readonly string[];
+  readonly hello: NodeIdentity;
+  /** Adds the token to each call. */
+  readonly interceptors?: readonly Interceptor[];
+  readonly clock?: Clock;
+  readonly random?: RandomSource;
+  readonly log?: Log;
+  /** Gets the report of the next renewal. */
+  getReport?(): NodeReport;
+  /** Called with higher revisions only. */
+  onDocument(revision: number, part: Uint8Array, digest: string): void;
+  /** Called with all targets of a service after each change. */
+  onView(service: string, targets: readonly TargetRecord[]): void;
+  /** Called with the shares after each change; also when the lease ran out. */
+  onLinkShares(shares: readonly LinkShare[]): void;
+  onSuspects(update: SuspectUpdate): void;
+  /** Called when an operator asks for a target to be drained. */
+  onDrainRequest?(targetId: string): void;
+  /** Called with a ledger index that is known as committed. */
+  onLedgerIndex?(index: number): void;
+  readonly renewMilliseconds?: number;
+  readonly silenceMilliseconds?: number;
+  readonly jitterMilliseconds?: number;
+  readonly attemptMilliseconds?: number;
+  readonly isolatedRetryMilliseconds?: number;
+}
+
+const defaults = {
+  renewMilliseconds: 2000,
+  silenceMilliseconds: 2000,
+  // Spreads the nodes of a lost instance; renewals, silence and jitter together
+  // stay below the lease of 6 s.
+  jitterMilliseconds: 1000,
+  attemptMilliseconds: 1000,
+  isolatedRetryMilliseconds: 10_000,
+};
+
+// An instance that does not answer within this time does not keep the next one
+// from being tried beside it.
+const staggerMilliseconds = 300;
+const standstillMilliseconds = 250;
+// Each is at most some hundred bytes.
+const maximumUnconfirmed = 1000;
+const longestPauseMilliseconds = 2000;
+const viewRequestIntervalMilliseconds = 1000;
+const idleReport: NodeReport = {
+  admissionLevel: 0,
+  ledgerIndex: 0,
+  linkBytes: [],
+};
+
+/**
+ * Holds the node's session with one control instance and moves it to another
+ * one when that does not answer, is isolated or stops. What the node was sent
+ * stays in force meanwhile.
+ */
+export class ControlSession {
+  readonly #options: ControlSessionOptions & typeof defaults;
+  readonly #clock: Clock;
+  readonly #random: RandomSource;
+  readonly #targets: AnnouncedTargets;
+  readonly #views = new Map<string, ViewCopy>();
+  readonly #viewRequestedAt = new Map<string, number>();
+  readonly #requestedServices = new Set<string>();
+  /** Crash reports and clearances that no renewal confirmed yet. */
+  readonly #unconfirmed: {
+    readonly message: NodeMessage["message"];
+    confirmedBy: number;
+  }[] = [];
+  readonly #attempts = new Set<SessionConnection>();
+  #current: SessionConnection | undefined;
+  #candidates: string[] = [];
+  #acceptsIsolated = false;
+  #attemptTimer: NodeJS.Timeout | undefined;
+  #renewTimer: NodeJS.Timeout | undefined;
+  #moveTimer: NodeJS.Timeout | undefined;
+  #leaseTimer: NodeJS.Timeout | undefined;
+  #sessionSequence = 0;
+  #renewSequence = 0;
+  #renewDueAt = 0;
+  #unansweredSince: number | undefined;
+  #failedCycles = 0;
+  #revision = 0;
+  #part: { bytes: Uint8Array; hash: string } | undefined;
+  #unansweredBytes: LinkBytes[] = [];
+  #sentBytes: readonly LinkBytes[] = [];
+  #shares: readonly LinkShare[] = [];
+  #onStopped: (() => void) | undefined;
+  #isStopped = false;
+
+  constructor(options: ControlSessionOptions) {
+    this.#options = { ...defaults, ...options };
+    this.#clock = options.clock ?? systemClock;
+    this.#random = options.random ?? Math.random;
+    this.#targets = new AnnouncedTargets(this.#clock);
+    this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds / 4);
+  }
+
+  /**
+   * Announces the target beside the node, or a new state of it. The session
+   * sets the sequence, and repeats the announcement after each move.
+   * @param record The target; its `sequence` is ignored.
+   */
+  announce(record: TargetRecord): void {
+    const sent = this.#targets.set({
+      ...record,
+      nodeId: this.#options.hello.nodeId,
+    });
+    this.#sendAnnouncement(sent);
+    if (record.state === "left") {
+      // Confirms the announcement sooner than the next regular renewal.
+      this.#renew();
+    }
+  }
+
+  /** Reports a crash of the target; repeated until an instance has it. */
+  reportCrash(report: CrashReport): void {
+    this.#sendConfirmed({ $case: "crashReport", crashReport: report });
+  }
+
+  /** Reports that a suspect completed. */
+  clearSuspect(fingerprint: string): void {
+    this.#sendConfirmed({
+      $case: "suspectCleared",
+      suspectCleared: { fingerprint },
+    });
+  }
+
+  /**
+   * Asks for the targets of a service to which the document declares no call
+   * of the node's service.
+   * @param service The service.
+   */
+  requestView(service: string): void {
+    if (!this.#requestedServices.has(service)) {
+      this.#requestedServices.add(service);
+      this.#sendViewRequest(service);
+    }
+  }
+
+  /** Renews at once, so that control learns of a new revision or level. */
+  reportNow(): void {
+    this.#renew();
+  }
+
+  getStatus(): ControlSessionStatus {
+    return {
+      connected: this.#current !== undefined,
+      ...(this.#current !== undefined &&
+        { controlAddress: this.#current.address }),
+      revision: this.#revision,
+    };
+  }
+
+  /** Gets the control addresses, the one of the session first. */
+  getControlAddresses(): readonly string[] {
+    const current = this.#current?.address;
+    return current === undefined ? this.#options.controlAddresses : [
+      current,
+      ...this.#options.controlAddresses.filter((each) => each !== current),
+    ];
+  }
+
+  /**
+   * Ends the session and the lease. Resolves when the instance confirmed, or
+   * after the silence limit.
+   */
+  async stop(): Promise<void> {
+    if (this.#isStopped) {
+      return;
+    }
+    this.#isStopped = true;
+    clearTimeout(this.#attemptTimer);
+    clearTimeout(this.#moveTimer);
+    clearTimeout(this.#renewTimer);
+    clearTimeout(this.#leaseTimer);
+    this.#closeAttempts();
+    const current = this.#current;
+    if (current === undefined) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, this.#options.silenceMilliseconds);
+      this.#onStopped = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      current.send({ $case: "leave", leave: {} });
+    });
+    current.close();
+    this.#current = undefined;
+  }
+
+  /** Plans to look for an instance after a delay. */
+  #scheduleMove(delayMilliseconds: number): void {
+    if (this.#isStopped || this.#moveTimer !== undefined) {
+      return;
+    }
+    this.#moveTimer = setTimeout(() => {
+      this.#moveTimer = undefined;
+      this.#startCycle([]);
+    }, delayMilliseconds);
+  }
+
+  /** Tries all instances, those that are known to be reachable first. */
+  #startCycle(preferred: readonly string[]): void {
+    this.#closeAttempts();
+    const others = shuffle(this.#options.controlAddresses, this.#random)
+      .filter((address) => address !== this.#current?.address);
+    this.#candidates = [
+      ...others.filter((address) => preferred.includes(address)),
+      ...others.filter((address) => !preferred.includes(address)),
+    ];
+    this.#acceptsIsolated = false;
+    this.#tryNext();
+  }
+
+  #tryNext(): void {
+    clearTimeout(this.#attemptTimer);
+    if (this.#isStopped) {
+      return;
+    }
+    const address = this.#candidates.shift();
+    if (address === undefined) {
+      if (this.#attempts.size === 0) {
+        this.#onCycleFailed();
+      }
+      return;
+    }
+    const connection = new SessionConnection({
+      address,
+      interceptors: this.#options.interceptors ?? [],
+      hello: this.#createHello(),
+      onMessage: (from, message) => this.#onMessage(from, message),
+      onEnd: (from, reason) => this.#onEnd(from, reason),
+    });
+    this.#attempts.add(connection);
+    setTimeout(
+      () => this.#onAttemptFailed(connection),
+      this.#options.attemptMilliseconds,
+    ).unref();
+    this.#attemptTimer = setTimeout(() => this.#tryNext(), staggerMilliseconds);
+  }
+
+  #onAttemptFailed(connection: SessionConnection): void {
+    if (this.#attempts.delete(connection)) {
+      connection.close();
+      this.#tryNext();
+    }
+  }
+
+  #onCycleFailed(): void {
+    if (this.#current !== undefined) {
+      // Isolated instances still hold leases and know the targets of their
+      // side of a partition, so the session stays and looks again later.
+      this.#scheduleMove(
+        this.#options.isolatedRetryMilliseconds * (0.5 + this.#random()),
+      );
+      return;
+    }
+    if (!this.#acceptsIsolated) {
+      this.#acceptsIsolated = true;
+      this.#candidates = shuffle(this.#options.controlAddresses, this.#random);
+      this.#tryNext();
+      return;
+    }
+    this.#failedCycles++;
+    const limit = Math.min(
+      this.#options.jitterMilliseconds * 2 ** this.#failedCycles,
+      longestPauseMilliseconds,
+    );
+    this.#scheduleMove(limit * (0.5 + this.#random() / 2));
+  }
+
+  #closeAttempts(): void {
+    clearTimeout(this.#attemptTimer);
+    this.#candidates = [];
+    for (const connection of this.#attempts) {
+      connection.close();
+    }
+    this.#attempts.clear();
+  }
+
+  #createHello(): Hello {
+    this.#sessionSequence = Math.max(
+      this.#sessionSequence + 1,
+      this.#clock.now().getTime(),
+    );
+    return {
+      ...this.#options.hello,
+      sessionSequence: this.#sessionSequence,
+      revision: this.#revision,
+      viewDigests: [...this.#views].map(([service, view]) => ({
+        service,
+        digest: view.digest,
+      })),
+      partHash: this.#part?.hash ?? "",
+      acceptsIsolated: this.#acceptsIsolated,
+    };
+  }
+
+  /** Makes a connection whose instance accepted the hello the session. */
+  #adopt(connection: SessionConnection): void {
+    this.#attempts.delete(connection);
+    this.#closeAttempts();
+    clearTimeout(this.#moveTimer);
+    this.#moveTimer = undefined;
+    const previous = this.#current;
+    this.#current = connection;
+    this.#failedCycles = 0;
+    previous?.close();
+    this.#options.log?.info("control-connected", {
+      address: connection.address,
+    });
+    if (connection.sessionSequence !== this.#sessionSequence) {
+      // A hello that went to another instance later would count as newer.
+      const hello = this.#createHello();
+      connection.sessionSequence = hello.sessionSequence;
+      connection.send({ $case: "hello", hello });
+    }
+    this.#unansweredSince = undefined;
+    this.#targets.renumberAll().forEach((each) => this.#sendAnnouncement(each));
+    this.#requestedServices.forEach((each) => this.#sendViewRequest(each));
+    for (const each of this.#unconfirmed) {
+      each.confirmedBy = this.#renewSequence + 1;
+      connection.send(each.message);
+    }
+    this.#scheduleRenew(this.#random() * this.#options.renewMilliseconds);
+  }
+
+  #onEnd(connection: SessionConnection, reason: string): void {
+    if (connection === this.#current) {
+      if (this.#isStopped) {
+        this.#onStopped?.();
+        return;
+      }
+      this.#onLost(reason);
+    } else {
+      this.#onAttemptFailed(connection);
+    }
+  }
+
+  #onLost(reason: string): void {
+    this.#options.log?.warn("control-lost", {
+      address: this.#current?.address,
+      reason,
+    });
+    this.#current?.close();
+    this.#current = undefined;
+    clearTimeout(this.#renewTimer);
+    this.#unansweredBytes = [...this.#unansweredBytes, ...this.#sentBytes];
+    this.#sentBytes = [];
+    clearTimeout(this.#moveTimer);
+    this.#moveTimer = undefined;
+    if (this.#attempts.size === 0) {
+      this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds);
+    }
+  }
+
+  #scheduleRenew(delayMilliseconds: number): void {
+    this.#renewDueAt = this.#clock.monotonicMilliseconds() + delayMilliseconds;
+    clearTimeout(this.#renewTimer);
+    this.#renewTimer = setTimeout(() => this.#renew(), delayMilliseconds);
+  }
+
+  #renew(): void {
+    const current = this.#current;
+    if (current === undefined || this.#isStopped) {
+      return;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    const silence = now - (this.#unansweredSince ?? now);
+    if (silence >= this.#options.silenceMilliseconds) {
+      if (now - this.#renewDueAt > standstillMilliseconds) {
+        // This process stood still; the answer may wait in the socket.
+        this.#scheduleRenew(standstillMilliseconds);
+      } else {
+        this.#onLost("no answer within the silence limit");
+      }
+      return;
+    }
+    const report = this.#options.getReport?.() ?? idleReport;
+    this.#sentBytes = sumLinkBytes([
+      ...this.#unansweredBytes,
+      ...this.#sentBytes,
+      ...report.linkBytes,
+    ]);
+    this.#unansweredBytes = [];
+    this.#renewSequence++;
+    this.#unansweredSince ??= now;
+    current.send({
+      $case: "renew",
+      renew: {
+        sequence: this.#renewSequence,
+        revision: this.#revision,
+        linkBytes: [...this.#sentBytes],
+        admissionLevel: report.admissionLevel,
+        ledgerIndex: report.ledgerIndex,
+      },
+    });
+    // Checked when the silence limit ends, whichever comes first.
+    this.#scheduleRenew(
+      Math.min(
+        this.#options.renewMilliseconds,
+        this.#unansweredSince + this.#options.silenceMilliseconds - now,
+      ),
+    );
+  }
+
+  #onMessage(connection: SessionConnection, { message }: ControlMessage): void {
+    if (connection !== this.#current) {
+      if (message?.$case === "renewAnswer") {
+        this.#adopt(connection);
+      } else {
+        // A redirect: this instance does not take the session.
+        this.#onAttemptFailed(connection);
+        return;
+      }
+    }
+    match(message)
+      .with(
+        { $case: "renewAnswer" },
+        ({ renewAnswer }) => this.#onRenewAnswer(renewAnswer),
+      )
+      .with({ $case: "document" }, ({ document }) => this.#onDocument(document))
+      .with({ $case: "view" }, ({ view }) => this.#onView(view))
+      .with(
+        { $case: "suspects" },
+        ({ suspects }) => this.#options.onSuspects(suspects),
+      )
+      .with({ $case: "redirect" }, ({ redirect }) => this.#onRedirect(redirect))
+      .with(
+        { $case: "drainTarget" },
+        ({ drainTarget }) =>
+          this.#options.onDrainRequest?.(drainTarget.targetId),
+      )
+      .with({ $case: "staleAnnouncement" }, ({ staleAnnouncement }) => {
+        const known = staleAnnouncement.known;
+        const record = known === undefined
+          ? undefined
+          : parseTargetRecord(known);
+        if (record !== undefined) {
+          this.#onStaleAnnouncement(record);
+        }
+      })
+      .otherwise(() => {});
+  }
+
+  #onRenewAnswer(answer: RenewAnswer): void {
+    if (answer.sequence >= this.#renewSequence) {
+      this.#unansweredSince = undefined;
+      this.#sentBytes = [];
+    } else if (this.#unansweredSince !== undefined) {
+      this.#unansweredSince = this.#clock.monotonicMilliseconds();
+    }
+    this.#targets.confirm(answer.sequence);
+    while (
+      this.#unconfirmed[0] !== undefined &&
+      this.#unconfirmed[0].confirmedBy <= answer.sequence
+    ) {
+      this.#unconfirmed.shift();
+    }
+    if (answer.ledgerIndex > 0) {
+      this.#options.onLedgerIndex?.(answer.ledgerIndex);
+    }
+    clearTimeout(this.#leaseTimer);
+    this.#leaseTimer = setTimeout(
+      () => this.#onLeaseEnd(),
+      answer.leaseMilliseconds,
+    );
+    if (answer.linkShares.length > 0) {
+      this.#shares = answer.linkShares;
+      this.#options.onLinkShares(this.#shares);
+    }
+  }
+
+  /** Falls back to the shares that control counts without a lease. */
+  #onLeaseEnd(): void {
+    if (this.#shares.length > 0) {
+      this.#options.onLinkShares(this.#shares.map((share) => ({
+        ...share,
+        bytesPerSecond: share.floorBytesPerSecond,
+      })));
+    }
+  }
+
+  #onDocument(update: DocumentUpdate): void {
+    if (update.revision <= this.#revision) {
+      return;
+    }
+    let part = this.#part;
+    if (update.part.length > 0) {
+      const bytes = inflateRawSync(update.part);
+      part = { bytes, hash: getBytesHash(bytes) };
+    }
+    if (part === undefined || part.hash !== update.partHash) {
+      this.#options.log?.error("document-damaged", {
+        revision: update.revision,
+      });
+      return;
+    }
+    this.#part = part;
+    this.#revision = update.revision;
+    this.#options.onDocument(update.revision, part.bytes, update.digest);
+    this.#renew();
+  }
+
+  #onView(update: ViewUpdate): void {
+    const now = this.#clock.monotonicMilliseconds();
+    const view = this.#views.get(update.service) ?? new ViewCopy();
+    this.#views.set(update.service, view);
+    const isEqual = view.apply({
+      ...update,
+      changed: update.changed.map(parseTargetRecord)
+        .filter((record) => record !== undefined)
+        .map((record) => toKnownTarget(record, now)),
+    });
+    if (!isEqual) {
+      this.#onViewMismatch(update.service, now);
+    }
+    this.#options.onView(
+      update.service,
+      view.targets.map((target) => toTargetRecord(target, now)),
+    );
+  }
+
+  #onViewMismatch(service: string, now: number): void {
+    const requestedAt = this.#viewRequestedAt.get(service) ??
+      Number.NEGATIVE_INFINITY;
+    // While instances disagree after a move, each copy would ask for the next.
+    if (now - requestedAt >= viewRequestIntervalMilliseconds) {
+      this.#viewRequestedAt.set(service, now);
+      this.#sendViewRequest(service);
+    }
+  }
+
+  #onRedirect({ refusal }: Redirect): void {
+    this.#options.log?.info("control-redirect", { reason: refusal?.reason });
+    if (refusal?.reason === "lease-lost") {
+      // The stream ends next, and the session opens again elsewhere.
+      return;
+    }
+    clearTimeout(this.#moveTimer);
+    this.#moveTimer = setTimeout(() => {
+      this.#moveTimer = undefined;
+      this.#startCycle(refusal?.controlAddresses ?? []);
+    }, this.#random() * this.#options.jitterMilliseconds);
+  }
+
+  #onStaleAnnouncement(known: TargetRecord): void {
+    const outcome = this.#targets.overtake(known);
+    if (outcome === undefined) {
+      this.#options.log?.warn("target-replaced", {
+        target: known.targetId,
+        node: known.nodeId,
+      });
+    } else {
+      this.#sendAnnouncement(outcome);
+    }
+  }
+
+  #sendAnnouncement(record: TargetRecord): void {
+    this.#targets.setConfirmedBy(record.targetId, this.#renewSequence + 1);
+    this.#current?.send({ $case: "announcement", announcement: { record } });
+  }
+
+  #sendViewRequest(service: string): void {
+    this.#current?.send({ $case: "viewRequest", viewRequest: { service } });
+  }
+
+  #sendConfirmed(message: NodeMessage["message"]): void {
+    if (this.#unconfirmed.length >= maximumUnconfirmed) {
+      this.#unconfirmed.shift();
+    }
+    this.#unconfirmed.push({ message, confirmedBy: this.#renewSequence + 1 });
+    this.#current?.send(message);
+  }
+}
+
+function shuffle<Item>(items: readonly Item[], random: RandomSource): Item[] {
+  return items.map((item) => ({ item, order: random() }))
+    .sort((a, b) => a.order - b.order)
+    .map(({ item }) => item);
+}
+
+function sumLinkBytes(entries: readonly LinkBytes[]): LinkBytes[] {
+  const sums = new Map<string, LinkBytes>();
+  for (const entry of entries) {
+    const key = `${entry.fromRegion}\0${entry.toRegion}`;
+    const sum = sums.get(key);
+    sums.set(key, { ...entry, bytes: entry.bytes + (sum?.bytes ?? 0) });
+  }
+  return [...sums.values()];
+}
--- /dev/null
+++ b/src/control_client/control_session_test.ts
@@ -0,0 +1,95 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { after, test } from "node:test";
+import { decodeDocumentPart, parseDocument } from "../document/mod.ts";
+import {
+  type ControlInstance,
+  startControlInstances,
+} from "../../tests/support/control_instance.ts";
+import { SessionNode } from "../../tests/support/session_node.ts";
+import { waitUntil } from "../../tests/support/wait_until.ts";
+
+const file = "examples/benefits-office.toml";
+const parsed = parseDocument(readFileSync(file, "utf8"), file);
+assert.equal(parsed.kind, "ok");
+const document = parsed.kind === "ok" ? parsed.value : undefined;
+
+const cleanUps: (() => void)[] = [];
+after(() => cleanUps.forEach((each) => each()));
+
+async function startControl(count: number): Promise<ControlInstance[]> {
+  const instances = await startControlInstances(count);
+  cleanUps.push(() => instances.forEach((each) => each.kill()));
+  return instances;
+}
+
+function startNode(
+  instances: readonly ControlInstance[],
+  identity: { nodeId: string; service?: string },
+): SessionNode {
+  const node = new SessionNode({
+    controlAddresses: instances.map((each) => each.address),
+    identity,
+  });
+  cleanUps.push(() => void node.session.stop());
+  return node;
+}
+
+function accept(instances: readonly ControlInstance[], revision: number): void {
+  assert.ok(document !== undefined);
+  for (const instance of instances) {
+    instance.accept("trial", { revision, digest: `d${revision}`, document });
+  }
+}
+
+test("a session carries documents, announcements, views and drains", async () => {
+  const instances = await startControl(2);
+  accept(instances, 4);
+  const caller = startNode(instances, { nodeId: "n1", service: "enrollment" });
+  const callee = startNode(instances, { nodeId: "n2", service: "balances" });
+  callee.announce("ready");
+  await waitUntil(
+    () => caller.getStates("balances")["n2-target"] === "ready",
+    "the caller knows the target",
+  );
+  assert.deepEqual(caller.revisions, [4]);
+  assert.ok(caller.part !== undefined);
+  assert.deepEqual(
+    [...decodeDocumentPart(caller.part).services.keys()].sort(),
+    ["balances", "enrollment", "retailers"],
+  );
+  const asked = instances.map(({ host }) =>
+    host.drain({ environment: "trial", targetId: "n2-target" }).kind
+  );
+  assert.ok(asked.includes("asked"));
+  await waitUntil(() => callee.drainRequests.length > 0, "the node is asked");
+  callee.announce("draining");
+  await waitUntil(
+    () => caller.getStates("balances")["n2-target"] === "draining",
+    "the caller knows of the drain",
+  );
+  callee.announce("left");
+  await waitUntil(
+    () => caller.views.get("balances")?.length === 0,
+    "the target is gone",
+  );
+  accept(instances, 3);
+  accept(instances, 5);
+  await waitUntil(() => caller.revisions.length > 1, "revision 5 arrives");
+  // Guards against a document that goes back to an earlier revision.
+  assert.deepEqual(caller.revisions, [4, 5]);
+  await waitUntil(
+    () =>
+      instances.every(({ host }) =>
+        host.getLiveNodes("trial").filter((each) => each.revision === 5)
+          .length === 2
+      ),
+    "all instances know the revision of all nodes",
+  );
+  await caller.session.stop();
+  await waitUntil(
+    () =>
+      instances.every(({ host }) => host.getLiveNodes("trial").length === 1),
+    "the lease of a stopped node ends",
+  );
+});
--- /dev/null
+++ b/src/control_client/mod.ts
@@ -0,0 +1,14 @@
+export {
+  ControlSession,
+  type ControlSessionOptions,
+  type ControlSessionStatus,
+  type NodeIdentity,
+  type NodeReport,
+} from "./control_session.ts";
+export {
+  type ClaimOutcome,
+  type FenceOutcome,
+  LedgerClient,
+  type LedgerClientOptions,
+  type LedgerKey,
+} from "./ledger_client.ts";
--- /dev/null
+++ b/src/control_client/session_connection.ts
@@ -0,0 +1,77 @@
+import {
+  type ClientDuplexStream,
+  credentials,
+  type Interceptor,
+} from "@grpc/grpc-js";
+import { formatVersion } from "../protocol/format_version.ts";
+import {
+  type ControlMessage,
+  type Hello,
+  type NodeMessage,
+  SessionClient,
+} from "../protocol/generated/session.ts";
+
+/** Settings of a connection. */
+export interface SessionConnectionOptions {
+  readonly address: string;
+  readonly interceptors: readonly Interceptor[];
+  readonly hello: Hello;
+  onMessage(connection: SessionConnection, message: ControlMessage): void;
+  /** Called once, unless the connection was closed from this side. */
+  onEnd(connection: SessionConnection, reason: string): void;
+}
+
+/** One session stream to one control instance. */
+export class SessionConnection {
+  readonly address: string;
+  readonly #client: SessionClient;
+  readonly #stream: ClientDuplexStream<NodeMessage, ControlMessage>;
+  #isClosed = false;
+  /** Sequence of the last hello that was sent here. */
+  sessionSequence: number;
+
+  constructor(options: SessionConnectionOptions) {
+    this.address = options.address;
+    this.sessionSequence = options.hello.sessionSequence;
+    // A pool of its own, so that closing ends the TCP connection: after a
+    // silent partition a shared one would be used again.
+    this.#client = new SessionClient(
+      options.address,
+      credentials.createInsecure(),
+      {
+        "grpc.use_local_subchannel_pool": 1,
+        "grpc.enable_retries": 0,
+        interceptors: [...options.interceptors],
+      },
+    );
+    this.#stream = this.#client.open();
+    this.#stream.on("data", (message: ControlMessage) => {
+      if (!this.#isClosed && message.formatVersion === formatVersion) {
+        options.onMessage(this, message);
+      }
+    });
+    const onEnd = (reason: string) => {
+      if (!this.#isClosed) {
+        this.close();
+        options.onEnd(this, reason);
+      }
+    };
+    this.#stream.on("error", (error) => onEnd(error.message));
+    this.#stream.on("end", () => onEnd("the instance ended the session"));
+    this.send({ $case: "hello", hello: options.hello });
+  }
+
+  send(message: NodeMessage["message"]): void {
+    if (!this.#isClosed) {
+      this.#stream.write({ formatVersion, message });
+    }
+  }
+
+  close(): void {
+    if (!this.#isClosed) {
+      this.#isClosed = true;
+      this.#stream.cancel();
+      this.#client.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/membership/directory.ts
@@ -0,0 +1,631 @@
+import {
+  compareNodeRecords,
+  getNodeKey,
+  getNodeVersion,
+  type NodeRecord,
+} from "./node_record.ts";
+import {
+  bucketCount,
+  ReplicatedTable,
+  type TableChange,
+} from "./replicated_table.ts";
+import {
+  compareTargets,
+  getTargetKey,
+  getTargetVersion,
+  isLiveTarget,
+  type KnownTarget,
+} from "./target_record.ts";
+import { OwnerRegister } from "./owner_register.ts";
+
+/** A service of an environment. */
+export interface ServiceName {
+  readonly environment: string;
+  readonly service: string;
+}
+
+/** Targets and nodes that one message carries. */
+export interface DirectoryItems {
+  readonly targets: readonly KnownTarget[];
+  readonly nodes: readonly NodeRecord[];
+}
+
+/** Names a part of an owner's items. */
+export interface BucketName {
+  readonly owner: string;
+  readonly index: number;
+}
+
+/** All that the sender has in one bucket of an owner's items. */
+export interface Bucket extends BucketName, DirectoryItems {
+  /** Counter of the owner up to which the sender has its items. */
+  readonly counter: number;
+}
+
+/** Digests of an owner's live items. */
+export interface OwnerDigest {
+  readonly owner: string;
+  readonly counter: number;
+  readonly buckets: readonly number[];
+}
+
+/** What one instance tells another. */
+export interface DirectoryBatch extends DirectoryItems {
+  readonly instanceId: string;
+  /** Start of the sender's process; larger is newer. */
+  readonly boot: number;
+  /** Grows with each batch of that process. */
+  readonly counter: number;
+  /** Whether the sender does not know all targets yet. */
+  readonly collecting: boolean;
+  readonly buckets: readonly Bucket[];
+  /** Empty in batches between the regular digests. */
+  readonly digests: readonly OwnerDigest[];
+}
+
+/** Settings of a directory; times in milliseconds. */
+export interface DirectoryOptions {
+  readonly instanceId: string;
+  /** Start of this process; larger is newer. */
+  readonly boot: number;
+  /** Monotonic time at the start. */
+  readonly now: number;
+  /** Gets the identities of the other control instances. */
+  readonly getPeers: () => readonly string[];
+  readonly leaseMilliseconds?: number;
+  readonly graceMilliseconds?: number;
+  readonly tombstoneMilliseconds?: number;
+}
+
+interface Lease {
+  readonly nodeKey: string;
+  sessionSequence: number;
+  expiresAt: number;
+  /** Targets of the node, and until when the node must confirm them. */
+  readonly targets: Map<string, number | undefined>;
+}
+
+// A longer gap between two calls of `expire` means that this process stood
+// still and could not read the renewals that were waiting for it.
+const pauseMilliseconds = 1000;
+
+/**
+ * The targets and nodes that a control instance knows: those that it owns
+ * through the leases of its nodes, and those that it heard of from others.
+ * Soft state: each side of a partition goes on with what it hears.
+ */
+export class Directory {
+  readonly #options: Required<Omit<DirectoryOptions, "now">>;
+  readonly #owner: string;
+  readonly #owners: OwnerRegister;
+  readonly #leases = new Map<string, Lease>();
+  readonly #services = new Map<string, Map<string, KnownTarget>>();
+  readonly #changedServices = new Map<string, ServiceName>();
+  readonly #ownTargetChanges = new Set<string>();
+  readonly #ownNodeChanges = new Set<string>();
+  readonly #targets = new ReplicatedTable<KnownTarget>({
+    getKey: getTargetKey,
+    getVersion: getTargetVersion,
+    compare: compareTargets,
+    isLive: isLiveTarget,
+  }, (change) => this.#onTargetChange(change));
+  readonly #nodes = new ReplicatedTable<NodeRecord>({
+    getKey: getNodeKey,
+    getVersion: getNodeVersion,
+    compare: compareNodeRecords,
+    isLive: (node) => node.state !== "gone",
+  }, (change) => this.#onNodeChange(change));
+  #counter = 0;
+  #checkedAt: number;
+
+  constructor(options: DirectoryOptions) {
+    this.#options = {
+      leaseMilliseconds: 6000,
+      graceMilliseconds: 10_000,
+      tombstoneMilliseconds: 600_000,
+      ...options,
+    };
+    this.#owner = `${options.instanceId}#${options.boot}`;
+    this.#owners = new OwnerRegister({
+      instanceId: options.instanceId,
+      graceMilliseconds: this.#options.graceMilliseconds,
+      now: options.now,
+    });
+    this.#checkedAt = options.now;
+  }
+
+  get leaseMilliseconds(): number {
+    return this.#options.leaseMilliseconds;
+  }
+
+  /** Gets the number of nodes that hold their lease here. */
+  get leaseCount(): number {
+    return this.#leases.size;
+  }
+
+  /**
+   * Opens or takes over the lease of a node. The node must announce its
+   * targets again within the time of a lease.
+   * @param node The node; `update` 0 and `connected`.
+   * @param now Monotonic time in milliseconds.
+   */
+  openLease(node: NodeRecord, now: number): void {
+    const nodeKey = getNodeKey(node);
+    const confirmBy = now + this.#options.leaseMilliseconds;
+    const targets = new Map<string, number | undefined>();
+    for (const key of this.#leases.get(nodeKey)?.targets.keys() ?? []) {
+      targets.set(key, confirmBy);
+    }
+    this.#leases.set(nodeKey, {
+      nodeKey,
+      sessionSequence: node.sessionSequence,
+      expiresAt: confirmBy,
+      targets,
+    });
+    this.#nodes.merge(node, { owner: this.#owner, now });
+  }
+
+  /**
+   * Renews the lease of a node.
+   * @param session The node's key and the sequence of its session.
+   * @param news What the node reports.
+   * @param now Monotonic time in milliseconds.
+   * @returns False when the node has no lease, or one of a newer session.
+   */
+  renew(
+    session: { nodeKey: string; sessionSequence: number },
+    news: { revision: number; admissionLevel: number; now: number },
+  ): boolean {
+    const lease = this.#getLease(session);
+    if (lease === undefined) {
+      return false;
+    }
+    lease.expiresAt = news.now + this.#options.leaseMilliseconds;
+    const known = this.#nodes.get(session.nodeKey);
+    if (
+      known !== undefined && this.#nodes.getOwner(session.nodeKey) ===
+        this.#owner &&
+      (known.revision !== news.revision ||
+        known.admissionLevel !== news.admissionLevel)
+    ) {
+      this.#nodes.merge({
+        ...known,
+        update: known.update + 1,
+        revision: news.revision,
+        admissionLevel: news.admissionLevel,
+      }, { owner: this.#owner, now: news.now });
+    }
+    return true;
+  }
+
+  /**
+   * Takes in the announcement of a node's target.
+   * @param session The node's key and the sequence of its session.
+   * @param announcement The target and the monotonic time.
+   * @returns `undefined` when taken in; otherwise the newer record that is
+   * known, or `"no-lease"`.
+   */
+  announce(
+    session: { nodeKey: string; sessionSequence: number },
+    announcement: { target: KnownTarget; now: number },
+  ): KnownTarget | "no-lease" | undefined {
+    const lease = this.#getLease(session);
+    if (lease === undefined) {
+      return "no-lease";
+    }
+    const { target, now } = announcement;
+    const key = getTargetKey(target);
+    const known = this.#targets.get(key);
+    if (known !== undefined && compareTargets(target, known) < 0) {
+      return known;
+    }
+    this.#targets.merge(target, { owner: this.#owner, now });
+    if (isLiveTarget(target)) {
+      lease.targets.set(key, undefined);
+    } else {
+      lease.targets.delete(key);
+    }
+    return undefined;
+  }
+
+  /** Gets whether a session still holds its lease. */
+  hasLease(session: { nodeKey: string; sessionSequence: number }): boolean {
+    return this.#getLease(session) !== undefined;
+  }
+
+  /** Records that the stream of a node ended while its lease runs. */
+  disconnect(
+    session: { nodeKey: string; sessionSequence: number },
+    now: number,
+  ): void {
+    const node = this.#nodes.get(session.nodeKey);
+    if (
+      this.#getLease(session) !== undefined && node?.state === "connected" &&
+      this.#nodes.getOwner(session.nodeKey) === this.#owner
+    ) {
+      const disconnected = {
+        ...node,
+        update: node.update + 1,
+        state: "disconnected" as const,
+      };
+      this.#nodes.merge(disconnected, { owner: this.#owner, now });
+    }
+  }
+
+  /** Ends the lease of a node that stops; its targets expire. */
+  leave(
+    session: { nodeKey: string; sessionSequence: number },
+    now: number,
+  ): void {
+    const lease = this.#getLease(session);
+    if (lease !== undefined) {
+      this.#endLease(lease, now);
+    }
+  }
+
+  /**
+   * Ends the leases that ran out and forgets lost instances and old
+   * tombstones. To be called several times a second.
+   * @param now Monotonic time in milliseconds.
+   */
+  expire(now: number): void {
+    const pause = now - this.#checkedAt;
+    this.#checkedAt = now;
+    if (pause > pauseMilliseconds) {
+      this.#extendAll(pause);
+    }
+    for (const lease of this.#leases.values()) {
+      if (lease.expiresAt <= now) {
+        this.#endLease(lease, now);
+        continue;
+      }
+      for (const [key, confirmBy] of lease.targets) {
+        if (confirmBy !== undefined && confirmBy <= now) {
+          this.#expireTarget(key, now);
+          lease.targets.delete(key);
+        }
+      }
+    }
+    for (const owner of this.#owners.takeLost(now)) {
+      this.#targets.drop(owner);
+      this.#nodes.drop(owner);
+    }
+    this.#targets.dropTombstones(now - this.#options.tombstoneMilliseconds);
+    this.#nodes.dropTombstones(now - this.#options.tombstoneMilliseconds);
+  }
+
+  /** Gets the live targets of a service by their key. */
+  getTargets(name: ServiceName): ReadonlyMap<string, KnownTarget> {
+    return this.#services.get(getServiceKey(name)) ?? new Map();
+  }
+
+  /** Gets what is known of a target, also after its end. */
+  getRecord(
+    name: { environment: string; targetId: string },
+  ): KnownTarget | undefined {
+    return this.#targets.get(getTargetKey(name));
+  }
+
+  /** Gets a live target, whichever service it belongs to. */
+  getTarget(
+    name: { environment: string; targetId: string },
+  ): KnownTarget | undefined {
+    const target = this.getRecord(name);
+    return target !== undefined && isLiveTarget(target) ? target : undefined;
+  }
+
+  /** Gets the instance that holds the lease of a target's node. */
+  getTargetOwner(
+    name: { environment: string; targetId: string },
+  ): string | undefined {
+    return this.#targets.getOwner(getTargetKey(name))?.replace(/#[0-9]+$/, "");
+  }
+
+  /** Gets the live nodes of an environment. */
+  getNodes(environment: string): NodeRecord[] {
+    return [...this.#nodes.values()].filter((node) =>
+      node.environment === environment && node.state !== "gone"
+    );
+  }
+
+  /** Gets the live services of an environment. */
+  getServices(environment: string): string[] {
+    const prefix = `${environment}\0`;
+    return [...this.#services.keys()]
+      .filter((key) => key.startsWith(prefix))
+      .map((key) => key.slice(prefix.length));
+  }
+
+  /** Gets the services whose targets changed since the last call. */
+  takeChangedServices(): ServiceName[] {
+    const changed = [...this.#changedServices.values()];
+    this.#changedServices.clear();
+    return changed;
+  }
+
+  /** Gets the own items that changed since the last call. */
+  takeOwnChanges(): DirectoryItems {
+    const changes = {
+      targets: getItems(this.#targets, this.#ownTargetChanges),
+      nodes: getItems(this.#nodes, this.#ownNodeChanges),
+    };
+    this.#ownTargetChanges.clear();
+    this.#ownNodeChanges.clear();
+    return changes;
+  }
+
+  /**
+   * Gets whether this instance may not know all targets yet. Until then nodes
+   * must not drop targets that it does not know.
+   * @param now Monotonic time in milliseconds.
+   */
+  isCollecting(now: number): boolean {
+    return this.#owners.isCollecting(this.#options.getPeers(), now);
+  }
+
+  /**
+   * Creates a batch for another instance.
+   * @param content Items and buckets to send, and whether to add digests.
+   * @param now Monotonic time in milliseconds.
+   */
+  createBatch(
+    content: DirectoryItems & {
+      wanted: readonly BucketName[];
+      hasDigests: boolean;
+    },
+    now: number,
+  ): DirectoryBatch {
+    this.#counter++;
+    return {
+      instanceId: this.#options.instanceId,
+      boot: this.#options.boot,
+      counter: this.#counter,
+      collecting: this.isCollecting(now),
+      targets: content.targets,
+      nodes: content.nodes,
+      buckets: content.wanted.map((name) => this.#createBucket(name)),
+      digests: content.hasDigests ? this.#createDigests() : [],
+    };
+  }
+
+  /**
+   * Takes in a batch of another instance. Batches may arrive twice, late or
+   * not at all; digests repair what was lost.
+   * @param batch The batch.
+   * @param now Monotonic time in milliseconds.
+   * @returns The buckets that the sender should send.
+   */
+  mergeBatch(batch: DirectoryBatch, now: number): BucketName[] {
+    const owner = `${batch.instanceId}#${batch.boot}`;
+    const heard = this.#owners.hear(owner, {
+      counter: batch.counter,
+      collecting: batch.collecting,
+      isDirect: true,
+      now,
+    });
+    if (heard === "superseded") {
+      return [];
+    }
+    this.#mergeItems(batch, owner, now);
+    for (const bucket of batch.buckets) {
+      this.#mergeBucket(bucket, now);
+    }
+    return batch.digests.flatMap((digest) =>
+      this.#compareDigest(digest, { sender: owner, now })
+    );
+  }
+
+  #getLease(
+    session: { nodeKey: string; sessionSequence: number },
+  ): Lease | undefined {
+    const lease = this.#leases.get(session.nodeKey);
+    return lease?.sessionSequence === session.sessionSequence
+      ? lease
+      : undefined;
+  }
+
+  #endLease(lease: Lease, now: number): void {
+    this.#leases.delete(lease.nodeKey);
+    for (const key of lease.targets.keys()) {
+      this.#expireTarget(key, now);
+    }
+    const node = this.#nodes.get(lease.nodeKey);
+    if (
+      node !== undefined && this.#nodes.getOwner(lease.nodeKey) === this.#owner
+    ) {
+      this.#nodes.merge({ ...node, update: node.update + 1, state: "gone" }, {
+        owner: this.#owner,
+        now,
+      });
+    }
+  }
+
+  /** Marks a target as expired unless its node moved to another instance. */
+  #expireTarget(key: string, now: number): void {
+    const target = this.#targets.get(key);
+    if (
+      target !== undefined && isLiveTarget(target) &&
+      this.#targets.getOwner(key) === this.#owner
+    ) {
+      this.#targets.merge({ ...target, state: "expired" }, {
+        owner: this.#owner,
+        now,
+      });
+    }
+  }
+
+  #extendAll(milliseconds: number): void {
+    for (const lease of this.#leases.values()) {
+      lease.expiresAt += milliseconds;
+      for (const [key, confirmBy] of lease.targets) {
+        if (confirmBy !== undefined) {
+          lease.targets.set(key, confirmBy + milliseconds);
+        }
+      }
+    }
+    this.#owners.extendAll(milliseconds);
+  }
+
+  #createBucket({ owner, index }: BucketName): Bucket {
+    return {
+      owner,
+      index,
+      counter: owner === this.#owner
+        ? this.#counter
+        : this.#owners.getCounter(owner),
+      targets: this.#targets.getBucket(owner, index),
+      nodes: this.#nodes.getBucket(owner, index),
+    };
+  }
+
+  #createDigests(): OwnerDigest[] {
+    const owners = [
+      { owner: this.#owner, counter: this.#counter },
+      ...this.#owners.getSynchronized(),
+    ];
+    return owners.map(({ owner, counter }) => ({
+      owner,
+      counter,
+      buckets: this.#getDigests(owner),
+    }));
+  }
+
+  #getDigests(owner: string): number[] {
+    const nodes = this.#nodes.getDigests(owner);
+    return this.#targets.getDigests(owner)
+      .map((digest, index) => (digest ^ (nodes[index] ?? 0)) >>> 0);
+  }
+
+  #mergeItems(items: DirectoryItems, owner: string, now: number): void {
+    for (const target of items.targets) {
+      this.#targets.merge(target, { owner, now });
+    }
+    for (const node of items.nodes) {
+      this.#nodes.merge(node, { owner, now });
+    }
+  }
+
+  #mergeBucket(bucket: Bucket, now: number): void {
+    const { owner, index } = bucket;
+    if (owner === this.#owner || this.#owners.isSuperseded(owner)) {
+      return;
+    }
+    this.#mergeItems(bucket, owner, now);
+    // An older copy may lack items that a newer batch brought.
+    if (bucket.counter >= this.#owners.getCounter(owner)) {
+      this.#targets.drop(owner, {
+        bucket: index,
+        kept: new Set(bucket.targets.map(getTargetKey)),
+      });
+      this.#nodes.drop(owner, {
+        bucket: index,
+        kept: new Set(bucket.nodes.map(getNodeKey)),
+      });
+    }
+  }
+
+  #compareDigest(
+    digest: OwnerDigest,
+    options: { sender: string; now: number },
+  ): BucketName[] {
+    const { owner } = digest;
+    const { sender, now } = options;
+    if (owner === this.#owner) {
+      return [];
+    }
+    const isDirect = owner === sender;
+    if (!isDirect) {
+      const heard = this.#owners.hear(owner, {
+        counter: digest.counter,
+        isDirect: false,
+        now,
+      });
+      // The owner's own digests come sooner while it can be reached.
+      if (heard !== "newer" || this.#owners.isHeardDirectly(owner, now)) {
+        return [];
+      }
+    }
+    const known = this.#getDigests(owner);
+    const wanted: BucketName[] = [];
+    for (let index = 0; index < bucketCount; index++) {
+      if (digest.buckets[index] !== known[index]) {
+        wanted.push({ owner, index });
+      }
+    }
+    this.#owners.setSynchronized(owner, wanted.length === 0);
+    return wanted;
+  }
+
+  #onTargetChange(change: TableChange<KnownTarget>): void {
+    const target = change.current ?? change.previous;
+    if (target === undefined) {
+      return;
+    }
+    const key = getTargetKey(target);
+    for (const each of [change.previous, change.current]) {
+      if (each !== undefined && isLiveTarget(each)) {
+        this.#changedServices.set(getServiceKey(each), {
+          environment: each.environment,
+          service: each.service,
+        });
+      }
+    }
+    if (change.previous !== undefined) {
+      this.#unlist(key, change.previous);
+    }
+    if (change.current !== undefined && isLiveTarget(change.current)) {
+      this.#list(key, change.current);
+    }
+    if (
+      change.current !== undefined &&
+      this.#targets.getOwner(key) === this.#owner
+    ) {
+      this.#ownTargetChanges.add(key);
+    }
+  }
+
+  #list(key: string, target: KnownTarget): void {
+    const serviceKey = getServiceKey(target);
+    const targets = this.#services.get(serviceKey) ?? new Map();
+    targets.set(key, target);
+    this.#services.set(serviceKey, targets);
+  }
+
+  #unlist(key: string, target: KnownTarget): void {
+    const serviceKey = getServiceKey(target);
+    const targets = this.#services.get(serviceKey);
+    targets?.delete(key);
+    if (targets?.size === 0) {
+      this.#services.delete(serviceKey);
+    }
+  }
+
+  #onNodeChange({ current }: TableChange<NodeRecord>): void {
+    if (current === undefined) {
+      return;
+    }
+    const key = getNodeKey(current);
+    if (this.#nodes.getOwner(key) === this.#owner) {
+      this.#ownNodeChanges.add(key);
+    }
+  }
+}
+
+/** Gets the key of a service over all environments. */
+export function getServiceKey(name: ServiceName): string {
+  return `${name.environment}\0${name.service}`;
+}
+
+function getItems<Item>(
+  table: ReplicatedTable<Item>,
+  keys: ReadonlySet<string>,
+): Item[] {
+  const items: Item[] = [];
+  for (const key of keys) {
+    const item = table.get(key);
+    if (item !== undefined) {
+      items.push(item);
+    }
+  }
+  return items;
+}
--- /dev/null
+++ b/src/membership/mod.ts
@@ -0,0 +1,32 @@
+export {
+  compareTargets,
+  compareText,
+  isLiveTarget,
+  type KnownTarget,
+  parseTargetRecord,
+  type TargetFacts,
+  type TargetRecord,
+  type TargetState,
+  toKnownTarget,
+  toTargetRecord,
+} from "./target_record.ts";
+export { getNodeKey, type NodeRecord } from "./node_record.ts";
+export {
+  type Bucket,
+  type BucketName,
+  Directory,
+  type DirectoryBatch,
+  type DirectoryItems,
+  type DirectoryOptions,
+  getServiceKey,
+  type OwnerDigest,
+  type ServiceName,
+} from "./directory.ts";
+export { maximumSubsetSize, type Place, SubsetRing } from "./subset_ring.ts";
+export {
+  getViewDelta,
+  getViewDigest,
+  ViewCopy,
+  type ViewDelta,
+} from "./view.ts";
+export { type ViewedNode, ViewPlanner } from "./view_planner.ts";
--- /dev/null
+++ b/src/membership/view_planner.ts
@@ -0,0 +1,75 @@
+import type { Directory, ServiceName } from "./directory.ts";
+import { getServiceKey } from "./directory.ts";
+import { type Place, SubsetRing } from "./subset_ring.ts";
+import type { KnownTarget } from "./target_record.ts";
+
+/** A node that gets views. */
+export interface ViewedNode extends Place {
+  readonly nodeId: string;
+}
+
+/** Decides which targets of a service each node gets. */
+export class ViewPlanner {
+  readonly #directory: Directory;
+  readonly #getCallers: (name: ServiceName) => readonly string[];
+  readonly #rings = new Map<string, Map<string, SubsetRing>>();
+
+  /**
+   * @param directory What is known of targets.
+   * @param getCallers Gets the services whose nodes have views of a service.
+   */
+  constructor(
+    directory: Directory,
+    getCallers: (name: ServiceName) => readonly string[],
+  ) {
+    this.#directory = directory;
+    this.#getCallers = getCallers;
+  }
+
+  /**
+   * Gets the targets of a service that a node should have.
+   * @param name The service.
+   * @param node The node.
+   */
+  getView(name: ServiceName, node: ViewedNode): KnownTarget[] {
+    const serviceKey = getServiceKey(name);
+    let rings = this.#rings.get(serviceKey);
+    if (rings === undefined) {
+      rings = new Map();
+      this.#rings.set(serviceKey, rings);
+    }
+    const placeKey = `${node.region}\0${node.availabilityZone}`;
+    let ring = rings.get(placeKey);
+    if (ring === undefined) {
+      ring = this.#createRing(name, node);
+      rings.set(placeKey, ring);
+    }
+    return ring.select(node.nodeId);
+  }
+
+  /** Forgets how a service was spread, because targets or callers changed. */
+  invalidate(name: ServiceName): void {
+    this.#rings.delete(getServiceKey(name));
+  }
+
+  #createRing(name: ServiceName, place: Place): SubsetRing {
+    const callers: string[] = [];
+    for (const service of this.#getCallers(name)) {
+      const { environment } = name;
+      const targets = this.#directory.getTargets({ environment, service });
+      for (const target of targets.values()) {
+        if (
+          target.region === place.region &&
+          target.availabilityZone === place.availabilityZone
+        ) {
+          callers.push(target.nodeId);
+        }
+      }
+    }
+    return new SubsetRing(
+      this.#directory.getTargets(name).values(),
+      callers,
+      place,
+    );
+  }
+}
--- /dev/null
+++ b/src/protocol/format_version.ts
@@ -0,0 +1,2 @@
+/** Version of the messages that this release writes and reads. */
+export const formatVersion = 1;
--- /dev/null
+++ b/src/session_server/document_parts.ts
@@ -0,0 +1,58 @@
+import { deflateRawSync } from "node:zlib";
+import { getBytesHash } from "../common/mod.ts";
+import {
+  CallGraph,
+  encodeDocumentPart,
+  getDocumentPart,
+} from "../document/mod.ts";
+import type { AcceptedDocument } from "./control_state.ts";
+
+/** The part of a revision that the nodes of one service get. */
+export interface DocumentPart {
+  readonly hash: string;
+  readonly compressed: Buffer;
+}
+
+/** The parts and the call graph of one revision; each is made once. */
+export class DocumentParts {
+  readonly accepted: AcceptedDocument;
+  readonly #graph: CallGraph;
+  readonly #parts = new Map<string, DocumentPart>();
+  readonly #callers = new Map<string, string[]>();
+
+  constructor(accepted: AcceptedDocument) {
+    this.accepted = accepted;
+    this.#graph = new CallGraph(accepted.document);
+    for (const service of accepted.document.services.keys()) {
+      for (const callee of this.#graph.getDirectCallees(service)) {
+        const callers = this.#callers.get(callee) ?? [];
+        callers.push(service);
+        this.#callers.set(callee, callers);
+      }
+    }
+  }
+
+  getPart(service: string): DocumentPart {
+    const known = this.#parts.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const encoded = encodeDocumentPart(
+      getDocumentPart(this.accepted.document, service),
+    );
+    const part = {
+      hash: getBytesHash(encoded),
+      compressed: deflateRawSync(encoded),
+    };
+    this.#parts.set(service, part);
+    return part;
+  }
+
+  getCallees(service: string): readonly string[] {
+    return this.#graph.getDirectCallees(service);
+  }
+
+  getCallers(service: string): readonly string[] {
+    return this.#callers.get(service) ?? [];
+  }
+}
--- /dev/null
+++ b/src/session_server/instance_exchange.ts
@@ -0,0 +1,312 @@
+import { credentials, type Interceptor, Metadata } from "@grpc/grpc-js";
+import type { Clock, Log } from "../common/mod.ts";
+import {
+  type BucketName,
+  type Directory,
+  type DirectoryBatch,
+  getNodeKey,
+  type KnownTarget,
+  type NodeRecord,
+  parseTargetRecord,
+  toKnownTarget,
+} from "../membership/mod.ts";
+import { formatVersion } from "../protocol/format_version.ts";
+import {
+  type CrashNews,
+  type ExchangeAnswer,
+  type ExchangeBatch,
+  ExchangeClient,
+  type NodeRecord as WireNode,
+} from "../protocol/generated/exchange.ts";
+import type { TargetRecord as WireTarget } from "../protocol/generated/session.ts";
+import type { PeerInstance } from "./control_state.ts";
+import { toWireTarget } from "./messages.ts";
+
+/** Settings of the exchange. */
+export interface InstanceExchangeOptions {
+  readonly boot: number;
+  readonly directory: Directory;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly interceptors: readonly Interceptor[];
+  getPeers(): readonly PeerInstance[];
+}
+
+/** What is to be sent to one peer, and the connection to it. */
+interface Peer {
+  readonly instance: PeerInstance;
+  client: ExchangeClient;
+  readonly targets: Map<string, KnownTarget>;
+  readonly nodes: Map<string, NodeRecord>;
+  wanted: BucketName[];
+  crashNews: CrashNews[];
+  isBusy: boolean;
+  failures: number;
+  digestAt: number;
+  answeredAt: number;
+}
+
+const pushIntervalMilliseconds = 200;
+const digestIntervalMilliseconds = 2000;
+const deadlineMilliseconds = 1000;
+// After a silent partition, TCP may wait minutes before it sends again.
+const failuresBeforeReconnect = 2;
+// Crash news of one peer that is cut off; each is at most some hundred bytes.
+const maximumCrashNews = 1000;
+
+/** Sends own items to the other instances and takes in theirs. */
+export class InstanceExchange {
+  readonly #options: InstanceExchangeOptions;
+  readonly #peers = new Map<string, Peer>();
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(options: InstanceExchangeOptions) {
+    this.#options = options;
+    this.#timer = setInterval(() => this.#pushAll(), pushIntervalMilliseconds);
+  }
+
+  /** Passes on what a node reported of crashes. */
+  addCrashNews(news: CrashNews): void {
+    this.#updatePeers();
+    for (const peer of this.#peers.values()) {
+      if (peer.crashNews.length < maximumCrashNews) {
+        peer.crashNews.push(news);
+      }
+    }
+  }
+
+  /**
+   * Takes in a batch of another instance.
+   * @param batch The batch.
+   * @returns The answer, with the buckets that the sender should send.
+   */
+  receive(batch: ExchangeBatch): ExchangeAnswer {
+    const now = this.#options.clock.monotonicMilliseconds();
+    const wanted = this.#options.directory.mergeBatch(
+      parseBatch(batch, now),
+      now,
+    );
+    return {
+      formatVersion,
+      refusal: undefined,
+      boot: this.#options.boot,
+      wanted,
+    };
+  }
+
+  /** Gets the addresses of the instances that answered lately. */
+  getReachableAddresses(): string[] {
+    const now = this.#options.clock.monotonicMilliseconds();
+    return [...this.#peers.values()]
+      .filter((peer) =>
+        now - peer.answeredAt <
+          digestIntervalMilliseconds + deadlineMilliseconds
+      )
+      .map((peer) => peer.instance.address);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    for (const peer of this.#peers.values()) {
+      peer.client.close();
+    }
+    this.#peers.clear();
+  }
+
+  #pushAll(): void {
+    this.#updatePeers();
+    const changes = this.#options.directory.takeOwnChanges();
+    for (const peer of this.#peers.values()) {
+      for (const target of changes.targets) {
+        peer.targets.set(`${target.environment}\0${target.targetId}`, target);
+      }
+      for (const node of changes.nodes) {
+        peer.nodes.set(getNodeKey(node), node);
+      }
+      this.#push(peer);
+    }
+  }
+
+  #updatePeers(): void {
+    const instances = this.#options.getPeers();
+    for (const [name, peer] of this.#peers) {
+      if (!instances.some((each) => getPeerName(each) === name)) {
+        peer.client.close();
+        this.#peers.delete(name);
+      }
+    }
+    for (const instance of instances) {
+      if (!this.#peers.has(getPeerName(instance))) {
+        this.#peers.set(getPeerName(instance), {
+          instance,
+          client: this.#createClient(instance.address),
+          targets: new Map(),
+          nodes: new Map(),
+          wanted: [],
+          crashNews: [],
+          isBusy: false,
+          failures: 0,
+          digestAt: Number.NEGATIVE_INFINITY,
+          answeredAt: Number.NEGATIVE_INFINITY,
+        });
+      }
+    }
+  }
+
+  #push(peer: Peer): void {
+    const now = this.#options.clock.monotonicMilliseconds();
+    const hasDigests = now - peer.digestAt >= digestIntervalMilliseconds;
+    const isDue = hasDigests || peer.targets.size > 0 || peer.nodes.size > 0 ||
+      peer.wanted.length > 0 || peer.crashNews.length > 0;
+    if (peer.isBusy || !isDue) {
+      return;
+    }
+    peer.isBusy = true;
+    const sent = {
+      targets: [...peer.targets],
+      nodes: [...peer.nodes],
+      crashNews: peer.crashNews.length,
+    };
+    const batch = this.#options.directory.createBatch({
+      targets: sent.targets.map(([, target]) => target),
+      nodes: sent.nodes.map(([, node]) => node),
+      wanted: peer.wanted,
+      hasDigests,
+    }, now);
+    if (hasDigests) {
+      peer.digestAt = now;
+    }
+    const client = peer.client;
+    client.push(
+      createWireBatch(batch, { crashNews: peer.crashNews, now }),
+      new Metadata(),
+      { deadline: Date.now() + deadlineMilliseconds },
+      (error, answer) => {
+        peer.isBusy = false;
+        if (error !== null) {
+          this.#onFailure(peer, error.message);
+          return;
+        }
+        peer.failures = 0;
+        peer.answeredAt = this.#options.clock.monotonicMilliseconds();
+        forget(peer.targets, sent.targets);
+        forget(peer.nodes, sent.nodes);
+        peer.crashNews.splice(0, sent.crashNews);
+        peer.wanted = answer.wanted;
+      },
+    );
+  }
+
+  #createClient(address: string): ExchangeClient {
+    return new ExchangeClient(address, credentials.createInsecure(), {
+      "grpc.use_local_subchannel_pool": 1,
+      "grpc.initial_reconnect_backoff_ms": 100,
+      "grpc.max_reconnect_backoff_ms": 1000,
+      interceptors: [...this.#options.interceptors],
+    });
+  }
+
+  #onFailure(peer: Peer, message: string): void {
+    peer.failures++;
+    if (peer.failures === 1) {
+      this.#options.log.warn("exchange-failed", {
+        peer: peer.instance.instanceId,
+        message,
+      });
+    }
+    // The digest tells a peer that comes back what it missed.
+    peer.digestAt = Math.min(
+      peer.digestAt,
+      this.#options.clock.monotonicMilliseconds() -
+        digestIntervalMilliseconds / 2,
+    );
+    if (
+      peer.failures % failuresBeforeReconnect === 0 &&
+      this.#peers.get(getPeerName(peer.instance)) === peer
+    ) {
+      peer.client.close();
+      peer.client = this.#createClient(peer.instance.address);
+    }
+  }
+}
+
+function getPeerName(instance: PeerInstance): string {
+  return `${instance.instanceId} ${instance.address}`;
+}
+
+/** Removes what was sent, unless it changed again meanwhile. */
+function forget<Item>(
+  pending: Map<string, Item>,
+  sent: readonly (readonly [string, Item])[],
+): void {
+  for (const [key, item] of sent) {
+    if (pending.get(key) === item) {
+      pending.delete(key);
+    }
+  }
+}
+
+/** Converts a batch for sending. */
+export function createWireBatch(
+  batch: DirectoryBatch,
+  options: { crashNews: readonly CrashNews[]; now: number },
+): ExchangeBatch {
+  const { now } = options;
+  return {
+    formatVersion,
+    instanceId: batch.instanceId,
+    boot: batch.boot,
+    counter: batch.counter,
+    collecting: batch.collecting,
+    targets: batch.targets.map((target) => toWireTarget(target, now)),
+    nodes: [...batch.nodes],
+    buckets: batch.buckets.map((bucket) => ({
+      ...bucket,
+      targets: bucket.targets.map((target) => toWireTarget(target, now)),
+      nodes: [...bucket.nodes],
+    })),
+    digests: batch.digests.map((digest) => ({
+      ...digest,
+      buckets: [...digest.buckets],
+    })),
+    crashNews: [...options.crashNews],
+    linkDemand: undefined,
+  };
+}
+
+function parseBatch(batch: ExchangeBatch, now: number): DirectoryBatch {
+  return {
+    instanceId: batch.instanceId,
+    boot: batch.boot,
+    counter: batch.counter,
+    collecting: batch.collecting,
+    targets: parseTargets(batch.targets, now),
+    nodes: parseNodes(batch.nodes),
+    buckets: batch.buckets.map((bucket) => ({
+      ...bucket,
+      targets: parseTargets(bucket.targets, now),
+      nodes: parseNodes(bucket.nodes),
+    })),
+    digests: batch.digests,
+  };
+}
+
+function parseTargets(
+  targets: readonly WireTarget[],
+  now: number,
+): KnownTarget[] {
+  return targets.map(parseTargetRecord)
+    .filter((target) => target !== undefined)
+    .map((target) => toKnownTarget(target, now));
+}
+
+function parseNodeState(state: string): NodeRecord["state"] {
+  return state === "gone" || state === "disconnected" ? state : "connected";
+}
+
+function parseNodes(nodes: readonly WireNode[]): NodeRecord[] {
+  return nodes.map((node) => ({
+    ...node,
+    state: parseNodeState(node.state),
+  }));
+}
--- /dev/null
+++ b/src/session_server/mod.ts
@@ -0,0 +1,12 @@
+export type {
+  AcceptedDocument,
+  Availability,
+  ControlState,
+  PeerInstance,
+} from "./control_state.ts";
+export {
+  type DrainOutcome,
+  type LiveNode,
+  SessionHost,
+  type SessionHostOptions,
+} from "./session_host.ts";
--- /dev/null
+++ b/src/session_server/node_session.ts
@@ -0,0 +1,210 @@
+import type { ServerDuplexStream } from "@grpc/grpc-js";
+import {
+  getNodeKey,
+  getViewDelta,
+  getViewDigest,
+  isLiveTarget,
+  type KnownTarget,
+} from "../membership/mod.ts";
+import type {
+  ControlMessage,
+  Hello,
+  NodeMessage,
+} from "../protocol/generated/session.ts";
+import type { DocumentParts } from "./document_parts.ts";
+import {
+  createViewUpdate,
+  encodeControlMessage,
+  type EncodedMessage,
+} from "./messages.ts";
+
+/** The stream of a node's session. */
+export type SessionStream = ServerDuplexStream<NodeMessage, ControlMessage>;
+
+/** What a node at the other end of a stream has been sent. */
+export class NodeSession {
+  readonly stream: SessionStream;
+  readonly hello: Hello;
+  readonly nodeKey: string;
+  readonly sessionSequence: number;
+  /** Services of which the node asked for views by itself. */
+  readonly requestedServices = new Set<string>();
+  readonly #views = new Map<string, readonly KnownTarget[]>();
+  readonly #helloDigests: Map<string, string>;
+  #sentRevision: number;
+  #partHash: string;
+  #isRedirected = false;
+
+  /**
+   * @param stream The stream.
+   * @param hello The node's first message.
+   */
+  constructor(stream: SessionStream, hello: Hello) {
+    this.stream = stream;
+    this.hello = hello;
+    this.nodeKey = getNodeKey(hello);
+    this.sessionSequence = hello.sessionSequence;
+    this.#helloDigests = new Map(
+      hello.viewDigests.map((view) => [view.service, view.digest]),
+    );
+    this.#sentRevision = hello.revision;
+    this.#partHash = hello.partHash;
+  }
+
+  send(message: ControlMessage["message"] | EncodedMessage): void {
+    if (!this.stream.writable) {
+      return;
+    }
+    const encoded = Buffer.isBuffer(message)
+      ? message
+      : encodeControlMessage(message);
+    // The service definition takes encoded messages too.
+    this.stream.write(encoded as unknown as ControlMessage);
+  }
+
+  /**
+   * Sends a document unless the node has that revision or a higher one.
+   * @param parts The document.
+   * @param encode Encodes an update; may share the result between nodes.
+   */
+  sendDocument(
+    parts: DocumentParts,
+    encode: (parts: DocumentParts, options: {
+      service: string;
+      isPartKnown: boolean;
+    }) => EncodedMessage,
+  ): void {
+    if (parts.accepted.revision <= this.#sentRevision) {
+      return;
+    }
+    const { service } = this.hello;
+    const { hash } = parts.getPart(service);
+    this.send(encode(parts, {
+      service,
+      isPartKnown: hash === this.#partHash,
+    }));
+    this.#sentRevision = parts.accepted.revision;
+    this.#partHash = hash;
+  }
+
+  /**
+   * Sends what changed in a view since the last time.
+   * @param service The service.
+   * @param next The targets that the node should have.
+   * @param options Whether this instance may lack targets, whether a digest
+   * must go out even without a change, how to get what is known of a target
+   * that is no longer in the view, and the monotonic time.
+   */
+  sendView(
+    service: string,
+    next: readonly KnownTarget[],
+    options: {
+      collecting: boolean;
+      hasDigest?: boolean;
+      getRecord: (targetId: string) => KnownTarget | undefined;
+      now: number;
+    },
+  ): void {
+    const previous = this.#views.get(service);
+    this.#views.set(service, next);
+    const { collecting, now } = options;
+    if (previous === undefined) {
+      if (
+        collecting || this.#helloDigests.get(service) !== getViewDigest(next)
+      ) {
+        this.sendFullView(service, { collecting, now });
+      }
+      return;
+    }
+    const delta = getViewDelta(previous, next) ??
+      (options.hasDigest
+        ? {
+          full: false,
+          changed: [],
+          removedTargetIds: [],
+          digest: getViewDigest(next),
+          collecting,
+        }
+        : undefined);
+    if (delta !== undefined) {
+      const view = createViewUpdate(
+        collecting
+          ? {
+            ...delta,
+            // Only what is known to have ended is removed.
+            changed: [
+              ...delta.changed,
+              ...delta.removedTargetIds.map(options.getRecord)
+                .filter((each) => each !== undefined && !isLiveTarget(each)),
+            ].filter((each) => each !== undefined),
+            removedTargetIds: [],
+            digest: "",
+            collecting,
+          }
+          : delta,
+        { service, now },
+      );
+      this.send({ $case: "view", view });
+    }
+  }
+
+  /** Sends all targets of a view that the node should have. */
+  sendFullView(
+    service: string,
+    options: { collecting: boolean; now: number },
+  ): void {
+    const targets = this.#views.get(service) ?? [];
+    const view = createViewUpdate({
+      full: true,
+      changed: targets,
+      removedTargetIds: [],
+      digest: options.collecting ? "" : getViewDigest(targets),
+      collecting: options.collecting,
+    }, { service, now: options.now });
+    this.send({ $case: "view", view });
+  }
+
+  /** Forgets a view that the node no longer needs. */
+  dropView(service: string): void {
+    this.#views.delete(service);
+    this.#helloDigests.delete(service);
+  }
+
+  get viewedServices(): readonly string[] {
+    return [...this.#views.keys()];
+  }
+
+  /** Asks the node once to move to another instance. */
+  redirect(reason: string, controlAddresses: readonly string[]): void {
+    if (!this.#isRedirected) {
+      this.#isRedirected = true;
+      this.send(createRedirect(reason, controlAddresses));
+    }
+  }
+
+  /** Allows the next redirect, after this instance became available again. */
+  resetRedirect(): void {
+    this.#isRedirected = false;
+  }
+
+  end(): void {
+    this.stream.end();
+  }
+}
+
+/** Creates the message that asks a node to move. */
+export function createRedirect(
+  reason: string,
+  controlAddresses: readonly string[],
+): ControlMessage["message"] {
+  return {
+    $case: "redirect",
+    redirect: {
+      refusal: {
+        reason,
+        message: `This control instance does not hold sessions: ${reason}`,
+        controlAddresses: [...controlAddresses],
+      },
+    },
+  };
+}
--- /dev/null
+++ b/src/session_server/session_host.ts
@@ -0,0 +1,644 @@
+import {
+  type Interceptor,
+  type sendUnaryData,
+  type Server,
+  type ServerUnaryCall,
+  status,
+} from "@grpc/grpc-js";
+import { match } from "ts-pattern";
+import type { Clock, Log } from "../common/mod.ts";
+import {
+  Directory,
+  getNodeKey,
+  parseTargetRecord,
+  type ServiceName,
+  type TargetRecord,
+  toKnownTarget,
+  ViewPlanner,
+} from "../membership/mod.ts";
+import { formatVersion } from "../protocol/format_version.ts";
+import {
+  type ExchangeAnswer,
+  type ExchangeBatch,
+  ExchangeService,
+} from "../protocol/generated/exchange.ts";
+import type {
+  Hello,
+  NodeMessage,
+  Renew,
+  SuspectUpdate,
+} from "../protocol/generated/session.ts";
+import type { ControlState } from "./control_state.ts";
+import { DocumentParts } from "./document_parts.ts";
+import { InstanceExchange } from "./instance_exchange.ts";
+import {
+  encodeControlMessage,
+  type EncodedMessage,
+  sessionDefinition,
+  toWireTarget,
+} from "./messages.ts";
+import {
+  createRedirect,
+  NodeSession,
+  type SessionStream,
+} from "./node_session.ts";
+import { SessionRegistry } from "./session_registry.ts";
+
+/** Settings of a session host. */
+export interface SessionHostOptions {
+  readonly instanceId: string;
+  /** Start of this process; must grow with every start of the instance. */
+  readonly boot: number;
+  readonly state: ControlState;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Adds the token to each call to another instance. */
+  readonly interceptors?: readonly Interceptor[];
+  readonly leaseMilliseconds?: number;
+  readonly graceMilliseconds?: number;
+}
+
+/** A node whose lease runs, on whichever instance. */
+export interface LiveNode {
+  readonly nodeId: string;
+  readonly service: string;
+  readonly nodeAddress: string;
+  /** Highest document revision that it reported as in force; 0 for none. */
+  readonly revision: number;
+  /** False while its lease runs but no instance has its session. */
+  readonly isConnected: boolean;
+  readonly admissionLevel: number;
+}
+
+/** What became of a request to drain a target. */
+export type DrainOutcome =
+  /** The node was asked; the target's state before. */
+  | { readonly kind: "asked"; readonly state: string }
+  | { readonly kind: "unknown-target" }
+  /** Another instance has the session of the target's node. */
+  | { readonly kind: "elsewhere"; readonly controlAddress: string };
+
+const expireIntervalMilliseconds = 250;
+// Targets that change together go out in one message. Adds to the time in
+// which a drain reaches all nodes (limit 3 s).
+const flushDelayMilliseconds = 50;
+
+/**
+ * Serves the sessions of nodes and the exchange with other instances. Everything
+ * here is soft state and works without a majority.
+ */
+export class SessionHost {
+  readonly #options: SessionHostOptions;
+  readonly #directory: Directory;
+  readonly #planner: ViewPlanner;
+  readonly #exchange: InstanceExchange;
+  readonly #sessions = new SessionRegistry();
+  readonly #parts = new Map<string, DocumentParts>();
+  readonly #expireTimer: NodeJS.Timeout;
+  #flushTimer: NodeJS.Timeout | undefined;
+  #isCollecting = true;
+
+  constructor(options: SessionHostOptions) {
+    this.#options = options;
+    this.#directory = new Directory({
+      instanceId: options.instanceId,
+      boot: options.boot,
+      now: options.clock.monotonicMilliseconds(),
+      getPeers: () =>
+        options.state.getPeers().map(({ instanceId }) => instanceId),
+      ...(options.leaseMilliseconds !== undefined &&
+        { leaseMilliseconds: options.leaseMilliseconds }),
+      ...(options.graceMilliseconds !== undefined &&
+        { graceMilliseconds: options.graceMilliseconds }),
+    });
+    this.#planner = new ViewPlanner(
+      this.#directory,
+      (name) => this.#getCallers(name),
+    );
+    this.#exchange = new InstanceExchange({
+      boot: options.boot,
+      directory: this.#directory,
+      clock: options.clock,
+      log: options.log,
+      interceptors: options.interceptors ?? [],
+      getPeers: () => options.state.getPeers(),
+    });
+    this.#expireTimer = setInterval(
+      () => this.#expire(),
+      expireIntervalMilliseconds,
+    );
+  }
+
+  /** Adds the Session and Exchange services to a server. */
+  addServices(server: Server): void {
+    server.addService(sessionDefinition, {
+      open: (stream: SessionStream) => this.#onOpen(stream),
+    });
+    server.addService(ExchangeService, {
+      push: (
+        call: ServerUnaryCall<ExchangeBatch, ExchangeAnswer>,
+        callback: sendUnaryData<ExchangeAnswer>,
+      ) => this.#onPush(call, callback),
+    });
+  }
+
+  /**
+   * Sends a newly confirmed revision to the nodes of its environment at once.
+   * @param environment The environment.
+   */
+  onDocumentAccepted(environment: string): void {
+    const parts = this.#getParts(environment);
+    if (parts === undefined || !this.#isAvailable()) {
+      return;
+    }
+    const encode = createDocumentEncoder();
+    for (const session of this.#sessions.getByEnvironment(environment)) {
+      session.sendDocument(parts, encode);
+      this.#updateViewedServices(session);
+    }
+  }
+
+  /** Sends the list of quarantined fingerprints after a change. */
+  onQuarantineChanged(environment: string): void {
+    const quarantined = [...this.#options.state.getQuarantined(environment)];
+    this.#broadcast(environment, {
+      suspects: [],
+      cleared: [],
+      quarantined,
+      hasQuarantined: true,
+    });
+  }
+
+  /**
+   * Tells the nodes of this instance of suspects.
+   * @param environment The environment.
+   * @param change Fingerprints that became suspects or were cleared.
+   */
+  publishSuspects(
+    environment: string,
+    change: { suspects: readonly string[]; cleared: readonly string[] },
+  ): void {
+    this.#broadcast(environment, {
+      suspects: [...change.suspects],
+      cleared: [...change.cleared],
+      quarantined: [],
+      hasQuarantined: false,
+    });
+  }
+
+  /** To be called when `getAvailability` changed. */
+  onAvailabilityChanged(): void {
+    const availability = this.#options.state.getAvailability();
+    if (availability === "available") {
+      const environments = new Set<string>();
+      for (const session of this.#sessions.values()) {
+        session.resetRedirect();
+        environments.add(session.hello.environment);
+      }
+      environments.forEach((each) => this.onDocumentAccepted(each));
+      return;
+    }
+    const addresses = this.#exchange.getReachableAddresses();
+    for (const session of this.#sessions.values()) {
+      session.redirect(availability, addresses);
+    }
+  }
+
+  /**
+   * Asks the node of a target to drain it.
+   * @param request The target.
+   * @returns Whether the request went to the node.
+   */
+  drain(
+    request: { readonly environment: string; readonly targetId: string },
+  ): DrainOutcome {
+    const { environment, targetId } = request;
+    const target = this.#directory.getTarget(request);
+    if (target === undefined) {
+      return { kind: "unknown-target" };
+    }
+    const session = this.#sessions.getByNode(getNodeKey({
+      environment,
+      nodeId: target.nodeId,
+    }));
+    if (session !== undefined) {
+      session.send({ $case: "drainTarget", drainTarget: { targetId } });
+      return { kind: "asked", state: target.state };
+    }
+    const owner = this.#directory.getTargetOwner(request);
+    const peer = this.#options.state.getPeers()
+      .find(({ instanceId }) => instanceId === owner);
+    return peer === undefined
+      ? { kind: "unknown-target" }
+      : { kind: "elsewhere", controlAddress: peer.address };
+  }
+
+  /** Gets the live nodes of an environment, those of other instances too. */
+  getLiveNodes(environment: string): LiveNode[] {
+    return this.#directory.getNodes(environment).map((node) => ({
+      nodeId: node.nodeId,
+      service: node.service,
+      nodeAddress: node.nodeAddress,
+      revision: node.revision,
+      isConnected: node.state === "connected",
+      admissionLevel: node.admissionLevel,
+    }));
+  }
+
+  /** Gets the live targets of an environment, those of other instances too. */
+  getTargets(environment: string): TargetRecord[] {
+    const now = this.#now();
+    return this.#directory.getServices(environment).flatMap((service) => [
+      ...this.#directory.getTargets({ environment, service }).values(),
+    ]).map((target) => toWireTarget(target, now));
+  }
+
+  /** Gets whether targets may be missing because this process just started. */
+  isCollecting(): boolean {
+    return this.#directory.isCollecting(this.#now());
+  }
+
+  /** Ends all sessions and the exchange. */
+  stop(): void {
+    clearInterval(this.#expireTimer);
+    clearTimeout(this.#flushTimer);
+    this.#exchange.stop();
+    for (const session of this.#sessions.values()) {
+      session.end();
+    }
+  }
+
+  #now(): number {
+    return this.#options.clock.monotonicMilliseconds();
+  }
+
+  #isAvailable(): boolean {
+    return this.#options.state.getAvailability() === "available";
+  }
+
+  #onOpen(stream: SessionStream): void {
+    stream.on("error", () => {});
+    stream.on(
+      "data",
+      (message: NodeMessage) => this.#onMessage(stream, message),
+    );
+    const onEnd = () => {
+      const session = this.#sessions.getByStream(stream);
+      if (session !== undefined) {
+        // The lease stays, so that the node can open another session.
+        this.#sessions.remove(session);
+        this.#directory.disconnect(session, this.#now());
+      }
+    };
+    stream.on("end", () => {
+      onEnd();
+      stream.end();
+    });
+    stream.on("close", onEnd);
+    stream.on("cancelled", onEnd);
+  }
+
+  #onMessage(stream: SessionStream, message: NodeMessage): void {
+    if (message.formatVersion !== formatVersion) {
+      stream.emit("error", {
+        code: status.FAILED_PRECONDITION,
+        details:
+          `Message format ${message.formatVersion} is not supported; this instance reads ${formatVersion}`,
+      });
+      return;
+    }
+    if (message.message?.$case === "hello") {
+      this.#onHello(stream, message.message.hello);
+      return;
+    }
+    const session = this.#sessions.getByStream(stream);
+    if (session === undefined) {
+      return;
+    }
+    const { environment } = session.hello;
+    match(message.message)
+      .with({ $case: "renew" }, ({ renew }) => this.#onRenew(session, renew))
+      .with(
+        { $case: "announcement" },
+        ({ announcement }) =>
+          this.#onAnnouncement(session, announcement.record),
+      )
+      .with({ $case: "crashReport" }, ({ crashReport }) => {
+        this.#options.state.onCrashReport(environment, crashReport);
+        this.#exchange.addCrashNews({
+          environment,
+          news: { $case: "report", report: crashReport },
+        });
+      })
+      .with({ $case: "suspectCleared" }, ({ suspectCleared }) => {
+        this.#options.state.onSuspectCleared(
+          environment,
+          suspectCleared.fingerprint,
+        );
+        this.#exchange.addCrashNews({
+          environment,
+          news: { $case: "cleared", cleared: suspectCleared },
+        });
+      })
+      .with({ $case: "viewRequest" }, ({ viewRequest }) => {
+        this.#onViewRequest(session, viewRequest.service);
+      })
+      .with({ $case: "leave" }, () => {
+        this.#directory.leave(session, this.#now());
+        this.#sessions.remove(session);
+        session.end();
+        this.#scheduleFlush();
+      })
+      .otherwise(() => {});
+  }
+
+  #onHello(stream: SessionStream, hello: Hello): void {
+    const availability = this.#options.state.getAvailability();
+    if (
+      availability === "stopping" ||
+      (availability === "isolated" && !hello.acceptsIsolated)
+    ) {
+      stream.write({
+        formatVersion,
+        message: createRedirect(
+          availability,
+          this.#exchange.getReachableAddresses(),
+        ),
+      });
+      stream.end();
+      return;
+    }
+    if (hello.environment === "" || hello.nodeId === "") {
+      stream.emit("error", {
+        code: status.INVALID_ARGUMENT,
+        details: "A hello needs an environment and a node id",
+      });
+      return;
+    }
+    const session = new NodeSession(stream, hello);
+    this.#sessions.add(session)?.end();
+    this.#directory.openLease({
+      nodeId: hello.nodeId,
+      environment: hello.environment,
+      service: hello.service,
+      region: hello.region,
+      availabilityZone: hello.availabilityZone,
+      nodeAddress: hello.nodeAddress,
+      incarnation: hello.incarnation,
+      sessionSequence: hello.sessionSequence,
+      update: 0,
+      revision: hello.revision,
+      admissionLevel: 0,
+      state: "connected",
+    }, this.#now());
+    this.#answerRenew(session, 0);
+    const { environment } = hello;
+    const parts = this.#getParts(environment);
+    if (parts !== undefined && this.#isAvailable()) {
+      session.sendDocument(parts, createDocumentEncoder());
+    }
+    session.send({
+      $case: "suspects",
+      suspects: {
+        suspects: [...this.#options.state.getSuspects(environment)],
+        cleared: [],
+        quarantined: [...this.#options.state.getQuarantined(environment)],
+        hasQuarantined: true,
+      },
+    });
+    this.#updateViewedServices(session);
+  }
+
+  #onRenew(session: NodeSession, renew: Renew): void {
+    const isRenewed = this.#directory.renew(session, {
+      revision: renew.revision,
+      admissionLevel: renew.admissionLevel,
+      now: this.#now(),
+    });
+    if (!isRenewed) {
+      session.redirect("lease-lost", []);
+      session.end();
+      return;
+    }
+    this.#answerRenew(session, renew.sequence);
+  }
+
+  #answerRenew(session: NodeSession, sequence: number): void {
+    const isAvailable = this.#isAvailable();
+    const parts = this.#getParts(session.hello.environment);
+    session.send({
+      $case: "renewAnswer",
+      renewAnswer: {
+        sequence,
+        leaseMilliseconds: this.#directory.leaseMilliseconds,
+        ledgerIndex: isAvailable ? this.#options.state.getLedgerIndex() : 0,
+        linkShares: [],
+        revision: isAvailable ? parts?.accepted.revision ?? 0 : 0,
+      },
+    });
+  }
+
+  #onAnnouncement(
+    session: NodeSession,
+    wire: Parameters<typeof parseTargetRecord>[0] | undefined,
+  ): void {
+    const record = wire === undefined ? undefined : parseTargetRecord(wire);
+    const { environment, nodeId } = session.hello;
+    if (record === undefined || record.environment !== environment) {
+      this.#options.log.warn("announcement-rejected", {
+        node: nodeId,
+        target: wire?.targetId,
+      });
+      return;
+    }
+    const now = this.#now();
+    const known = this.#directory.announce(session, {
+      target: toKnownTarget({ ...record, nodeId }, now),
+      now,
+    });
+    if (known !== undefined && known !== "no-lease") {
+      session.send({
+        $case: "staleAnnouncement",
+        staleAnnouncement: { known: toWireTarget(known, now) },
+      });
+    }
+    this.#scheduleFlush();
+  }
+
+  #onViewRequest(session: NodeSession, service: string): void {
+    session.requestedServices.add(service);
+    this.#updateViewedServices(session);
+    session.sendFullView(service, {
+      collecting: this.#isCollecting,
+      now: this.#now(),
+    });
+  }
+
+  /** Brings the set of a session's views in line with the document. */
+  #updateViewedServices(session: NodeSession): void {
+    const { environment, service } = session.hello;
+    const wanted = new Set([
+      service,
+      ...this.#getParts(environment)?.getCallees(service) ?? [],
+      ...session.requestedServices,
+    ]);
+    for (const known of session.viewedServices) {
+      if (!wanted.has(known)) {
+        this.#sessions.removeView(session, known);
+        session.dropView(known);
+      }
+    }
+    for (const each of wanted) {
+      if (!session.viewedServices.includes(each)) {
+        this.#sessions.addView(session, each);
+        this.#sendView(session, each);
+      }
+    }
+  }
+
+  #sendView(session: NodeSession, service: string, hasDigest = false): void {
+    const { environment } = session.hello;
+    session.sendView(
+      service,
+      this.#planner.getView({ environment, service }, session.hello),
+      {
+        collecting: this.#isCollecting,
+        hasDigest,
+        getRecord: (targetId) =>
+          this.#directory.getRecord({ environment, targetId }),
+        now: this.#now(),
+      },
+    );
+  }
+
+  #scheduleFlush(): void {
+    this.#flushTimer ??= setTimeout(() => {
+      this.#flushTimer = undefined;
+      this.#flush();
+    }, flushDelayMilliseconds);
+  }
+
+  /** Sends what changed to all sessions that have views of it. */
+  #flush(): void {
+    const changed = new Map<string, ServiceName>();
+    for (const name of this.#directory.takeChangedServices()) {
+      const { environment, service } = name;
+      changed.set(`${environment}\0${service}`, name);
+      // Their targets are spread over the nodes of the changed service.
+      for (
+        const callee of this.#getParts(environment)?.getCallees(service) ?? []
+      ) {
+        changed.set(`${environment}\0${callee}`, {
+          environment,
+          service: callee,
+        });
+      }
+    }
+    for (const name of changed.values()) {
+      this.#planner.invalidate(name);
+      for (const session of this.#sessions.getByService(name)) {
+        this.#sendView(session, name.service);
+      }
+    }
+  }
+
+  #expire(): void {
+    const now = this.#now();
+    this.#directory.expire(now);
+    const wasCollecting = this.#isCollecting;
+    this.#isCollecting = this.#directory.isCollecting(now);
+    this.#flush();
+    for (const session of this.#sessions.values()) {
+      if (!this.#directory.hasLease(session)) {
+        this.#sessions.remove(session);
+        session.redirect("lease-lost", []);
+        session.end();
+      } else if (wasCollecting && !this.#isCollecting) {
+        session.viewedServices.forEach((each) =>
+          this.#sendView(session, each, true)
+        );
+      }
+    }
+  }
+
+  #onPush(
+    call: ServerUnaryCall<ExchangeBatch, ExchangeAnswer>,
+    callback: sendUnaryData<ExchangeAnswer>,
+  ): void {
+    if (call.request.formatVersion !== formatVersion) {
+      callback({
+        code: status.FAILED_PRECONDITION,
+        details:
+          `Message format ${call.request.formatVersion} is not supported; this instance reads ${formatVersion}`,
+      });
+      return;
+    }
+    const answer = this.#exchange.receive(call.request);
+    const { state } = this.#options;
+    for (const { environment, news } of call.request.crashNews) {
+      if (news?.$case === "report") {
+        state.onCrashReport(environment, news.report);
+      } else if (news?.$case === "cleared") {
+        state.onSuspectCleared(environment, news.cleared.fingerprint);
+      }
+    }
+    this.#scheduleFlush();
+    callback(null, answer);
+  }
+
+  #broadcast(environment: string, suspects: SuspectUpdate): void {
+    const message = encodeControlMessage({ $case: "suspects", suspects });
+    for (const session of this.#sessions.getByEnvironment(environment)) {
+      session.send(message);
+    }
+  }
+
+  #getCallers({ environment, service }: ServiceName): readonly string[] {
+    return [
+      service,
+      ...this.#getParts(environment)?.getCallers(service) ?? [],
+    ];
+  }
+
+  #getParts(environment: string): DocumentParts | undefined {
+    const accepted = this.#options.state.getAcceptedDocument(environment);
+    const known = this.#parts.get(environment);
+    // A lower revision than the known one would take back what nodes run.
+    if (
+      accepted === undefined ||
+      accepted.revision <= (known?.accepted.revision ?? 0)
+    ) {
+      return known;
+    }
+    const parts = new DocumentParts(accepted);
+    this.#parts.set(environment, parts);
+    return parts;
+  }
+}
+
+/** Creates an encoder that encodes each variant of an update once. */
+function createDocumentEncoder(): (
+  parts: DocumentParts,
+  options: { service: string; isPartKnown: boolean },
+) => EncodedMessage {
+  const encoded = new Map<string, EncodedMessage>();
+  return (parts, { service, isPartKnown }) => {
+    const part = parts.getPart(service);
+    const key = isPartKnown ? `known ${part.hash}` : part.hash;
+    let message = encoded.get(key);
+    if (message === undefined) {
+      const { revision, digest } = parts.accepted;
+      message = encodeControlMessage({
+        $case: "document",
+        document: {
+          revision,
+          digest,
+          part: isPartKnown ? Buffer.alloc(0) : part.compressed,
+          partHash: part.hash,
+        },
+      });
+      encoded.set(key, message);
+    }
+    return message;
+  };
+}
--- /dev/null
+++ b/tests/support/control_instance.ts
@@ -0,0 +1,113 @@
+import { Server, ServerCredentials, type ServerOptions } from "@grpc/grpc-js";
+import { createLog, systemClock } from "../../src/common/mod.ts";
+import type { CrashReport } from "../../src/protocol/generated/session.ts";
+import {
+  type AcceptedDocument,
+  type Availability,
+  type ControlState,
+  type PeerInstance,
+  SessionHost,
+  type SessionHostOptions,
+} from "../../src/session_server/mod.ts";
+
+/** A control instance without a replicated log, for tests and measurements. */
+export class ControlInstance {
+  readonly host: SessionHost;
+  readonly server: Server;
+  readonly documents = new Map<string, AcceptedDocument>();
+  readonly crashReports: CrashReport[] = [];
+  readonly cleared: string[] = [];
+  readonly #hostOptions: SessionHostOptions;
+  availability: Availability = "available";
+  peers: readonly PeerInstance[] = [];
+  quarantined: readonly string[] = [];
+  suspects: readonly string[] = [];
+  ledgerIndex = 0;
+  port = 0;
+
+  constructor(
+    options: Partial<SessionHostOptions> & { instanceId: string },
+    serverOptions: ServerOptions = {},
+  ) {
+    const state: ControlState = {
+      getAcceptedDocument: (environment) => this.documents.get(environment),
+      getAvailability: () => this.availability,
+      getQuarantined: () => this.quarantined,
+      getSuspects: () => this.suspects,
+      getLedgerIndex: () => this.ledgerIndex,
+      getPeers: () => this.peers,
+      onCrashReport: (_environment, report) => this.crashReports.push(report),
+      onSuspectCleared: (_environment, each) => this.cleared.push(each),
+    };
+    this.#hostOptions = {
+      boot: Date.now(),
+      clock: systemClock,
+      log: createLog({ write: () => {} }),
+      state,
+      ...options,
+    };
+    this.host = new SessionHost(this.#hostOptions);
+    this.server = new Server(serverOptions);
+    this.host.addServices(this.server);
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.port}`;
+  }
+
+  get peer(): PeerInstance {
+    return { instanceId: this.#hostOptions.instanceId, address: this.address };
+  }
+
+  /** Starts to listen on a free port of the loopback interface. */
+  listen(port = 0): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.bindAsync(
+        `127.0.0.1:${port}`,
+        ServerCredentials.createInsecure(),
+        (error, bound) => {
+          this.port = bound;
+          error === null ? resolve() : reject(error);
+        },
+      );
+    });
+  }
+
+  accept(environment: string, document: AcceptedDocument): void {
+    this.documents.set(environment, document);
+    this.host.onDocumentAccepted(environment);
+  }
+
+  setAvailability(availability: Availability): void {
+    this.availability = availability;
+    this.host.onAvailabilityChanged();
+  }
+
+  /** Ends at once, as a crash would. */
+  kill(): void {
+    this.host.stop();
+    this.server.forceShutdown();
+  }
+}
+
+/**
+ * Starts instances that know each other.
+ * @param count How many.
+ * @param options Settings of their session hosts.
+ */
+export async function startControlInstances(
+  count: number,
+  options: Partial<SessionHostOptions> = {},
+): Promise<ControlInstance[]> {
+  const instances = Array.from(
+    { length: count },
+    (_, index) =>
+      new ControlInstance({ ...options, instanceId: `control-${index}` }),
+  );
+  await Promise.all(instances.map((instance) => instance.listen()));
+  for (const instance of instances) {
+    instance.peers = instances.filter((each) => each !== instance)
+      .map((each) => each.peer);
+  }
+  return instances;
+}
--- /dev/null
+++ b/tests/support/session_node.ts
@@ -0,0 +1,82 @@
+import {
+  ControlSession,
+  type ControlSessionOptions,
+  type NodeIdentity,
+} from "../../src/control_client/mod.ts";
+import type { TargetRecord, TargetState } from "../../src/membership/mod.ts";
+import type {
+  LinkShare,
+  SuspectUpdate,
+} from "../../src/protocol/generated/session.ts";
+
+/** A node without listeners that records what its session brings. */
+export class SessionNode {
+  readonly session: ControlSession;
+  readonly identity: NodeIdentity;
+  readonly revisions: number[] = [];
+  readonly views = new Map<string, readonly TargetRecord[]>();
+  readonly suspects: SuspectUpdate[] = [];
+  readonly drainRequests: string[] = [];
+  /** Fewest targets of a service that a view had after its first update. */
+  readonly fewest = new Map<string, number>();
+  part: Uint8Array | undefined;
+  shares: readonly LinkShare[] = [];
+
+  constructor(
+    options: Partial<ControlSessionOptions> & {
+      controlAddresses: readonly string[];
+      identity: Partial<NodeIdentity> & { nodeId: string };
+    },
+  ) {
+    this.identity = {
+      environment: "trial",
+      incarnation: 1,
+      region: "Puget",
+      availabilityZone: "puget-a",
+      service: "balances",
+      nodeAddress: `10.0.0.1:${options.identity.nodeId}`,
+      ...options.identity,
+    };
+    this.session = new ControlSession({
+      hello: this.identity,
+      onDocument: (revision, part) => {
+        this.revisions.push(revision);
+        this.part = part;
+      },
+      onView: (service, targets) => {
+        this.views.set(service, targets);
+        this.fewest.set(
+          service,
+          Math.min(this.fewest.get(service) ?? Infinity, targets.length),
+        );
+      },
+      onLinkShares: (shares) => this.shares = shares,
+      onSuspects: (update) => this.suspects.push(update),
+      onDrainRequest: (targetId) => this.drainRequests.push(targetId),
+      ...options,
+    });
+  }
+
+  /** Announces the node's target. */
+  announce(state: TargetState, incarnation = 1): void {
+    const { nodeId, incarnation: _, ...place } = this.identity;
+    this.session.announce({
+      ...place,
+      targetId: `${nodeId}-target`,
+      nodeId,
+      incarnation,
+      sequence: 0,
+      state,
+      ageMilliseconds: 0,
+    });
+  }
+
+  /** Gets the states of the targets in a view, by target. */
+  getStates(service: string): Record<string, string> {
+    return Object.fromEntries(
+      (this.views.get(service) ?? []).map((
+        each,
+      ) => [each.targetId, each.state]),
+    );
+  }
+}
