Add link shares, moves between instances and property tests of membership

Cause: link budgets are shared by all nodes of all instances, and an instance that is lost, silent, isolated or stopping must not cost a target.

Change: LinkRounds divides budgets between instances in numbered rounds, and LinkShareBook between the nodes of one instance; renewals carry link bytes and shares. An instance that hears an older record than its own sends its own again: the property test of convergence found that digests, which cover live targets only, never told a peer of an end that it had missed.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -99,6 +99,8 @@
   isolatedRetryMilliseconds: 10_000,
 };
 
+// Control counts the lease from the renewal, the node from its answer.
+const leaseMarginMilliseconds = 500;
 // An instance that does not answer within this time does not keep the next one
 // from being tried beside it.
 const staggerMilliseconds = 300;
@@ -141,6 +143,7 @@
   #leaseTimer: NodeJS.Timeout | undefined;
   #sessionSequence = 0;
   #renewSequence = 0;
+  #answeredSequence = 0;
   #renewDueAt = 0;
   #unansweredSince: number | undefined;
   #failedCycles = 0;
@@ -460,6 +463,7 @@
         linkBytes: [...this.#sentBytes],
         admissionLevel: report.admissionLevel,
         ledgerIndex: report.ledgerIndex,
+        answeredSequence: this.#answeredSequence,
       },
     });
     // Checked when the silence limit ends, whichever comes first.
@@ -517,6 +521,7 @@
     } else if (this.#unansweredSince !== undefined) {
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
+    this.#answeredSequence = answer.sequence;
     this.#targets.confirm(answer.sequence);
     while (
       this.#unconfirmed[0] !== undefined &&
@@ -530,7 +535,7 @@
     clearTimeout(this.#leaseTimer);
     this.#leaseTimer = setTimeout(
       () => this.#onLeaseEnd(),
-      answer.leaseMilliseconds,
+      answer.leaseMilliseconds - leaseMarginMilliseconds,
     );
     if (answer.linkShares.length > 0) {
       this.#shares = answer.linkShares;
--- /dev/null
+++ b/src/control_client/control_session_moves_test.ts
@@ -0,0 +1,256 @@
+import assert from "node:assert/strict";
+import { after, test } from "node:test";
+import {
+  InterceptingCall,
+  type Interceptor,
+  Metadata,
+  ServerInterceptingCall,
+  type ServerInterceptor,
+  status,
+} from "@grpc/grpc-js";
+import type { SessionHostOptions } from "../session_server/mod.ts";
+import {
+  ControlInstance,
+  startControlInstances,
+} from "../../tests/support/control_instance.ts";
+import { SessionNode } from "../../tests/support/session_node.ts";
+import { TcpProxy } from "../../tests/support/tcp_proxy.ts";
+import { waitUntil } from "../../tests/support/wait_until.ts";
+import type { ControlSessionOptions } from "./mod.ts";
+
+const cleanUps: (() => void)[] = [];
+after(() => cleanUps.forEach((each) => each()));
+
+async function startControl(
+  count: number,
+  options: Partial<SessionHostOptions> = {},
+): Promise<ControlInstance[]> {
+  const instances = await startControlInstances(count, options);
+  cleanUps.push(() => instances.forEach((each) => each.kill()));
+  return instances;
+}
+
+function startNode(
+  controlAddresses: readonly string[],
+  nodeId: string,
+  options: Partial<ControlSessionOptions> = {},
+): SessionNode {
+  const node = new SessionNode({
+    controlAddresses,
+    identity: { nodeId },
+    ...options,
+  });
+  cleanUps.push(() => void node.session.stop());
+  return node;
+}
+
+function getAddresses(instances: readonly ControlInstance[]): string[] {
+  return instances.map((each) => each.address);
+}
+
+async function startNodes(
+  instances: readonly ControlInstance[],
+  count: number,
+) {
+  const nodes = Array.from(
+    { length: count },
+    (_, index) => startNode(getAddresses(instances), `n${index}`),
+  );
+  nodes.forEach((node) => node.announce("ready"));
+  await waitUntil(
+    () => nodes.every((node) => node.views.get("balances")?.length === count),
+    "all nodes know all targets",
+  );
+  return nodes;
+}
+
+// Guards against targets that vanish while the nodes of an instance move.
+test("no view loses a target when an instance is lost", async () => {
+  const instances = await startControl(3);
+  const nodes = await startNodes(instances, 12);
+  await waitUntil(
+    () => instances.every(({ host }) => !host.isCollecting()),
+    "the instances know all targets",
+  );
+  nodes.forEach((node) => node.fewest.clear());
+  const lost = instances[0];
+  assert.ok(lost !== undefined);
+  lost.kill();
+  const left = instances.slice(1);
+  await waitUntil(
+    () =>
+      nodes.every(({ session }) =>
+        getAddresses(left).includes(session.getStatus().controlAddress ?? "")
+      ),
+    "all nodes moved",
+  );
+  // Past the grace period of what the lost instance owned.
+  await new Promise((resolve) => setTimeout(resolve, 12_000));
+  for (const node of nodes) {
+    assert.ok(
+      (node.fewest.get("balances") ?? 12) >= 12,
+      `${node.identity.nodeId} lost a target`,
+    );
+  }
+  assert.ok(left.every(({ host }) => host.getTargets("trial").length === 12));
+});
+
+test("a node leaves an instance whose connection is silent", async () => {
+  const instances = await startControl(2, { graceMilliseconds: 1000 });
+  const [first, second] = instances;
+  assert.ok(first !== undefined && second !== undefined);
+  const proxy = new TcpProxy(first.address);
+  await proxy.listen();
+  cleanUps.push(() => proxy.close());
+  second.setAvailability("stopping");
+  const node = startNode([proxy.address, second.address], "n1");
+  node.announce("ready");
+  await waitUntil(
+    () => first.host.getTargets("trial").length === 1,
+    "the target is known",
+  );
+  second.setAvailability("available");
+  proxy.goSilent();
+  await waitUntil(
+    () => node.session.getStatus().controlAddress === second.address,
+    "the node moved",
+  );
+  await waitUntil(
+    () =>
+      second.host.drain({ environment: "trial", targetId: "n1-target" })
+        .kind === "asked",
+    "the new instance has the target",
+  );
+});
+
+test("nodes leave an isolated instance, and stay when all are isolated", async () => {
+  const instances = await startControl(2, { graceMilliseconds: 1000 });
+  const [first, second] = instances;
+  assert.ok(first !== undefined && second !== undefined);
+  second.setAvailability("isolated");
+  const node = startNode(getAddresses(instances), "n1");
+  node.announce("ready");
+  const getAddress = () => node.session.getStatus().controlAddress;
+  await waitUntil(
+    () => getAddress() === first.address,
+    "it joins the other one",
+  );
+  first.setAvailability("isolated");
+  second.setAvailability("available");
+  await waitUntil(() => getAddress() === second.address, "it moves");
+  second.setAvailability("isolated");
+  const late = startNode(getAddresses(instances), "n2");
+  late.announce("ready");
+  await waitUntil(
+    () =>
+      node.getStates("balances")["n2-target"] === "ready" &&
+      late.getStates("balances")["n1-target"] === "ready",
+    "new targets are found without a majority",
+  );
+  assert.ok(node.session.getStatus().connected);
+});
+
+test("crash news reach all instances, suspects and quarantine all nodes", async () => {
+  const instances = await startControl(2, { graceMilliseconds: 1000 });
+  const node = startNode(getAddresses(instances), "n1");
+  const report = {
+    reportId: "r1",
+    targetId: "n1-target",
+    fingerprints: ["f1"],
+    wasAlone: false,
+  };
+  node.session.reportCrash(report);
+  await waitUntil(
+    () =>
+      instances.every((each) =>
+        each.crashReports.some(({ reportId }) => reportId === "r1")
+      ),
+    "all instances have the report",
+  );
+  node.session.clearSuspect("f1");
+  await waitUntil(
+    () => instances.every((each) => each.cleared.includes("f1")),
+    "it is cleared",
+  );
+  for (const instance of instances) {
+    instance.host.publishSuspects("trial", { suspects: ["f2"], cleared: [] });
+    instance.quarantined = ["f3"];
+    instance.host.onQuarantineChanged("trial");
+  }
+  await waitUntil(
+    () =>
+      node.suspects.some((each) => each.suspects.includes("f2")) &&
+      node.suspects.some((each) =>
+        each.hasQuarantined && each.quarantined.includes("f3")
+      ),
+    "the node knows",
+  );
+});
+
+test("a node whose clock went back replaces what control knows of its target", async () => {
+  const instances = await startControl(1, { graceMilliseconds: 1000 });
+  const clock = {
+    now: () => new Date(1000),
+    monotonicMilliseconds: () => performance.now(),
+  };
+  startNode(getAddresses(instances), "n1").announce("ready", 5);
+  const host = instances[0]?.host;
+  await waitUntil(
+    () => host?.getTargets("trial").length === 1,
+    "the target is known",
+  );
+  const restarted = startNode(getAddresses(instances), "n1", { clock });
+  restarted.announce("draining", 4);
+  await waitUntil(
+    () => host?.getTargets("trial")[0]?.state === "draining",
+    "the newer state counts",
+  );
+  assert.equal(host?.getTargets("trial")[0]?.incarnation, 6);
+});
+
+test("calls carry the token of the interceptors", async () => {
+  const check: ServerInterceptor = (_method, call) =>
+    new ServerInterceptingCall(call, {
+      start: (next) =>
+        next({
+          onReceiveMetadata: (metadata, nextMetadata) =>
+            metadata.get("authorization")[0] === "Bearer t"
+              ? nextMetadata(metadata)
+              : call.sendStatus({
+                code: status.UNAUTHENTICATED,
+                details: "",
+                metadata: new Metadata(),
+              }),
+        }),
+    });
+  const add: Interceptor = (options, nextCall) =>
+    new InterceptingCall(nextCall(options), {
+      start: (metadata, listener, next) => {
+        metadata.set("authorization", "Bearer t");
+        next(metadata, listener);
+      },
+    });
+  const instances = ["c0", "c1"].map((instanceId) =>
+    new ControlInstance(
+      { instanceId, interceptors: [add], graceMilliseconds: 1000 },
+      { interceptors: [check] },
+    )
+  );
+  cleanUps.push(() => instances.forEach((each) => each.kill()));
+  await Promise.all(instances.map((each) => each.listen()));
+  instances.forEach((each) =>
+    each.peers = instances.filter((other) => other !== each).map((other) =>
+      other.peer
+    )
+  );
+  const stranger = startNode(getAddresses(instances), "stranger");
+  const node = startNode(getAddresses(instances), "n1", {
+    interceptors: [add],
+  });
+  node.announce("ready");
+  await waitUntil(
+    () => instances.every(({ host }) => host.getTargets("trial").length === 1),
+    "both instances know the target",
+  );
+  assert.equal(stranger.session.getStatus().connected, false);
+});
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -267,8 +267,10 @@
    * Ends the leases that ran out and forgets lost instances and old
    * tombstones. To be called several times a second.
    * @param now Monotonic time in milliseconds.
+   * @returns Keys of the nodes whose lease ended.
    */
-  expire(now: number): void {
+  expire(now: number): string[] {
+    const ended: string[] = [];
     const pause = now - this.#checkedAt;
     this.#checkedAt = now;
     if (pause > pauseMilliseconds) {
@@ -277,6 +279,7 @@
     for (const lease of this.#leases.values()) {
       if (lease.expiresAt <= now) {
         this.#endLease(lease, now);
+        ended.push(lease.nodeKey);
         continue;
       }
       for (const [key, confirmBy] of lease.targets) {
@@ -292,6 +295,7 @@
     }
     this.#targets.dropTombstones(now - this.#options.tombstoneMilliseconds);
     this.#nodes.dropTombstones(now - this.#options.tombstoneMilliseconds);
+    return ended;
   }
 
   /** Gets the live targets of a service by their key. */
@@ -498,10 +502,24 @@
 
   #mergeItems(items: DirectoryItems, owner: string, now: number): void {
     for (const target of items.targets) {
-      this.#targets.merge(target, { owner, now });
+      const key = getTargetKey(target);
+      if (
+        this.#targets.merge(target, { owner, now }) === "older" &&
+        this.#targets.getOwner(key) === this.#owner
+      ) {
+        // The sender missed what became of the target, and its digests do not
+        // tell, because a target that ended is in none.
+        this.#ownTargetChanges.add(key);
+      }
     }
     for (const node of items.nodes) {
-      this.#nodes.merge(node, { owner, now });
+      const key = getNodeKey(node);
+      if (
+        this.#nodes.merge(node, { owner, now }) === "older" &&
+        this.#nodes.getOwner(key) === this.#owner
+      ) {
+        this.#ownNodeChanges.add(key);
+      }
     }
   }
 
--- /dev/null
+++ b/src/membership/directory_test.ts
@@ -0,0 +1,369 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { createSeededRandom } from "../common/mod.ts";
+import {
+  type BucketName,
+  Directory,
+  type DirectoryBatch,
+  isLiveTarget,
+  type KnownTarget,
+  type NodeRecord,
+  type TargetState,
+} from "./mod.ts";
+
+const environment = "trial";
+const session = { nodeKey: `${environment}\0n`, sessionSequence: 1 };
+
+function createDirectory(id: number, count: number, now = 0): Directory {
+  return new Directory({
+    instanceId: `c${id}`,
+    boot: 1 + now,
+    now,
+    getPeers: () =>
+      Array.from({ length: count }, (_, index) => `c${index}`)
+        .filter((peer) => peer !== `c${id}`),
+  });
+}
+
+function createNode(
+  nodeId: string,
+  sessionSequence: number,
+): NodeRecord {
+  return {
+    nodeId,
+    environment,
+    service: "s",
+    region: "r",
+    availabilityZone: "z",
+    nodeAddress: "a",
+    incarnation: 1,
+    sessionSequence,
+    update: 0,
+    revision: 0,
+    admissionLevel: 0,
+    state: "connected",
+  };
+}
+
+function createTarget(
+  targetId: string,
+  facts: {
+    incarnation: number;
+    sequence: number;
+    state: TargetState;
+    nodeId?: string;
+  },
+): KnownTarget {
+  return {
+    targetId,
+    environment,
+    service: "s",
+    region: "r",
+    availabilityZone: "z",
+    nodeAddress: "a",
+    nodeId: "n",
+    readyAtMilliseconds: 0,
+    ...facts,
+  };
+}
+
+function getStates(directory: Directory): Record<string, string> {
+  const targets = [
+    ...directory.getTargets({ environment, service: "s" }).values(),
+  ];
+  return Object.fromEntries(
+    targets.map((each) => [
+      each.targetId,
+      `${each.incarnation} ${each.sequence} ${each.state}`,
+    ]).sort(),
+  );
+}
+
+const sequences: {
+  name: string;
+  records: readonly (readonly [number, number, TargetState])[];
+  expected: string | undefined;
+}[] = [
+  {
+    name: "a late announcement does not revive a target that left",
+    records: [[1, 5, "left"], [1, 4, "ready"], [1, 9, "ready"]],
+    expected: undefined,
+  },
+  {
+    name: "a restarted target is a new one",
+    records: [[1, 5, "left"], [2, 1, "ready"], [1, 9, "left"]],
+    expected: "2 1 ready",
+  },
+  {
+    name: "a late drain of the earlier incarnation changes nothing",
+    records: [[2, 1, "ready"], [1, 9, "draining"]],
+    expected: "2 1 ready",
+  },
+  {
+    name: "a node that was cut off announces its target again",
+    records: [[1, 5, "ready"], [1, 5, "expired"], [1, 6, "ready"]],
+    expected: "1 6 ready",
+  },
+  {
+    name: "a drain outlasts the announcement before it",
+    records: [[1, 6, "draining"], [1, 5, "ready"]],
+    expected: "1 6 draining",
+  },
+];
+for (const { name, records, expected } of sequences) {
+  test(name, () => {
+    const directory = createDirectory(0, 1);
+    directory.openLease(createNode("n", 1), 0);
+    for (const [incarnation, sequence, state] of records) {
+      const target = createTarget("t", { incarnation, sequence, state });
+      directory.announce(session, { target, now: 0 });
+    }
+    assert.equal(getStates(directory).t, expected);
+  });
+}
+
+test("a lease ends targets, but not those that moved", () => {
+  const [first, second] = [createDirectory(0, 2), createDirectory(1, 2)];
+  first.openLease(createNode("n", 1), 0);
+  const ready = { incarnation: 1, state: "ready" as const };
+  first.announce(session, {
+    target: createTarget("moved", { ...ready, sequence: 1 }),
+    now: 0,
+  });
+  first.announce(session, {
+    target: createTarget("lost", { ...ready, sequence: 1 }),
+    now: 0,
+  });
+  second.openLease(createNode("n", 2), 3000);
+  const moved = createTarget("moved", { ...ready, sequence: 2 });
+  second.announce({ ...session, sessionSequence: 2 }, {
+    target: moved,
+    now: 3000,
+  });
+  const content = { ...second.takeOwnChanges(), wanted: [], hasDigests: true };
+  for (let now = 250; now < 3000; now += 250) {
+    first.expire(now);
+  }
+  first.mergeBatch(second.createBatch(content, 3000), 3000);
+  for (let now = 3000; now <= 7000; now += 250) {
+    first.expire(now);
+  }
+  assert.deepEqual(getStates(first), { moved: "1 2 ready" });
+  assert.equal(first.getNodes(environment).length, 1);
+});
+
+test("a process that stood still does not end leases for its own pause", () => {
+  const directory = createDirectory(0, 1);
+  directory.openLease(createNode("n", 1), 0);
+  directory.expire(250);
+  assert.deepEqual(directory.expire(20_000), []);
+  for (let now = 20_250; now < 30_000; now += 250) {
+    directory.expire(now);
+  }
+  assert.equal(directory.hasLease(session), false);
+});
+
+test("targets of a lost instance stay for the grace period", () => {
+  const [lost, other] = [createDirectory(0, 2), createDirectory(1, 2)];
+  lost.openLease(createNode("n", 1), 0);
+  const target = createTarget("t", {
+    incarnation: 1,
+    sequence: 1,
+    state: "ready",
+  });
+  lost.announce(session, { target, now: 0 });
+  other.mergeBatch(
+    lost.createBatch(
+      { ...lost.takeOwnChanges(), wanted: [], hasDigests: true },
+      0,
+    ),
+    0,
+  );
+  // The restarted instance knows nothing; its nodes are still moving.
+  const restarted = createDirectory(0, 2, 500);
+  const empty = { targets: [], nodes: [], wanted: [], hasDigests: true };
+  for (let now = 500; now <= 12_000; now += 250) {
+    other.mergeBatch(restarted.createBatch(empty, now), now);
+    other.expire(now);
+    const isInGrace = now <= 10_000;
+    assert.equal(
+      Object.keys(getStates(other)).length,
+      isInGrace ? 1 : 0,
+      `at ${now}`,
+    );
+  }
+  // News of the lost process that others repeat does not bring it back.
+  const digest = { owner: "c0#1", counter: 1, buckets: Array(16).fill(7) };
+  const relayed = {
+    ...createDirectory(2, 3).createBatch(empty, 0),
+    digests: [digest],
+  };
+  assert.deepEqual(other.mergeBatch(relayed, 12_000), []);
+});
+
+/** Directories whose messages are lost, repeated and reordered. */
+class Fleet {
+  readonly directories: Directory[];
+  readonly #pending = new Map<string, Map<string, KnownTarget>>();
+  readonly #nodes = new Map<string, Map<string, NodeRecord>>();
+  readonly #wanted = new Map<string, BucketName[]>();
+  readonly #inFlight: { to: number; from: number; batch: DirectoryBatch }[] =
+    [];
+  readonly #left = new Map<string, Set<string>>();
+  now = 0;
+
+  constructor(count: number) {
+    this.directories = Array.from(
+      { length: count },
+      (_, id) => createDirectory(id, count),
+    );
+  }
+
+  /** Sends from one directory to another without delivering yet. */
+  send(from: number, to: number, hasDigests: boolean): void {
+    this.#collect(from);
+    const link = `${from} ${to}`;
+    const batch = this.directories[from]?.createBatch({
+      targets: [...this.#pending.get(link)?.values() ?? []],
+      nodes: [...this.#nodes.get(link)?.values() ?? []],
+      wanted: this.#wanted.get(link) ?? [],
+      hasDigests,
+    }, this.now);
+    assert.ok(batch !== undefined);
+    // Half of the time what was sent counts as delivered, even if it is lost.
+    this.#pending.delete(link);
+    this.#nodes.delete(link);
+    this.#wanted.delete(link);
+    this.#inFlight.push({ to, from, batch });
+  }
+
+  deliver(position: number, fate: "once" | "twice" | "lost"): void {
+    if (this.#inFlight.length === 0) {
+      return;
+    }
+    const index = Math.floor(position * this.#inFlight.length);
+    const [message] = this.#inFlight.splice(index, 1);
+    if (message === undefined || fate === "lost") {
+      return;
+    }
+    for (let time = 0; time < (fate === "twice" ? 2 : 1); time++) {
+      const wanted = this.directories[message.to]?.mergeBatch(
+        message.batch,
+        this.now,
+      );
+      this.#wanted.set(`${message.from} ${message.to}`, wanted ?? []);
+    }
+    this.check();
+  }
+
+  settle(): void {
+    while (this.#inFlight.length > 0) {
+      this.deliver(0, "once");
+    }
+    for (let round = 0; round < 3; round++) {
+      this.directories.forEach((_, from) =>
+        this.directories.forEach((_, to) => {
+          if (from !== to) {
+            this.send(from, to, true);
+            this.deliver(0, "once");
+          }
+        })
+      );
+    }
+  }
+
+  #collect(from: number): void {
+    const changes = this.directories[from]?.takeOwnChanges();
+    this.directories.forEach((_, to) => {
+      const link = `${from} ${to}`;
+      const targets = this.#pending.get(link) ?? new Map();
+      const nodes = this.#nodes.get(link) ?? new Map();
+      changes?.targets.forEach((each) => targets.set(each.targetId, each));
+      changes?.nodes.forEach((each) => nodes.set(each.nodeId, each));
+      this.#pending.set(link, targets);
+      this.#nodes.set(link, nodes);
+    });
+  }
+
+  /** Checks that no directory revives what it knew to have left. */
+  check(): void {
+    this.directories.forEach((directory, id) => {
+      for (let number = 0; number < 4; number++) {
+        const record = directory.getRecord({
+          environment,
+          targetId: `t${number}`,
+        });
+        if (record === undefined) {
+          continue;
+        }
+        const key = `${id} ${number} ${record.incarnation}`;
+        const left = this.#left.get(key);
+        assert.ok(
+          left === undefined || !isLiveTarget(record),
+          `${key} was revived`,
+        );
+        if (record.state === "left") {
+          this.#left.set(key, new Set());
+        }
+      }
+    });
+  }
+}
+
+test("directories converge over lost, repeated and reordered messages", () => {
+  const states: TargetState[] = ["ready", "draining", "left"];
+  fc.assert(
+    fc.property(fc.integer({ min: 1 }), (seed) => {
+      const random = createSeededRandom(seed);
+      const pick = (count: number) => Math.floor(random() * count);
+      const fleet = new Fleet(3);
+      const newest = new Map<number, KnownTarget>();
+      let sequence = 0;
+      for (let step = 0; step < 60; step++) {
+        fleet.now += 50;
+        const action = random();
+        if (action < 0.4) {
+          // A node, maybe at another instance than before, announces.
+          const number = pick(4);
+          const known = newest.get(number);
+          const isRestart = known?.state === "left" || random() < 0.1;
+          sequence++;
+          const target = createTarget(`t${number}`, {
+            incarnation: (known?.incarnation ?? 1) + (isRestart ? 1 : 0),
+            sequence,
+            state: states[pick(3)] ?? "ready",
+            nodeId: `n${number}`,
+          });
+          newest.set(number, target);
+          const directory = fleet.directories[pick(3)];
+          directory?.openLease(createNode(`n${number}`, sequence), fleet.now);
+          const holder = {
+            nodeKey: `${environment}\0n${number}`,
+            sessionSequence: sequence,
+          };
+          directory?.announce(holder, { target, now: fleet.now });
+          fleet.check();
+        } else if (action < 0.7) {
+          const from = pick(3);
+          fleet.send(from, (from + 1 + pick(2)) % 3, random() < 0.3);
+        } else {
+          const fates = ["once", "once", "twice", "lost"] as const;
+          fleet.deliver(random(), fates[pick(4)] ?? "once");
+        }
+      }
+      fleet.settle();
+      const expected = Object.fromEntries(
+        [...newest.values()].filter(isLiveTarget).map((each) => [
+          each.targetId,
+          `${each.incarnation} ${each.sequence} ${each.state}`,
+        ]).sort(),
+      );
+      for (const directory of fleet.directories) {
+        assert.deepEqual(getStates(directory), expected);
+        assert.equal(directory.getNodes(environment).length, newest.size);
+      }
+    }),
+    { seed: 20_240_117, numRuns: 300, includeErrorInReport: true },
+  );
+});
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -30,3 +30,15 @@
   type ViewDelta,
 } from "./view.ts";
 export { type ViewedNode, ViewPlanner } from "./view_planner.ts";
+export {
+  getLinkKey,
+  type LinkDemandEntry,
+  type LinkDemandNews,
+  LinkRounds,
+} from "./link_rounds.ts";
+export {
+  type BudgetedLink,
+  type LinkBytes,
+  type LinkShare,
+  LinkShareBook,
+} from "./link_share_book.ts";
--- a/src/membership/replicated_table.ts
+++ b/src/membership/replicated_table.ts
@@ -75,13 +75,19 @@
    * Takes in an item if it is newer than the known one.
    * @param item The item.
    * @param options Its owner and the monotonic time.
-   * @returns Whether it was newer.
+   * @returns Whether it was newer than the known one, the same or older.
    */
-  merge(item: Item, options: { owner: string; now: number }): boolean {
+  merge(
+    item: Item,
+    options: { owner: string; now: number },
+  ): "newer" | "same" | "older" {
     const key = this.#rules.getKey(item);
     const entry = this.#entries.get(key);
-    if (entry !== undefined && this.#rules.compare(item, entry.item) <= 0) {
-      return false;
+    const order = entry === undefined
+      ? 1
+      : this.#rules.compare(item, entry.item);
+    if (order <= 0) {
+      return order === 0 ? "same" : "older";
     }
     const hash = getStableHash(this.#rules.getVersion(item));
     if (entry === undefined) {
@@ -95,7 +101,7 @@
       this.#entries.set(key, created);
       this.#toggleDigest(created);
       this.#onChange({ previous: undefined, current: item });
-      return true;
+      return "newer";
     }
     const previous = entry.item;
     this.#toggleDigest(entry);
@@ -105,7 +111,7 @@
     entry.changedAt = options.now;
     this.#toggleDigest(entry);
     this.#onChange({ previous, current: item });
-    return true;
+    return "newer";
   }
 
   /** Gets the digests of an owner's live items, one for each bucket. */
--- a/src/session_server/instance_exchange.ts
+++ b/src/session_server/instance_exchange.ts
@@ -6,6 +6,7 @@
   type DirectoryBatch,
   getNodeKey,
   type KnownTarget,
+  type LinkDemandNews,
   type NodeRecord,
   parseTargetRecord,
   toKnownTarget,
@@ -30,6 +31,7 @@
   readonly log: Log;
   readonly interceptors: readonly Interceptor[];
   getPeers(): readonly PeerInstance[];
+  getLinkDemand(): LinkDemandNews;
 }
 
 /** What is to be sent to one peer, and the connection to it. */
@@ -178,7 +180,11 @@
     }
     const client = peer.client;
     client.push(
-      createWireBatch(batch, { crashNews: peer.crashNews, now }),
+      createWireBatch(batch, {
+        crashNews: peer.crashNews,
+        linkDemand: hasDigests ? this.#options.getLinkDemand() : undefined,
+        now,
+      }),
       new Metadata(),
       { deadline: Date.now() + deadlineMilliseconds },
       (error, answer) => {
@@ -249,7 +255,11 @@
 /** Converts a batch for sending. */
 export function createWireBatch(
   batch: DirectoryBatch,
-  options: { crashNews: readonly CrashNews[]; now: number },
+  options: {
+    crashNews: readonly CrashNews[];
+    linkDemand?: LinkDemandNews | undefined;
+    now: number;
+  },
 ): ExchangeBatch {
   const { now } = options;
   return {
@@ -270,7 +280,13 @@
       buckets: [...digest.buckets],
     })),
     crashNews: [...options.crashNews],
-    linkDemand: undefined,
+    linkDemand: options.linkDemand === undefined ? undefined : {
+      ...options.linkDemand,
+      rounds: options.linkDemand.rounds.map(({ round, entries }) => ({
+        round,
+        entries: [...entries],
+      })),
+    },
   };
 }
 
--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -31,6 +31,8 @@
   readonly requestedServices = new Set<string>();
   readonly #views = new Map<string, readonly KnownTarget[]>();
   readonly #helloDigests: Map<string, string>;
+  /** Renewal in whose answer link shares were last sent. */
+  sharesSequence = 0;
   #sentRevision: number;
   #partHash: string;
   #isRedirected = false;
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -10,6 +10,8 @@
 import {
   Directory,
   getNodeKey,
+  LinkRounds,
+  LinkShareBook,
   parseTargetRecord,
   type ServiceName,
   type TargetRecord,
@@ -92,6 +94,11 @@
   readonly #directory: Directory;
   readonly #planner: ViewPlanner;
   readonly #exchange: InstanceExchange;
+  readonly #linkRounds: LinkRounds;
+  readonly #linkShares = new LinkShareBook({
+    getPortion: (linkKey) => this.#linkRounds.getPortion(linkKey),
+    getInstanceCount: () => this.#options.state.getPeers().length + 1,
+  });
   readonly #sessions = new SessionRegistry();
   readonly #parts = new Map<string, DocumentParts>();
   readonly #expireTimer: NodeJS.Timeout;
@@ -115,6 +122,10 @@
       this.#directory,
       (name) => this.#getCallers(name),
     );
+    this.#linkRounds = new LinkRounds({
+      boot: options.boot,
+      now: options.clock.monotonicMilliseconds(),
+    });
     this.#exchange = new InstanceExchange({
       boot: options.boot,
       directory: this.#directory,
@@ -122,6 +133,7 @@
       log: options.log,
       interceptors: options.interceptors ?? [],
       getPeers: () => options.state.getPeers(),
+      getLinkDemand: () => this.#linkRounds.createNews(),
     });
     this.#expireTimer = setInterval(
       () => this.#expire(),
@@ -345,6 +357,7 @@
       })
       .with({ $case: "leave" }, () => {
         this.#directory.leave(session, this.#now());
+        this.#linkShares.removeNode(session.nodeKey);
         this.#sessions.remove(session);
         session.end();
         this.#scheduleFlush();
@@ -391,8 +404,9 @@
       admissionLevel: 0,
       state: "connected",
     }, this.#now());
-    this.#answerRenew(session, 0);
     const { environment } = hello;
+    this.#linkShares.addNode(session.nodeKey, hello);
+    this.#answerRenew(session, 0);
     const parts = this.#getParts(environment);
     if (parts !== undefined && this.#isAvailable()) {
       session.sendDocument(parts, createDocumentEncoder());
@@ -420,19 +434,30 @@
       session.end();
       return;
     }
+    this.#linkShares.report(session.nodeKey, {
+      linkBytes: renew.linkBytes,
+      hasLastShares: renew.answeredSequence >= session.sharesSequence,
+      now: this.#now(),
+    });
     this.#answerRenew(session, renew.sequence);
   }
 
   #answerRenew(session: NodeSession, sequence: number): void {
     const isAvailable = this.#isAvailable();
     const parts = this.#getParts(session.hello.environment);
+    const shares = this.#linkShares.takeShares(session.nodeKey, {
+      isForced: sequence === 0,
+    });
+    if (shares !== undefined) {
+      session.sharesSequence = sequence;
+    }
     session.send({
       $case: "renewAnswer",
       renewAnswer: {
         sequence,
         leaseMilliseconds: this.#directory.leaseMilliseconds,
         ledgerIndex: isAvailable ? this.#options.state.getLedgerIndex() : 0,
-        linkShares: [],
+        linkShares: shares ?? [],
         revision: isAvailable ? parts?.accepted.revision ?? 0 : 0,
       },
     });
@@ -544,7 +569,14 @@
 
   #expire(): void {
     const now = this.#now();
-    this.#directory.expire(now);
+    for (const nodeKey of this.#directory.expire(now)) {
+      this.#linkShares.removeNode(nodeKey);
+    }
+    this.#linkRounds.step({
+      peers: this.#options.state.getPeers().map((peer) => peer.instanceId),
+      getEntries: () => this.#linkShares.getDemand(),
+      now,
+    });
     const wasCollecting = this.#isCollecting;
     this.#isCollecting = this.#directory.isCollecting(now);
     this.#flush();
@@ -573,7 +605,11 @@
       });
       return;
     }
+    const { instanceId, linkDemand } = call.request;
     const answer = this.#exchange.receive(call.request);
+    if (linkDemand !== undefined) {
+      this.#linkRounds.hear(instanceId, linkDemand);
+    }
     const { state } = this.#options;
     for (const { environment, news } of call.request.crashNews) {
       if (news?.$case === "report") {
@@ -612,6 +648,7 @@
     }
     const parts = new DocumentParts(accepted);
     this.#parts.set(environment, parts);
+    this.#linkShares.setLinks(environment, accepted.document.links);
     return parts;
   }
 }
