--- a/src/membership/view_planner.ts
+++ b/src/membership/view_planner.ts
@@ -52,6 +52,11 @@
     this.#rings.delete(getServiceKey(name));
   }
 
+  /** Forgets all, because the document declares other calls. */
+  clear(): void {
+    this.#rings.clear();
+  }
+
   #createRing(name: ServiceName, place: Place): SubsetRing {
     const callers: string[] = [];
     for (const service of this.#getCallers(name)) {
--- a/src/session_server/document_parts.ts
+++ b/src/session_server/document_parts.ts
@@ -16,6 +16,8 @@
 /** The parts and the call graph of one revision; each is made once. */
 export class DocumentParts {
   readonly accepted: AcceptedDocument;
+  /** Differs when services call other services than in another revision. */
+  readonly callText: string;
   readonly #graph: CallGraph;
   readonly #parts = new Map<string, DocumentPart>();
   readonly #callers = new Map<string, string[]>();
@@ -30,8 +32,10 @@
         this.#callers.set(callee, callers);
       }
     }
+    this.callText = JSON.stringify([...this.#callers]);
   }
 
+  /** Gets the part of a service's nodes. */
   getPart(service: string): DocumentPart {
     const known = this.#parts.get(service);
     if (known !== undefined) {
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -101,6 +101,8 @@
   });
   readonly #sessions = new SessionRegistry();
   readonly #parts = new Map<string, DocumentParts>();
+  /** Last sent quarantine lists by environment. */
+  readonly #quarantined = new Map<string, string>();
   readonly #expireTimer: NodeJS.Timeout;
   #flushTimer: NodeJS.Timeout | undefined;
   #isCollecting = true;
@@ -159,20 +161,33 @@
    * @param environment The environment.
    */
   onDocumentAccepted(environment: string): void {
+    const previous = this.#parts.get(environment);
     const parts = this.#getParts(environment);
     if (parts === undefined || !this.#isAvailable()) {
       return;
     }
     const encode = createDocumentEncoder();
+    const hasNewCalls = parts.callText !== previous?.callText;
+    if (hasNewCalls) {
+      this.#planner.clear();
+    }
     for (const session of this.#sessions.getByEnvironment(environment)) {
       session.sendDocument(parts, encode);
-      this.#updateViewedServices(session);
+      if (hasNewCalls) {
+        this.#updateViewedServices(session);
+        session.viewedServices.forEach((each) => this.#sendView(session, each));
+      }
     }
   }
 
-  /** Sends the list of quarantined fingerprints after a change. */
+  /** Sends the list of quarantined fingerprints if it changed. */
   onQuarantineChanged(environment: string): void {
     const quarantined = [...this.#options.state.getQuarantined(environment)];
+    const text = quarantined.join(" ");
+    if (this.#quarantined.get(environment) === text) {
+      return;
+    }
+    this.#quarantined.set(environment, text);
     this.#broadcast(environment, {
       suspects: [],
       cleared: [],
@@ -265,6 +280,20 @@
     ]).map((target) => toWireTarget(target, now));
   }
 
+  /** Gets the environments of the open sessions. */
+  getEnvironments(): string[] {
+    return [
+      ...new Set(
+        [...this.#sessions.values()].map(({ hello }) => hello.environment),
+      ),
+    ];
+  }
+
+  /** Number of open sessions. */
+  get sessionCount(): number {
+    return this.#sessions.size;
+  }
+
   /** Gets whether targets may be missing because this process just started. */
   isCollecting(): boolean {
     return this.#directory.isCollecting(this.#now());
@@ -336,7 +365,7 @@
           this.#onAnnouncement(session, announcement.record),
       )
       .with({ $case: "crashReport" }, ({ crashReport }) => {
-        this.#options.state.onCrashReport(environment, crashReport);
+        this.#options.state.onCrashReport(environment, crashReport, true);
         this.#exchange.addCrashNews({
           environment,
           news: { $case: "report", report: crashReport },
@@ -613,7 +642,7 @@
     const { state } = this.#options;
     for (const { environment, news } of call.request.crashNews) {
       if (news?.$case === "report") {
-        state.onCrashReport(environment, news.report);
+        state.onCrashReport(environment, news.report, false);
       } else if (news?.$case === "cleared") {
         state.onSuspectCleared(environment, news.cleared.fingerprint);
       }
