--- /dev/null
+++ b/src/admission/admission_controller.ts
@@ -0,0 +1,424 @@
+import type { Clock } from "../common/mod.ts";
+import type { Objective } from "../document/mod.ts";
+import type { RefusalReason } from "../request/mod.ts";
+import { AdmissionLevel } from "./admission_level.ts";
+import {
+  type AdmissionEntry,
+  AdmissionQueue,
+  compareEntries,
+} from "./admission_queue.ts";
+import type {
+  AdmissionDecision,
+  AdmissionEvent,
+  AdmissionOptions,
+  AdmissionRequest,
+  AdmissionStatus,
+  FinishSample,
+} from "./admission_types.ts";
+import { CallerTable } from "./caller_table.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { HoldTime } from "./hold_time.ts";
+import { getImportance } from "./importance.ts";
+import {
+  getObjectiveParameters,
+  type ObjectiveParameters,
+} from "./objective_parameters.ts";
+
+const runDecision: AdmissionDecision = { kind: "run" };
+const queuedDecision: AdmissionDecision = { kind: "queued" };
+const noEvents: AdmissionEvent[] = [];
+
+/** Decides which calls run at one target, and in which order. */
+export class AdmissionController {
+  readonly #clock: Clock;
+  readonly #queue: AdmissionQueue;
+  readonly #callers: CallerTable;
+  readonly #limit: ConcurrencyLimit;
+  readonly #level: AdmissionLevel;
+  readonly #holdTime = new HoldTime();
+  readonly #entries = new Map<string, AdmissionEntry>();
+  readonly #runningByClass: Uint32Array;
+  #slots: number;
+  #callerShare: number;
+  #parameters: ObjectiveParameters;
+  #running = 0;
+  #suspectRuns = false;
+  #queuedSuspects = 0;
+  #sequence = 0;
+  /** No queued deadline is earlier; Infinity when none is queued. */
+  #earliestDeadline = Infinity;
+  #events: AdmissionEvent[] = [];
+
+  /** @param options Slots, classes, objective, caller share and clock. */
+  constructor(options: AdmissionOptions) {
+    const now = options.clock.monotonicMilliseconds();
+    this.#clock = options.clock;
+    this.#slots = options.slots;
+    this.#callerShare = options.callerShare;
+    this.#parameters = getObjectiveParameters(options.objective);
+    this.#queue = new AdmissionQueue(options.classCount);
+    this.#callers = new CallerTable(options.classCount);
+    this.#runningByClass = new Uint32Array(options.classCount);
+    this.#limit = new ConcurrencyLimit(options.slots, {
+      classCount: options.classCount,
+      nowMilliseconds: now,
+      increasePerSecond: this.#parameters.limitIncreasePerSecond,
+    });
+    this.#level = new AdmissionLevel(options.classCount, {
+      nowMilliseconds: now,
+      maximumDecrease: this.#parameters.maximumLevelDecrease,
+    });
+  }
+
+  /**
+   * Offers a call.
+   * @param request The call; its id must not be in use.
+   * @returns Whether it runs, waits or is refused. What becomes of a waiting
+   * call is told by `takeEvents`.
+   */
+  offer(request: AdmissionRequest): AdmissionDecision {
+    if (this.#entries.has(request.id)) {
+      throw new Error(`Call "${request.id}" was already offered`);
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    this.#expire(now);
+    this.#level.onOffered(getImportance(request.classIndex, request.hash));
+    const entry = this.#createEntry(request, now);
+    const reason = this.#getRefusal(entry, request.remainingMilliseconds, now);
+    if (reason !== undefined) {
+      this.#callers.releaseWhenUnused(entry.use);
+      return { kind: "refused", reason };
+    }
+    this.#entries.set(entry.id, entry);
+    if (this.#queue.length === 0 && this.#hasRoomFor(entry)) {
+      this.#start(entry, now);
+      return runDecision;
+    }
+    this.#enqueue(entry);
+    return queuedDecision;
+  }
+
+  /**
+   * Ends a running call and gives its slot back.
+   * @param id The call; one that does not run is ignored.
+   * @param sample How it ended.
+   */
+  finish(id: string, sample: FinishSample): void {
+    const entry = this.#entries.get(id);
+    if (entry?.startedMilliseconds === undefined) {
+      return;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    this.#recordSample(entry, sample, now);
+    this.#entries.delete(id);
+    this.#running--;
+    this.#runningByClass[entry.classIndex] =
+      (this.#runningByClass[entry.classIndex] ?? 0) - 1;
+    if (entry.isSuspect) {
+      this.#suspectRuns = false;
+    }
+    entry.use.running--;
+    this.#callers.releaseWhenUnused(entry.use);
+    this.#expire(now);
+    this.#startQueued(now);
+  }
+
+  /** Removes a queued call whose caller left. */
+  cancel(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined || entry.startedMilliseconds !== undefined) {
+      return;
+    }
+    this.#dequeue(entry);
+    this.#forget(entry);
+    this.#startQueued(this.#clock.monotonicMilliseconds());
+  }
+
+  /** Gets what became of queued calls since the last time. */
+  takeEvents(): AdmissionEvent[] {
+    const now = this.#clock.monotonicMilliseconds();
+    if (now >= this.#earliestDeadline) {
+      this.#expire(now);
+      this.#startQueued(now);
+    }
+    if (this.#events.length === 0) {
+      return noEvents;
+    }
+    const events = this.#events;
+    this.#events = [];
+    return events;
+  }
+
+  /**
+   * Gets the monotonic time at which `takeEvents` should be called at the
+   * latest; `undefined` when no call waits.
+   */
+  getWakeMilliseconds(): number | undefined {
+    return this.#queue.length === 0 ? undefined : this.#earliestDeadline;
+  }
+
+  /** Gets the admission level; 0 is open. */
+  getLevel(): number {
+    const isBusy = this.#queue.length * 2 > this.#getQueueLimit();
+    return this.#level.get(this.#clock.monotonicMilliseconds(), isBusy);
+  }
+
+  /** Changes the options; running calls go on. */
+  updateOptions(
+    options: { slots: number; objective: Objective; callerShare: number },
+  ): void {
+    this.#slots = options.slots;
+    this.#callerShare = options.callerShare;
+    this.#parameters = getObjectiveParameters(options.objective);
+    this.#limit.update(
+      options.slots,
+      this.#parameters.limitIncreasePerSecond,
+    );
+    this.#level.setMaximumDecrease(this.#parameters.maximumLevelDecrease);
+    this.#startQueued(this.#clock.monotonicMilliseconds());
+  }
+
+  /** Gets the current state. */
+  getStatus(): AdmissionStatus {
+    return {
+      limit: this.#limit.value,
+      running: this.#running,
+      queued: this.#queue.length,
+      level: this.getLevel(),
+    };
+  }
+
+  #createEntry(request: AdmissionRequest, now: number): AdmissionEntry {
+    return {
+      id: request.id,
+      use: this.#callers.get(request.caller, request.classIndex),
+      classIndex: request.classIndex,
+      depth: request.depth,
+      hash: request.hash,
+      isSuspect: request.isSuspect,
+      deadlineMilliseconds: now + request.remainingMilliseconds,
+      sequence: this.#sequence++,
+      startedMilliseconds: undefined,
+    };
+  }
+
+  #getRefusal(
+    entry: AdmissionEntry,
+    remainingMilliseconds: number,
+    now: number,
+  ): RefusalReason | undefined {
+    if (remainingMilliseconds <= 0) {
+      return "deadline-exceeded";
+    }
+    if (entry.isSuspect && this.#queuedSuspects >= this.#getSuspectLimit()) {
+      return "suspect";
+    }
+    if (
+      this.#holdTime.isFresh(now) &&
+      remainingMilliseconds < this.#getExpectedWait(entry) + this.#holdTime.mean
+    ) {
+      this.#level.onTurnedAway();
+      return "deadline-too-short";
+    }
+    if (this.#queue.length >= this.#getQueueLimit()) {
+      return this.#makeRoom(entry);
+    }
+    return undefined;
+  }
+
+  /** Evicts the lowest entry, or refuses the new one when that is lower. */
+  #makeRoom(entry: AdmissionEntry): RefusalReason | undefined {
+    if (this.#queue.length === 0 && this.#hasRoomFor(entry)) {
+      return undefined;
+    }
+    this.#level.onTurnedAway();
+    const victim = this.#getVictim(entry);
+    if (victim === undefined) {
+      return "queue-full";
+    }
+    if (
+      victim.classIndex === entry.classIndex &&
+      this.#isOverQueueShare(entry) && victim.use !== entry.use
+    ) {
+      return "caller-share";
+    }
+    const isOver = victim.classIndex === entry.classIndex &&
+      victim.use !== entry.use && this.#isOverQueueShare(victim);
+    if (!isOver && compareEntries(victim, entry) < 0) {
+      return "queue-full";
+    }
+    this.#refuse(victim, "evicted");
+    return undefined;
+  }
+
+  /** Gets the lowest entry, one of a caller above its share first. */
+  #getVictim(entry: AdmissionEntry): AdmissionEntry | undefined {
+    const last = this.#queue.at(this.#queue.length - 1);
+    if (last === undefined) {
+      return undefined;
+    }
+    const isOver = last.classIndex === entry.classIndex &&
+      this.#isOverQueueShare(entry);
+    for (let i = this.#queue.length - 1; i >= 0; i--) {
+      const each = this.#queue.at(i);
+      if (each === undefined || each.classIndex !== last.classIndex) {
+        break;
+      }
+      if (isOver ? each.use === entry.use : this.#isOverQueueShare(each)) {
+        return each;
+      }
+    }
+    return last;
+  }
+
+  #isOverQueueShare(entry: AdmissionEntry): boolean {
+    const count = this.#queue.getClassCount(entry.classIndex);
+    return entry.use.queued >= Math.ceil(count * this.#callerShare) &&
+      count > entry.use.queued;
+  }
+
+  #isOverRunningShare(entry: AdmissionEntry): boolean {
+    const running = (this.#runningByClass[entry.classIndex] ?? 0) + 1;
+    return entry.use.running + 1 > Math.ceil(running * this.#callerShare);
+  }
+
+  #getExpectedWait(entry: AdmissionEntry): number {
+    if (this.#running < this.#limit.value && this.#queue.length === 0) {
+      return 0;
+    }
+    const ahead = this.#queue.getIndex(entry) + 1;
+    return ahead * this.#holdTime.mean / this.#limit.value;
+  }
+
+  #getQueueLimit(): number {
+    return Math.max(1, Math.floor(this.#slots * this.#parameters.queuePerSlot));
+  }
+
+  #getSuspectLimit(): number {
+    return Math.max(1, this.#slots >> 3);
+  }
+
+  #hasRoomFor(entry: AdmissionEntry): boolean {
+    if (entry.isSuspect) {
+      return this.#running === 0;
+    }
+    return !this.#suspectRuns && this.#running < this.#limit.value;
+  }
+
+  #enqueue(entry: AdmissionEntry): void {
+    this.#queue.insert(entry);
+    if (entry.isSuspect) {
+      this.#queuedSuspects++;
+    }
+    if (entry.deadlineMilliseconds < this.#earliestDeadline) {
+      this.#earliestDeadline = entry.deadlineMilliseconds;
+    }
+  }
+
+  #dequeue(entry: AdmissionEntry): void {
+    this.#queue.remove(entry);
+    if (entry.isSuspect) {
+      this.#queuedSuspects--;
+    }
+  }
+
+  #forget(entry: AdmissionEntry): void {
+    this.#entries.delete(entry.id);
+    this.#callers.releaseWhenUnused(entry.use);
+  }
+
+  #refuse(entry: AdmissionEntry, reason: RefusalReason): void {
+    this.#dequeue(entry);
+    this.#forget(entry);
+    this.#events.push({ kind: "refused", id: entry.id, reason });
+  }
+
+  #start(entry: AdmissionEntry, now: number): void {
+    entry.startedMilliseconds = now;
+    entry.use.running++;
+    this.#running++;
+    this.#runningByClass[entry.classIndex] =
+      (this.#runningByClass[entry.classIndex] ?? 0) + 1;
+    if (entry.isSuspect) {
+      this.#suspectRuns = true;
+    }
+    if (this.#running >= this.#limit.value) {
+      this.#limit.onInUse();
+    }
+  }
+
+  #startQueued(now: number): void {
+    while (this.#queue.length > 0) {
+      const entry = this.#getNext();
+      if (entry === undefined || !this.#hasRoomFor(entry)) {
+        return;
+      }
+      const remaining = entry.deadlineMilliseconds - now;
+      if (this.#holdTime.isFresh(now) && remaining < this.#holdTime.mean) {
+        this.#level.onTurnedAway();
+        this.#refuse(entry, "deadline-too-short");
+        continue;
+      }
+      this.#dequeue(entry);
+      this.#start(entry, now);
+      this.#events.push({ kind: "run", id: entry.id });
+    }
+    this.#earliestDeadline = Infinity;
+  }
+
+  /**
+   * Gets the entry to run next: of the most important class that waits, the
+   * first whose caller is within its share, or else the first.
+   */
+  #getNext(): AdmissionEntry | undefined {
+    const first = this.#queue.at(0);
+    if (first === undefined) {
+      return undefined;
+    }
+    const count = this.#queue.getClassCount(first.classIndex);
+    for (let i = 0; i < count; i++) {
+      const entry = this.#queue.at(i);
+      if (entry !== undefined && !this.#isOverRunningShare(entry)) {
+        return entry;
+      }
+    }
+    return first;
+  }
+
+  #expire(now: number): void {
+    if (now < this.#earliestDeadline) {
+      return;
+    }
+    let earliest = Infinity;
+    for (const entry of [...this.#queue.getEntries()]) {
+      if (entry.deadlineMilliseconds <= now) {
+        this.#level.onTurnedAway();
+        this.#refuse(entry, "deadline-exceeded");
+      } else {
+        earliest = Math.min(earliest, entry.deadlineMilliseconds);
+      }
+    }
+    this.#earliestDeadline = earliest;
+  }
+
+  #recordSample(
+    entry: AdmissionEntry,
+    sample: FinishSample,
+    now: number,
+  ): void {
+    const held = now - (entry.startedMilliseconds ?? now);
+    if (sample.kind === "completed") {
+      this.#holdTime.record(held, now);
+      this.#limit.onCompleted(
+        entry.classIndex,
+        sample.serviceMilliseconds,
+        now,
+      );
+    } else if (sample.kind !== "cancelled") {
+      this.#limit.onOverload(now);
+    } else if (held > this.#holdTime.mean) {
+      // A cancelled call would have held its slot at least this long.
+      this.#holdTime.record(held, now);
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/admission_level.ts
@@ -0,0 +1,94 @@
+import { bucketCount } from "./importance.ts";
+
+const windowMilliseconds = 100;
+
+/**
+ * Computes the admission level of one target from the calls that its queue
+ * turned away. Level `n` asks entry nodes to refuse the `n` least important
+ * steps.
+ */
+export class AdmissionLevel {
+  readonly #offered: Float64Array;
+  #windowStart: number;
+  #offeredTotal = 0;
+  #turnedAway = 0;
+  #level = 0;
+  #decrease = 1;
+  #maximumDecrease: number;
+
+  /**
+   * @param classCount Number of classes.
+   * @param options Start time and largest decrease per window.
+   */
+  constructor(
+    classCount: number,
+    options: { nowMilliseconds: number; maximumDecrease: number },
+  ) {
+    this.#offered = new Float64Array(classCount * bucketCount);
+    this.#windowStart = options.nowMilliseconds;
+    this.#maximumDecrease = options.maximumDecrease;
+  }
+
+  /** Sets the largest number of steps by which the level falls in a window. */
+  setMaximumDecrease(steps: number): void {
+    this.#maximumDecrease = steps;
+  }
+
+  /** Records an offered call. */
+  onOffered(importance: number): void {
+    const last = this.#offered.length - 1;
+    const step = importance < last ? importance : last;
+    this.#offered[step] = (this.#offered[step] ?? 0) + 1;
+    this.#offeredTotal++;
+  }
+
+  /** Records a call that was refused or evicted for lack of capacity. */
+  onTurnedAway(): void {
+    this.#turnedAway++;
+  }
+
+  /** Gets the level; 0 is open. */
+  get(nowMilliseconds: number, isBusy: boolean): number {
+    const windows = Math.floor(
+      (nowMilliseconds - this.#windowStart) / windowMilliseconds,
+    );
+    if (windows > 0) {
+      this.#closeWindow(isBusy);
+      for (let i = 1; i < Math.min(windows, 64) && this.#level > 0; i++) {
+        this.#fall();
+      }
+      this.#windowStart += windows * windowMilliseconds;
+    }
+    return this.#level;
+  }
+
+  #closeWindow(isBusy: boolean): void {
+    if (this.#turnedAway > 0) {
+      this.#rise(this.#turnedAway / Math.max(1, this.#offeredTotal));
+    } else if (!isBusy) {
+      this.#fall();
+    }
+    this.#offered.fill(0);
+    this.#offeredTotal = 0;
+    this.#turnedAway = 0;
+  }
+
+  /** Cuts the least important steps that held the share turned away. */
+  #rise(share: number): void {
+    this.#decrease = 1;
+    const target = Math.min(share, 0.5) * this.#offeredTotal;
+    const steps = this.#offered.length;
+    let cut = 0;
+    let step = steps - this.#level;
+    while (step > 1 && cut < target) {
+      step--;
+      cut += this.#offered[step] ?? 0;
+    }
+    this.#level = steps - step;
+  }
+
+  #fall(): void {
+    this.#level = Math.max(0, this.#level - this.#decrease);
+    this.#decrease = Math.min(this.#decrease * 2, this.#maximumDecrease);
+  }
+}
--- /dev/null
+++ b/src/admission/admission_types.ts
@@ -0,0 +1,60 @@
+import type { Clock } from "../common/mod.ts";
+import type { Objective } from "../document/mod.ts";
+import type { RefusalReason } from "../request/mod.ts";
+
+/** A call that wants to run at the target. */
+export interface AdmissionRequest {
+  /** Unique among the calls at this target. */
+  readonly id: string;
+  readonly caller: string;
+  /** Index of the class; 0 is the most important. */
+  readonly classIndex: number;
+  /** Number of calls above this one in the request. */
+  readonly depth: number;
+  /** `getStableHash` of the identity of the whole request. */
+  readonly hash: number;
+  readonly remainingMilliseconds: number;
+  /** Whether the call must run with nothing else in flight. */
+  readonly isSuspect: boolean;
+}
+
+/** What becomes of a call when it is offered. */
+export type AdmissionDecision =
+  | { readonly kind: "run" }
+  | { readonly kind: "queued" }
+  | { readonly kind: "refused"; readonly reason: RefusalReason };
+
+/** What became of a queued call. */
+export type AdmissionEvent =
+  | { readonly kind: "run"; readonly id: string }
+  | {
+    readonly kind: "refused";
+    readonly id: string;
+    readonly reason: RefusalReason;
+  };
+
+/** How a running call ended. */
+export interface FinishSample {
+  readonly kind: "completed" | "shed" | "unreachable" | "cancelled";
+  /** Time at the target less the time it waited for its own calls. */
+  readonly serviceMilliseconds: number;
+}
+
+/** Options of an admission controller. */
+export interface AdmissionOptions {
+  /** Calls that the target runs at once, as declared. */
+  readonly slots: number;
+  readonly classCount: number;
+  readonly objective: Objective;
+  /** Largest share of a class for one caller while others wait, 0 to 1. */
+  readonly callerShare: number;
+  readonly clock: Clock;
+}
+
+/** State of an admission controller. */
+export interface AdmissionStatus {
+  readonly limit: number;
+  readonly running: number;
+  readonly queued: number;
+  readonly level: number;
+}
--- /dev/null
+++ b/src/admission/caller_table.ts
@@ -0,0 +1,36 @@
+/** What one caller holds in one class. */
+export interface CallerUse {
+  readonly caller: string;
+  readonly classIndex: number;
+  running: number;
+  queued: number;
+}
+
+/** Counts what each caller holds; forgets callers that hold nothing. */
+export class CallerTable {
+  readonly #classes: Map<string, CallerUse>[];
+
+  /** @param classCount Number of classes. */
+  constructor(classCount: number) {
+    this.#classes = Array.from({ length: classCount }, () => new Map());
+  }
+
+  /** Gets the counts of a caller in a class, and creates them at zero. */
+  get(caller: string, classIndex: number): CallerUse {
+    const uses = this.#classes[classIndex];
+    const known = uses?.get(caller);
+    if (known !== undefined) {
+      return known;
+    }
+    const use = { caller, classIndex, running: 0, queued: 0 };
+    uses?.set(caller, use);
+    return use;
+  }
+
+  /** Forgets a caller that holds nothing any more. */
+  releaseWhenUnused(use: CallerUse): void {
+    if (use.running === 0 && use.queued === 0) {
+      this.#classes[use.classIndex]?.delete(use.caller);
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/level_table.ts
@@ -0,0 +1,108 @@
+import type { Clock } from "../common/mod.ts";
+import { bucketCount } from "./importance.ts";
+
+const probeMilliseconds = 250;
+const probeInterval = 100;
+/** A level fades once nothing was heard of it for this long. */
+const fadeAfterMilliseconds = 1000;
+const fadeHalfLifeMilliseconds = 500;
+
+/** Options of a level table. */
+export interface LevelTableOptions {
+  readonly clock: Clock;
+  readonly classCount: number;
+}
+
+interface LevelEntry {
+  level: number;
+  heardMilliseconds: number;
+}
+
+/** Admission levels heard from other services, at the entry node. */
+export class LevelTable {
+  readonly #clock: Clock;
+  readonly #steps: number;
+  readonly #entries = new Map<string, LevelEntry>();
+  #shedSinceProbe = 0;
+  #probedMilliseconds = -Infinity;
+
+  /** @param options Clock and number of classes. */
+  constructor(options: LevelTableOptions) {
+    this.#clock = options.clock;
+    this.#steps = options.classCount * bucketCount;
+  }
+
+  /**
+   * Records a level heard from a service.
+   * @param service Name of the service.
+   * @param level Its level; 0 is open.
+   */
+  record(service: string, level: number): void {
+    const bounded = Math.min(Math.max(level, 0), this.#steps - 1);
+    const now = this.#clock.monotonicMilliseconds();
+    const entry = this.#entries.get(service);
+    if (entry !== undefined) {
+      entry.level = bounded;
+      entry.heardMilliseconds = now;
+    } else if (bounded > 0) {
+      this.#entries.set(service, { level: bounded, heardMilliseconds: now });
+    }
+  }
+
+  /**
+   * Decides whether a call should be refused because one of the services that
+   * it reaches would refuse it. Lets a probe share through.
+   * @param services Services that the route reaches.
+   * @param importance `getImportance` of the call.
+   * @returns Whether to refuse the call.
+   */
+  shouldShed(services: readonly string[], importance: number): boolean {
+    if (this.#entries.size === 0) {
+      return false;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    for (const service of services) {
+      const level = this.#getLevel(service, now);
+      if (level > 0 && importance >= this.#steps - level) {
+        return !this.#takeProbe(now);
+      }
+    }
+    return false;
+  }
+
+  /** Gets the levels that are not open. */
+  getEntries(): readonly { service: string; level: number }[] {
+    const now = this.#clock.monotonicMilliseconds();
+    return [...this.#entries.keys()]
+      .map((service) => ({ service, level: this.#getLevel(service, now) }))
+      .filter(({ level }) => level > 0);
+  }
+
+  #getLevel(service: string, now: number): number {
+    const entry = this.#entries.get(service);
+    if (entry === undefined) {
+      return 0;
+    }
+    const silent = now - entry.heardMilliseconds - fadeAfterMilliseconds;
+    const level = silent <= 0
+      ? entry.level
+      : Math.floor(entry.level * 0.5 ** (silent / fadeHalfLifeMilliseconds));
+    if (level === 0) {
+      this.#entries.delete(service);
+    }
+    return level;
+  }
+
+  #takeProbe(now: number): boolean {
+    this.#shedSinceProbe++;
+    if (
+      this.#shedSinceProbe < probeInterval &&
+      now - this.#probedMilliseconds < probeMilliseconds
+    ) {
+      return false;
+    }
+    this.#shedSinceProbe = 0;
+    this.#probedMilliseconds = now;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/admission/objective_parameters.ts
@@ -0,0 +1,31 @@
+import type { Objective } from "../document/mod.ts";
+
+/** Parameters of admission that the objective decides. */
+export interface ObjectiveParameters {
+  /** Queue length as a multiple of the slots. */
+  readonly queuePerSlot: number;
+  /** Slots added per second while the limit is in use, as a share of slots. */
+  readonly limitIncreasePerSecond: number;
+  /** Largest number of steps by which the level falls in one window. */
+  readonly maximumLevelDecrease: number;
+}
+
+const parameters: Readonly<Record<Objective, ObjectiveParameters>> = {
+  goodput: {
+    queuePerSlot: 2,
+    limitIncreasePerSecond: 0.5,
+    maximumLevelDecrease: 16,
+  },
+  recovery: {
+    queuePerSlot: 0.5,
+    limitIncreasePerSecond: 2,
+    maximumLevelDecrease: 48,
+  },
+};
+
+/** Gets the parameters of admission for an objective. */
+export function getObjectiveParameters(
+  objective: Objective,
+): ObjectiveParameters {
+  return parameters[objective];
+}
--- /dev/null
+++ b/src/retries/decide_retry.ts
@@ -0,0 +1,151 @@
+import type { RandomSource } from "../common/mod.ts";
+import type { Objective } from "../document/mod.ts";
+import type { Disposition, RefusalReason } from "../request/mod.ts";
+
+/** Why a retry is safe. */
+export type RetryReason = "not-run" | "idempotent";
+
+/** Why no retry is made. */
+export type RetryStopReason =
+  | "ran"
+  | "not-idempotent"
+  | "not-retryable"
+  | "suspect"
+  | "maximum-retries"
+  | "allowance-spent"
+  | "retry-ratio"
+  | "service-refusing"
+  | "deadline";
+
+/** What is known after a failed attempt. */
+export interface RetryState {
+  readonly disposition: Disposition;
+  readonly reason: RefusalReason;
+  /** Attempts made so far for this call, at least 1. */
+  readonly attempts: number;
+  readonly isIdempotent: boolean;
+  readonly isSuspect: boolean;
+  /** Attempts left in the allowance of the node. */
+  readonly remainingAllowance: number;
+  readonly remainingMilliseconds: number;
+  /** Whether the retry ratio has a token; the caller takes it on a retry. */
+  readonly hasRatioToken: boolean;
+  readonly isServiceRefusing: boolean;
+}
+
+/** What the decision depends on besides the attempt. */
+export interface RetryOptions {
+  readonly objective: Objective;
+  /** Attempts that the callee takes without retries, itself included. */
+  readonly need: number;
+  readonly random: RandomSource;
+  /** Time that an attempt usually takes; 0 when not known. */
+  readonly expectedMilliseconds?: number;
+}
+
+/** Whether and when to try again. */
+export type RetryDecision =
+  | {
+    readonly kind: "retry";
+    readonly delayMilliseconds: number;
+    readonly reason: RetryReason;
+  }
+  | { readonly kind: "stop"; readonly reason: RetryStopReason };
+
+interface BackOff {
+  readonly baseMilliseconds: number;
+  readonly maximumMilliseconds: number;
+  readonly maximumRetries: number;
+}
+
+const backOffs: Readonly<Record<Objective, BackOff>> = {
+  goodput: {
+    baseMilliseconds: 20,
+    maximumMilliseconds: 400,
+    maximumRetries: 3,
+  },
+  recovery: { baseMilliseconds: 5, maximumMilliseconds: 50, maximumRetries: 1 },
+};
+
+/** Reasons that concern one target, where another one can do better. */
+const immediateReasons: ReadonlySet<RefusalReason> = new Set([
+  "target-draining",
+  "target-unreachable",
+  "node-unreachable",
+  "stopping",
+]);
+
+/** Reasons that can be gone after a while. */
+const delayedReasons: ReadonlySet<RefusalReason> = new Set([
+  "queue-full",
+  "evicted",
+  "target-shed",
+  "target-reset",
+  "target-timeout",
+  "answer-incomplete",
+]);
+
+/**
+ * Decides whether a failed attempt is made again.
+ * @param state What is known after the attempt.
+ * @param options Objective, need and random source.
+ * @returns The delay before the next attempt, or why there is none.
+ */
+export function decideRetry(
+  state: RetryState,
+  options: RetryOptions,
+): RetryDecision {
+  const stopReason = getStopReason(state, options);
+  if (stopReason !== undefined) {
+    return { kind: "stop", reason: stopReason };
+  }
+  const delayMilliseconds = getDelay(state, options);
+  const needed = delayMilliseconds + (options.expectedMilliseconds ?? 0);
+  if (needed >= state.remainingMilliseconds) {
+    return { kind: "stop", reason: "deadline" };
+  }
+  const reason = state.disposition === "not-run" ? "not-run" : "idempotent";
+  return { kind: "retry", delayMilliseconds, reason };
+}
+
+function getStopReason(
+  state: RetryState,
+  options: RetryOptions,
+): RetryStopReason | undefined {
+  if (state.disposition === "ran") {
+    return "ran";
+  }
+  if (state.isSuspect) {
+    return "suspect";
+  }
+  if (state.disposition === "unknown" && !state.isIdempotent) {
+    return "not-idempotent";
+  }
+  if (
+    !immediateReasons.has(state.reason) && !delayedReasons.has(state.reason)
+  ) {
+    return "not-retryable";
+  }
+  if (state.attempts > backOffs[options.objective].maximumRetries) {
+    return "maximum-retries";
+  }
+  if (state.remainingAllowance < options.need) {
+    return "allowance-spent";
+  }
+  if (state.isServiceRefusing) {
+    return "service-refusing";
+  }
+  return state.hasRatioToken ? undefined : "retry-ratio";
+}
+
+function getDelay(state: RetryState, options: RetryOptions): number {
+  if (immediateReasons.has(state.reason) && state.attempts === 1) {
+    return 0;
+  }
+  const { baseMilliseconds, maximumMilliseconds } = backOffs[options.objective];
+  const ceiling = Math.min(
+    maximumMilliseconds,
+    baseMilliseconds * 2 ** (state.attempts - 1),
+  );
+  return ceiling * (0.5 + options.random() / 2);
+}
--- /dev/null
+++ b/src/retries/mod.ts
@@ -0,0 +1,12 @@
+export { AllowanceAccount } from "./allowance_account.ts";
+export {
+  decideRetry,
+  type RetryDecision,
+  type RetryOptions,
+  type RetryReason,
+  type RetryState,
+  type RetryStopReason,
+} from "./decide_retry.ts";
+export { ResendCounter, type ResendCounterOptions } from "./resend_counter.ts";
+export { RetryRatio } from "./retry_ratio.ts";
+export { ServiceRefusals } from "./service_refusals.ts";
--- /dev/null
+++ b/src/retries/resend_counter.ts
@@ -0,0 +1,74 @@
+import type { Clock } from "../common/mod.ts";
+
+/** Options of a resend counter. */
+export interface ResendCounterOptions {
+  readonly clock: Clock;
+  /** Sends that are remembered at most, per generation. */
+  readonly capacity?: number;
+  /** Time after which a send is forgotten at the earliest. */
+  readonly windowMilliseconds?: number;
+}
+
+/**
+ * Counts how often a caller sends the same request again. Two generations
+ * bound the memory: when the newer one is full or old, it replaces the older.
+ */
+export class ResendCounter {
+  readonly #clock: Clock;
+  readonly #capacity: number;
+  readonly #windowMilliseconds: number;
+  #current = new Map<string, number>();
+  #previous = new Map<string, number>();
+  #startedMilliseconds: number;
+
+  /** @param options Clock and bounds. */
+  constructor(options: ResendCounterOptions) {
+    this.#clock = options.clock;
+    this.#capacity = options.capacity ?? 10_000;
+    this.#windowMilliseconds = options.windowMilliseconds ?? 10_000;
+    this.#startedMilliseconds = options.clock.monotonicMilliseconds();
+  }
+
+  /**
+   * Records a send.
+   * @param caller The caller.
+   * @param identity Identity of the request, such as its key or fingerprint.
+   * @returns How often the caller sent this request before; 0 for the first.
+   */
+  record(caller: string, identity: string): number {
+    this.#rotateWhenDue();
+    const sends = this.#add(`${caller}\n${identity}`);
+    if (sends > 0) {
+      this.#add(caller);
+    }
+    return sends;
+  }
+
+  /** Gets the resends of a caller in the last window or two. */
+  getResends(caller: string): number {
+    this.#rotateWhenDue();
+    return this.#current.get(caller) ?? this.#previous.get(caller) ?? 0;
+  }
+
+  #add(key: string): number {
+    const count = this.#current.get(key) ?? this.#previous.get(key) ?? 0;
+    this.#current.set(key, count + 1);
+    return count;
+  }
+
+  #rotateWhenDue(): void {
+    const now = this.#clock.monotonicMilliseconds();
+    const age = now - this.#startedMilliseconds;
+    if (
+      age < this.#windowMilliseconds && this.#current.size < this.#capacity
+    ) {
+      return;
+    }
+    // After two windows without a send, both generations are too old.
+    this.#previous = age < 2 * this.#windowMilliseconds
+      ? this.#current
+      : new Map();
+    this.#current = new Map();
+    this.#startedMilliseconds = now;
+  }
+}
--- /dev/null
+++ b/src/retries/retry_ratio.ts
@@ -0,0 +1,40 @@
+const initialTokens = 3;
+const maximumTokens = 10;
+
+/**
+ * Bounds the retries of one node to one service to a share of its first
+ * attempts. A small start amount lets a quiet service retry at all.
+ */
+export class RetryRatio {
+  #ratio: number;
+  #tokens = initialTokens;
+
+  /** @param ratio Retries allowed for each first attempt, 0 to 1. */
+  constructor(ratio: number) {
+    this.#ratio = ratio;
+  }
+
+  /** Changes the ratio. */
+  setRatio(ratio: number): void {
+    this.#ratio = ratio;
+  }
+
+  /** Records a first attempt. */
+  onFirstAttempt(): void {
+    this.#tokens = Math.min(maximumTokens, this.#tokens + this.#ratio);
+  }
+
+  /** Checks whether a retry is allowed. */
+  get hasToken(): boolean {
+    return this.#ratio > 0 && this.#tokens >= 1;
+  }
+
+  /** Takes a token for a retry; returns whether there was one. */
+  take(): boolean {
+    if (!this.hasToken) {
+      return false;
+    }
+    this.#tokens--;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/routing/link_budget.ts
@@ -0,0 +1,118 @@
+import type { LinkRule } from "./routing_types.ts";
+import { TokenBucket } from "./token_bucket.ts";
+
+const burstSeconds = 0.25;
+/** Part of a link that a node uses before it is given a share. */
+const safePart = 1 / 256;
+/** Without news for this long, a node goes back to the safe part. */
+const shareMilliseconds = 10_000;
+const sizeWeight = 0.05;
+const initialCallBytes = 2048;
+
+/**
+ * Byte budget of this node for one direction between two regions. One bucket
+ * is open to every class, the other only to the most important one.
+ */
+export class LinkBudget {
+  readonly rule: LinkRule;
+  readonly #general: TokenBucket;
+  readonly #reserved: TokenBucket;
+  #shareMilliseconds = -Infinity;
+  #isSafePart = true;
+  #meanCallBytes = initialCallBytes;
+  #callsInFlight = 0;
+  #bytesOfFinishedCalls = 0;
+  #finishedCalls = 0;
+  #unreportedBytes = 0;
+
+  /**
+   * @param rule The link.
+   * @param nowMilliseconds Monotonic time.
+   */
+  constructor(rule: LinkRule, nowMilliseconds: number) {
+    this.rule = rule;
+    const share = rule.bytesPerSecond * safePart;
+    const options = { burstSeconds, nowMilliseconds };
+    this.#reserved = new TokenBucket(share * rule.reservedShare, options);
+    this.#general = new TokenBucket(share * (1 - rule.reservedShare), options);
+  }
+
+  /**
+   * Checks whether a call may be sent.
+   * @param bytes Bytes that the call will send; 0 when not known.
+   * @param options Class of the call and time.
+   */
+  hasRoom(
+    bytes: number,
+    options: { isMostImportant: boolean; nowMilliseconds: number },
+  ): boolean {
+    const now = options.nowMilliseconds;
+    this.#returnToSafePart(now);
+    // Calls in flight have not been counted yet.
+    const promised = this.#callsInFlight * this.#meanCallBytes;
+    const needed = Math.max(bytes, this.#meanCallBytes);
+    const general = this.#general.get(now) - promised;
+    return general >= needed || (options.isMostImportant &&
+      Math.min(general, 0) + this.#reserved.get(now) >= needed);
+  }
+
+  /** Records that a call was sent over the link. */
+  onStart(): void {
+    this.#callsInFlight++;
+  }
+
+  /** Records that a call over the link ended. */
+  onFinish(): void {
+    this.#callsInFlight = Math.max(0, this.#callsInFlight - 1);
+    this.#finishedCalls++;
+    if (this.#finishedCalls >= 8) {
+      const mean = this.#bytesOfFinishedCalls / this.#finishedCalls;
+      this.#meanCallBytes += sizeWeight * 8 * (mean - this.#meanCallBytes);
+      this.#finishedCalls = 0;
+      this.#bytesOfFinishedCalls = 0;
+    }
+  }
+
+  /** Records bytes that went over the link. */
+  onBytes(bytes: number, nowMilliseconds: number): void {
+    this.#unreportedBytes += bytes;
+    this.#bytesOfFinishedCalls += bytes;
+    const general = Math.max(0, this.#general.get(nowMilliseconds));
+    const fromGeneral = Math.min(bytes, general);
+    const reserved = Math.max(0, this.#reserved.get(nowMilliseconds));
+    const fromReserved = Math.min(bytes - fromGeneral, reserved);
+    this.#reserved.take(fromReserved);
+    this.#general.take(bytes - fromReserved);
+  }
+
+  /** Changes the share of this node. */
+  setShare(bytesPerSecond: number, nowMilliseconds: number): void {
+    this.#shareMilliseconds = nowMilliseconds;
+    this.#isSafePart = false;
+    this.#setRate(bytesPerSecond, nowMilliseconds);
+  }
+
+  /** Gets the bytes since the last time. */
+  takeBytes(): number {
+    const bytes = this.#unreportedBytes;
+    this.#unreportedBytes = 0;
+    return bytes;
+  }
+
+  #returnToSafePart(nowMilliseconds: number): void {
+    if (
+      !this.#isSafePart &&
+      nowMilliseconds - this.#shareMilliseconds > shareMilliseconds
+    ) {
+      this.#isSafePart = true;
+      this.#setRate(this.rule.bytesPerSecond * safePart, nowMilliseconds);
+    }
+  }
+
+  #setRate(bytesPerSecond: number, nowMilliseconds: number): void {
+    const options = { burstSeconds, nowMilliseconds };
+    const { reservedShare } = this.rule;
+    this.#reserved.setRate(bytesPerSecond * reservedShare, options);
+    this.#general.setRate(bytesPerSecond * (1 - reservedShare), options);
+  }
+}
--- /dev/null
+++ b/src/routing/mod.ts
@@ -0,0 +1,13 @@
+export { type RouteChoice, Router } from "./router.ts";
+export type {
+  AttemptOutcome,
+  LinkBytes,
+  LinkKey,
+  LinkRule,
+  LinkShare,
+  LoadHint,
+  RouteRequest,
+  RouterOptions,
+  RoutingTarget,
+  ServiceRule,
+} from "./routing_types.ts";
--- /dev/null
+++ b/src/routing/router.ts
@@ -0,0 +1,288 @@
+import type { Clock, RandomSource } from "../common/mod.ts";
+import { LinkTable } from "./link_table.ts";
+import type {
+  AttemptOutcome,
+  LinkBytes,
+  LinkKey,
+  LinkRule,
+  LinkShare,
+  LoadHint,
+  RouteRequest,
+  RouterOptions,
+  RoutingTarget,
+  ServiceRule,
+} from "./routing_types.ts";
+import { ServiceView } from "./service_view.ts";
+import type { TargetState } from "./target_state.ts";
+
+/** Load at which a target is saturated, so that farther ones are considered. */
+const saturatedLoad = 1;
+/** Load below which a target of another region has room. */
+const farRoomLoad = 0.8;
+
+const defaultRule: ServiceRule = {
+  slots: 16,
+  connections: 256,
+  warmUpMilliseconds: 0,
+};
+
+/** Where a call goes. */
+export type RouteChoice =
+  | {
+    readonly kind: "target";
+    readonly targetId: string;
+    readonly nodeAddress: string;
+    /** The link that the call crosses; absent inside a region. */
+    readonly link?: LinkKey;
+  }
+  | { readonly kind: "refused"; readonly reason: "no-target" | "link-budget" };
+
+const noTarget: RouteChoice = { kind: "refused", reason: "no-target" };
+const noLinkBudget: RouteChoice = { kind: "refused", reason: "link-budget" };
+
+interface KnownTarget {
+  readonly state: TargetState;
+  readonly view: ServiceView;
+}
+
+/** Chooses the target of each attempt. */
+export class Router {
+  readonly #clock: Clock;
+  readonly #random: RandomSource;
+  readonly #region: string;
+  readonly #availabilityZone: string;
+  readonly #ownTargetId: string | undefined;
+  readonly #links = new LinkTable();
+  readonly #views = new Map<string, ServiceView>();
+  readonly #targets = new Map<string, KnownTarget>();
+
+  /** @param options Place of the node, clock, random source and links. */
+  constructor(options: RouterOptions) {
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#region = options.region;
+    this.#availabilityZone = options.availabilityZone;
+    this.#ownTargetId = options.ownTargetId;
+    this.updateLinks(options.links ?? []);
+  }
+
+  /** Changes the capacity of the targets of a service. */
+  updateService(service: string, rule: ServiceRule): void {
+    this.#getView(service).rule = rule;
+  }
+
+  /** Replaces the links of the document. */
+  updateLinks(links: readonly LinkRule[]): void {
+    this.#links.update(links, this.#clock.monotonicMilliseconds());
+  }
+
+  /** Replaces the known targets of a service. */
+  updateView(service: string, targets: readonly RoutingTarget[]): void {
+    const view = this.#getView(service);
+    const now = this.#clock.monotonicMilliseconds();
+    const { added, removed } = view.update(targets, now);
+    for (const { target } of removed) {
+      this.#targets.delete(target.targetId);
+    }
+    for (const state of added) {
+      this.#targets.set(state.target.targetId, { state, view });
+    }
+  }
+
+  /**
+   * Chooses a target and counts the attempt as in flight there; `onFinish`
+   * must follow.
+   * @param request The call.
+   * @returns The target, or why there is none.
+   */
+  choose(request: RouteRequest): RouteChoice {
+    const view = this.#views.get(request.service);
+    if (view === undefined) {
+      return noTarget;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    view.returnEjected(now);
+    const own = this.#getOwn(view, request, now);
+    if (own !== undefined) {
+      return this.#start(own);
+    }
+    const options = {
+      rule: view.rule,
+      excluded: request.excluded,
+      nowMilliseconds: now,
+      random: this.#random,
+    };
+    const inZone = view.zone.choose(options);
+    if (
+      inZone !== undefined && inZone.getLoad(view.rule, now) <= saturatedLoad
+    ) {
+      return this.#start(inZone);
+    }
+    const inRegion = view.region.choose(options);
+    if (
+      inRegion !== undefined &&
+      inRegion.getLoad(view.rule, now) <= saturatedLoad
+    ) {
+      return this.#start(inRegion);
+    }
+    const near = getLessLoaded(inZone, inRegion, view.rule, now);
+    const far = this.#chooseFar(view, request, options, near !== undefined);
+    if (far !== undefined && far !== "link-budget") {
+      return far;
+    }
+    if (near !== undefined) {
+      return this.#start(near);
+    }
+    return far === undefined ? noTarget : noLinkBudget;
+  }
+
+  /**
+   * Records the end of an attempt.
+   * @param targetId The target that `choose` returned.
+   * @param outcome How it ended.
+   */
+  onFinish(targetId: string, outcome: AttemptOutcome): void {
+    const known = this.#targets.get(targetId);
+    if (known === undefined) {
+      return; // the target left the view meanwhile
+    }
+    const { state, view } = known;
+    const now = this.#clock.monotonicMilliseconds();
+    state.inFlight = Math.max(0, state.inFlight - 1);
+    if (state.target.region !== this.#region) {
+      this.#links.get(this.#region, state.target.region)?.onFinish();
+    }
+    if (outcome.hint !== undefined) {
+      state.onHint(outcome.hint, now);
+    }
+    if (outcome.kind === "completed" || outcome.kind === "refused") {
+      state.onSuccess(now);
+    } else if (outcome.kind !== "cancelled") {
+      if (state.onFailure(outcome.kind === "unreachable")) {
+        view.eject(state, now);
+      }
+    }
+  }
+
+  /** Records the load of a target, such as that of the node's own. */
+  onHint(targetId: string, hint: LoadHint): void {
+    this.#targets.get(targetId)?.state.onHint(
+      hint,
+      this.#clock.monotonicMilliseconds(),
+    );
+  }
+
+  /** Sends no new work to a target from now on. */
+  drain(targetId: string): void {
+    this.#targets.get(targetId)?.view.drain(targetId);
+  }
+
+  /** Records bytes that went over a link. */
+  onLinkBytes(link: LinkKey, bytes: number): void {
+    this.#links.onBytes(link, bytes, this.#clock.monotonicMilliseconds());
+  }
+
+  /** Gets the bytes of each link since the last time. */
+  takeLinkBytes(): LinkBytes[] {
+    return this.#links.takeBytes();
+  }
+
+  /** Changes the shares of this node. */
+  updateLinkShares(shares: readonly LinkShare[]): void {
+    this.#links.updateShares(shares, this.#clock.monotonicMilliseconds());
+  }
+
+  /** Gets the numbers of known and of ejected targets of a service. */
+  getStatus(service: string): { targets: number; ejected: number } {
+    const view = this.#views.get(service);
+    return { targets: view?.size ?? 0, ejected: view?.ejectedCount ?? 0 };
+  }
+
+  #getView(service: string): ServiceView {
+    const known = this.#views.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const view = new ServiceView(defaultRule, {
+      region: this.#region,
+      availabilityZone: this.#availabilityZone,
+    });
+    this.#views.set(service, view);
+    return view;
+  }
+
+  #getOwn(
+    view: ServiceView,
+    request: RouteRequest,
+    now: number,
+  ): TargetState | undefined {
+    if (
+      this.#ownTargetId === undefined ||
+      request.excluded.has(this.#ownTargetId)
+    ) {
+      return undefined;
+    }
+    const own = view.get(this.#ownTargetId);
+    return own !== undefined && own.canTake(view.rule) &&
+        own.getLoad(view.rule, now) <= saturatedLoad
+      ? own
+      : undefined;
+  }
+
+  #chooseFar(
+    view: ServiceView,
+    request: RouteRequest,
+    options: Parameters<ServiceView["zone"]["choose"]>[0],
+    hasNear: boolean,
+  ): RouteChoice | "link-budget" | undefined {
+    const count = view.otherRegions.length;
+    const start = Math.floor(this.#random() * count);
+    let isOverBudget = false;
+    for (let i = 0; i < count; i++) {
+      const other = view.otherRegions[(start + i) % count];
+      const state = other?.tier.choose(options);
+      if (other === undefined || state === undefined) {
+        continue;
+      }
+      const load = state.getLoad(view.rule, options.nowMilliseconds);
+      if (hasNear && load > farRoomLoad) {
+        continue;
+      }
+      const hasBudget = this.#links.get(this.#region, other.region)?.hasRoom(
+        request.expectedBytes ?? 0,
+        {
+          isMostImportant: request.classIndex === 0,
+          nowMilliseconds: options.nowMilliseconds,
+        },
+      ) ?? true;
+      if (hasBudget) {
+        return this.#start(state);
+      }
+      isOverBudget = true;
+    }
+    return isOverBudget ? "link-budget" : undefined;
+  }
+
+  #start(state: TargetState): RouteChoice {
+    state.inFlight++;
+    const { targetId, nodeAddress, region } = state.target;
+    if (region === this.#region) {
+      return { kind: "target", targetId, nodeAddress };
+    }
+    this.#links.get(this.#region, region)?.onStart();
+    const link = { from: this.#region, to: region };
+    return { kind: "target", targetId, nodeAddress, link };
+  }
+}
+
+function getLessLoaded(
+  a: TargetState | undefined,
+  b: TargetState | undefined,
+  rule: ServiceRule,
+  now: number,
+): TargetState | undefined {
+  if (a === undefined || b === undefined) {
+    return a ?? b;
+  }
+  return b.getLoad(rule, now) < a.getLoad(rule, now) ? b : a;
+}
--- /dev/null
+++ b/src/routing/service_view.ts
@@ -0,0 +1,179 @@
+import type { RoutingTarget, ServiceRule } from "./routing_types.ts";
+import { TargetState } from "./target_state.ts";
+import { TargetTier } from "./target_tier.ts";
+
+/** Largest part of a view that is ejected at once. */
+const maximumEjectedPart = 1 / 3;
+
+/** Place of the node that routes. */
+export interface NodePlace {
+  readonly region: string;
+  readonly availabilityZone: string;
+}
+
+/** Targets of one service, by nearness. */
+export class ServiceView {
+  rule: ServiceRule;
+  readonly zone = new TargetTier();
+  readonly region = new TargetTier();
+  /** Tiers of the other regions. */
+  readonly otherRegions: { region: string; tier: TargetTier }[] = [];
+  readonly #place: NodePlace;
+  readonly #states = new Map<string, TargetState>();
+  /** Ejected targets, in no order; at most a part of the view. */
+  readonly #ejected = new Set<TargetState>();
+  #nextReturnMilliseconds = Infinity;
+
+  /**
+   * @param rule Capacity of the targets.
+   * @param place Place of the node.
+   */
+  constructor(rule: ServiceRule, place: NodePlace) {
+    this.rule = rule;
+    this.#place = place;
+  }
+
+  /** Number of known targets. */
+  get size(): number {
+    return this.#states.size;
+  }
+
+  /** Number of ejected targets. */
+  get ejectedCount(): number {
+    return this.#ejected.size;
+  }
+
+  /** Gets a target by its id. */
+  get(targetId: string): TargetState | undefined {
+    return this.#states.get(targetId);
+  }
+
+  /**
+   * Replaces the known targets; what was learned about those that stay is
+   * kept.
+   * @returns The targets that are new and those that are gone.
+   */
+  update(
+    targets: readonly RoutingTarget[],
+    nowMilliseconds: number,
+  ): { added: TargetState[]; removed: TargetState[] } {
+    const listed = new Set<string>();
+    const added: TargetState[] = [];
+    const removed: TargetState[] = [];
+    for (const target of targets) {
+      listed.add(target.targetId);
+      const known = this.#states.get(target.targetId);
+      if (known !== undefined && isSameTarget(known.target, target)) {
+        this.#setDraining(known, target);
+        continue;
+      }
+      if (known !== undefined) {
+        this.#remove(known);
+        removed.push(known);
+      }
+      added.push(this.#add(target, nowMilliseconds));
+    }
+    for (const state of this.#states.values()) {
+      if (!listed.has(state.target.targetId)) {
+        this.#remove(state);
+        removed.push(state);
+      }
+    }
+    return { added, removed };
+  }
+
+  /** Marks a target as draining at once. */
+  drain(targetId: string): void {
+    const state = this.#states.get(targetId);
+    if (state !== undefined) {
+      this.#setDraining(state, { ...state.target, isDraining: true });
+    }
+  }
+
+  /** Ejects a target unless too large a part of the view is ejected. */
+  eject(state: TargetState, nowMilliseconds: number): void {
+    const limit = Math.floor(this.#states.size * maximumEjectedPart);
+    if (state.phase !== "usable" || this.#ejected.size >= limit) {
+      return;
+    }
+    this.#getTier(state.target).remove(state);
+    state.eject(nowMilliseconds);
+    this.#ejected.add(state);
+    this.#nextReturnMilliseconds = Math.min(
+      this.#nextReturnMilliseconds,
+      state.ejectedUntilMilliseconds,
+    );
+  }
+
+  /** Returns the targets whose ejection has ended. */
+  returnEjected(nowMilliseconds: number): void {
+    if (nowMilliseconds < this.#nextReturnMilliseconds) {
+      return;
+    }
+    let next = Infinity;
+    for (const state of this.#ejected) {
+      if (state.ejectedUntilMilliseconds > nowMilliseconds) {
+        next = Math.min(next, state.ejectedUntilMilliseconds);
+        continue;
+      }
+      this.#ejected.delete(state);
+      state.returnOnProbation();
+      this.#getTier(state.target).add(state);
+    }
+    this.#nextReturnMilliseconds = next;
+  }
+
+  #add(target: RoutingTarget, nowMilliseconds: number): TargetState {
+    const state = new TargetState(target, nowMilliseconds);
+    this.#states.set(target.targetId, state);
+    if (target.isDraining) {
+      state.phase = "draining";
+    } else {
+      this.#getTier(target).add(state);
+    }
+    return state;
+  }
+
+  #remove(state: TargetState): void {
+    this.#states.delete(state.target.targetId);
+    this.#ejected.delete(state);
+    this.#getTier(state.target).remove(state);
+  }
+
+  #setDraining(state: TargetState, target: RoutingTarget): void {
+    const wasDraining = state.phase === "draining";
+    state.target = target;
+    if (target.isDraining && !wasDraining) {
+      this.#getTier(target).remove(state);
+      this.#ejected.delete(state);
+      state.phase = "draining";
+    } else if (!target.isDraining && wasDraining) {
+      state.phase = "usable";
+      this.#getTier(target).add(state);
+    }
+  }
+
+  #getTier(target: RoutingTarget): TargetTier {
+    if (target.region !== this.#place.region) {
+      return this.#getRegionTier(target.region);
+    }
+    return target.availabilityZone === this.#place.availabilityZone
+      ? this.zone
+      : this.region;
+  }
+
+  #getRegionTier(region: string): TargetTier {
+    const known = this.otherRegions.find((each) => each.region === region);
+    if (known !== undefined) {
+      return known.tier;
+    }
+    const tier = new TargetTier();
+    this.otherRegions.push({ region, tier });
+    return tier;
+  }
+}
+
+function isSameTarget(a: RoutingTarget, b: RoutingTarget): boolean {
+  return a.incarnation === b.incarnation && a.nodeAddress === b.nodeAddress &&
+    a.region === b.region && a.availabilityZone === b.availabilityZone;
+}
--- /dev/null
+++ b/src/routing/target_state.ts
@@ -0,0 +1,123 @@
+import type { LoadHint, RoutingTarget, ServiceRule } from "./routing_types.ts";
+
+/** A hint loses half of its effect in this time. */
+const hintHalfLifeMilliseconds = 200;
+/** Part of its capacity that a cold target gets at first. */
+const coldWeight = 0.1;
+/** Consecutive broken calls after which a target is an outlier. */
+const failuresToEject = 3;
+const firstEjectionMilliseconds = 1000;
+const longestEjectionMilliseconds = 30_000;
+
+/** Where a target stands among the targets of its service. */
+export type TargetPhase = "usable" | "draining" | "ejected";
+
+/** What a node knows about one target. */
+export class TargetState {
+  target: RoutingTarget;
+  phase: TargetPhase = "usable";
+  /** Position in the list of its tier; -1 when it is in none. */
+  tierIndex = -1;
+  inFlight = 0;
+  consecutiveFailures = 0;
+  /** Whether the target came back from ejection and must prove itself. */
+  isOnProbation = false;
+  /** Monotonic time at which the ejection ends. */
+  ejectedUntilMilliseconds = 0;
+  #ejections = 0;
+  #readyMilliseconds: number;
+  #hintedLoad = 0;
+  #hintLimit = 0;
+  #hintInFlight = 0;
+  #hintMilliseconds = -Infinity;
+
+  /**
+   * @param target The target.
+   * @param nowMilliseconds Monotonic time.
+   */
+  constructor(target: RoutingTarget, nowMilliseconds: number) {
+    this.target = target;
+    this.#readyMilliseconds = nowMilliseconds - target.ageMilliseconds;
+  }
+
+  /** Checks whether one more call can be sent. */
+  canTake(rule: ServiceRule): boolean {
+    return this.phase === "usable" && this.inFlight < rule.connections &&
+      !(this.isOnProbation && this.inFlight > 0);
+  }
+
+  /**
+   * Gets the load as a share of the capacity, with the call that is about to
+   * be sent; above 1 the target is saturated.
+   */
+  getLoad(rule: ServiceRule, nowMilliseconds: number): number {
+    const limit = this.#hintLimit > 0 ? this.#hintLimit : rule.slots;
+    const calls = 1 + this.consecutiveFailures +
+      Math.max(this.inFlight, this.#getHintedCalls(nowMilliseconds));
+    return calls / (limit * this.#getWeight(rule, nowMilliseconds));
+  }
+
+  /** Records the load that the target's node stated. */
+  onHint(hint: LoadHint, nowMilliseconds: number): void {
+    this.#hintedLoad = hint.running + hint.queued;
+    this.#hintLimit = hint.limit;
+    this.#hintInFlight = this.inFlight;
+    this.#hintMilliseconds = nowMilliseconds;
+  }
+
+  /** Records a call that shows the target works. */
+  onSuccess(nowMilliseconds: number): void {
+    this.consecutiveFailures = 0;
+    if (this.isOnProbation) {
+      this.isOnProbation = false;
+      this.#readyMilliseconds = nowMilliseconds;
+    }
+    this.#ejections = 0;
+  }
+
+  /**
+   * Records a failed call.
+   * @param isUnreachable Whether no connection could be made.
+   * @returns Whether the target is an outlier now.
+   */
+  onFailure(isUnreachable: boolean): boolean {
+    this.consecutiveFailures++;
+    return isUnreachable || this.isOnProbation ||
+      this.consecutiveFailures >= failuresToEject;
+  }
+
+  /** Ejects the target for a time that doubles with each repetition. */
+  eject(nowMilliseconds: number): void {
+    this.phase = "ejected";
+    this.isOnProbation = false;
+    this.ejectedUntilMilliseconds = nowMilliseconds + Math.min(
+      longestEjectionMilliseconds,
+      firstEjectionMilliseconds * 2 ** this.#ejections,
+    );
+    this.#ejections++;
+  }
+
+  /** Ends the ejection; one call at a time goes there until one succeeds. */
+  returnOnProbation(): void {
+    this.phase = "usable";
+    this.isOnProbation = true;
+    this.consecutiveFailures = 0;
+  }
+
+  /** Gets the calls of all nodes at the target, as far as they are known. */
+  #getHintedCalls(nowMilliseconds: number): number {
+    const age = nowMilliseconds - this.#hintMilliseconds;
+    if (age > 10 * hintHalfLifeMilliseconds) {
+      return 0;
+    }
+    const since = this.inFlight - this.#hintInFlight;
+    return this.#hintedLoad * 0.5 ** (age / hintHalfLifeMilliseconds) + since;
+  }
+
+  #getWeight(rule: ServiceRule, nowMilliseconds: number): number {
+    const age = nowMilliseconds - this.#readyMilliseconds;
+    return age >= rule.warmUpMilliseconds
+      ? 1
+      : Math.max(coldWeight, age / rule.warmUpMilliseconds);
+  }
+}
--- /dev/null
+++ b/src/routing/target_tier.ts
@@ -0,0 +1,83 @@
+import type { RandomSource } from "../common/mod.ts";
+import type { ServiceRule } from "./routing_types.ts";
+import type { TargetState } from "./target_state.ts";
+
+const samples = 2;
+/** Positions that are looked at when the sampled ones can take no call. */
+const maximumScan = 32;
+
+/** What a choice within a tier depends on. */
+export interface TierChoiceOptions {
+  readonly rule: ServiceRule;
+  readonly excluded: ReadonlySet<string>;
+  readonly nowMilliseconds: number;
+  readonly random: RandomSource;
+}
+
+/** Usable targets of one service that are equally near. */
+export class TargetTier {
+  readonly #states: TargetState[] = [];
+
+  get length(): number {
+    return this.#states.length;
+  }
+
+  /** Adds a target. */
+  add(state: TargetState): void {
+    state.tierIndex = this.#states.length;
+    this.#states.push(state);
+  }
+
+  /** Removes a target in constant time; a target that is not here is left. */
+  remove(state: TargetState): void {
+    const index = state.tierIndex;
+    if (index < 0 || this.#states[index] !== state) {
+      return;
+    }
+    const last = this.#states.pop();
+    if (last !== undefined && last !== state) {
+      this.#states[index] = last;
+      last.tierIndex = index;
+    }
+    state.tierIndex = -1;
+  }
+
+  /**
+   * Chooses the less loaded of two random targets.
+   * @returns The target; `undefined` when none can take the call.
+   */
+  choose(options: TierChoiceOptions): TargetState | undefined {
+    const count = this.#states.length;
+    if (count === 0) {
+      return undefined;
+    }
+    const start = Math.floor(options.random() * count);
+    // A step from 1 to count - 1 makes the second position another target.
+    const step = count === 1
+      ? 1
+      : 1 + Math.floor(options.random() * (count - 1));
+    let best: TargetState | undefined;
+    let bestLoad = Infinity;
+    let found = 0;
+    const limit = Math.min(count, maximumScan);
+    for (let i = 0; i < limit && found < samples; i++) {
+      const offset = i === 0 ? 0 : step + i - 1;
+      const state = this.#states[(start + offset) % count];
+      if (state === undefined || !canTake(state, options)) {
+        continue;
+      }
+      found++;
+      const load = state.getLoad(options.rule, options.nowMilliseconds);
+      if (load < bestLoad) {
+        best = state;
+        bestLoad = load;
+      }
+    }
+    return best;
+  }
+}
+
+function canTake(state: TargetState, options: TierChoiceOptions): boolean {
+  return state.canTake(options.rule) &&
+    !options.excluded.has(state.target.targetId);
+}
