--- /dev/null
+++ b/src/admission/admission_controller_test.ts
@@ -0,0 +1,282 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { ManualClock } from "../common/mod.ts";
+import { AdmissionController } from "./admission_controller.ts";
+import type { AdmissionRequest } from "./admission_types.ts";
+
+const completed = { kind: "completed", serviceMilliseconds: 10 } as const;
+
+function createController(
+  options: { slots: number; objective?: "goodput" | "recovery" },
+): { clock: ManualClock; controller: AdmissionController } {
+  const clock = new ManualClock();
+  const controller = new AdmissionController({
+    classCount: 3,
+    objective: "goodput",
+    callerShare: 0.5,
+    clock,
+    ...options,
+  });
+  return { clock, controller };
+}
+
+let count = 0;
+function createRequest(change: Partial<AdmissionRequest>): AdmissionRequest {
+  count++;
+  return {
+    id: `call ${count}`,
+    caller: `caller ${count}`,
+    classIndex: 0,
+    depth: 1,
+    hash: Math.imul(count, 2654435761) >>> 0,
+    remainingMilliseconds: 1000,
+    isSuspect: false,
+    ...change,
+  };
+}
+
+/** Follows a controller and checks the rules at each step. */
+class Checker {
+  readonly waiting = new Map<string, AdmissionRequest>();
+  readonly running = new Map<string, AdmissionRequest>();
+  readonly answered = new Set<string>();
+  readonly controller: AdmissionController;
+
+  constructor(controller: AdmissionController) {
+    this.controller = controller;
+  }
+
+  offer(request: AdmissionRequest): void {
+    const decision = this.controller.offer(request);
+    this.takeEvents();
+    if (decision.kind === "queued") {
+      this.waiting.set(request.id, request);
+      this.takeEvents();
+    } else {
+      this.#answer(request.id);
+      if (decision.kind === "run") {
+        this.#start(request);
+      }
+    }
+  }
+
+  finish(index: number, kind: "completed" | "shed" | "cancelled"): void {
+    const ids = [...this.running.keys()];
+    const id = ids[index % Math.max(1, ids.length)];
+    if (id !== undefined) {
+      this.running.delete(id);
+      this.controller.finish(id, { kind, serviceMilliseconds: index });
+      this.takeEvents();
+    }
+  }
+
+  cancel(index: number): void {
+    const ids = [...this.waiting.keys()];
+    const id = ids[index % Math.max(1, ids.length)];
+    if (id !== undefined) {
+      this.waiting.delete(id);
+      this.#answer(id);
+      this.controller.cancel(id);
+      this.takeEvents();
+    }
+  }
+
+  takeEvents(): void {
+    for (const event of this.controller.takeEvents()) {
+      const request = this.waiting.get(event.id);
+      assert.ok(request !== undefined, `event for ${event.id}, not queued`);
+      this.waiting.delete(event.id);
+      this.#answer(event.id);
+      if (event.kind === "run") {
+        this.#start(request);
+      }
+    }
+  }
+
+  #answer(id: string): void {
+    assert.ok(!this.answered.has(id), `${id} answered twice`);
+    this.answered.add(id);
+  }
+
+  #start(request: AdmissionRequest): void {
+    this.running.set(request.id, request);
+    for (const other of this.waiting.values()) {
+      assert.ok(
+        other.classIndex >= request.classIndex,
+        "a lower class runs while a higher one waits",
+      );
+    }
+    assert.ok(this.running.size <= this.controller.getStatus().limit);
+    const suspects = [...this.running.values()].filter((it) => it.isSuspect);
+    assert.ok(suspects.length === 0 || this.running.size === 1, "not alone");
+  }
+}
+
+const step = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("offer" as const),
+      caller: fc.constantFrom("a", "b", "c"),
+      classIndex: fc.nat(2),
+      depth: fc.nat(2),
+      hash: fc.nat(0xffffffff),
+      remainingMilliseconds: fc.integer({ min: -1, max: 400 }),
+      isSuspect: fc.integer({ min: 0, max: 9 }).map((it) => it === 0),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("finish" as const),
+      index: fc.nat(40),
+      outcome: fc.constantFrom("completed", "completed", "shed", "cancelled"),
+    }),
+  },
+  fc.record({ kind: fc.constant("cancel" as const), index: fc.nat(40) }),
+  fc.record({ kind: fc.constant("advance" as const), by: fc.nat(120) }),
+);
+
+test("priority, limit, solo suspects and one response per call hold over random steps", () => {
+  fc.assert(
+    fc.property(
+      fc.array(step, { minLength: 20, maxLength: 300, size: "max" }),
+      fc.integer({ min: 1, max: 12 }),
+      fc.constantFrom("goodput" as const, "recovery" as const),
+      (steps, slots, objective) => {
+        const { clock, controller } = createController({ slots, objective });
+        const checker = new Checker(controller);
+        let offered = 0;
+        for (const each of steps) {
+          if (each.kind === "offer") {
+            checker.offer({ ...each, id: `call ${offered++}` });
+          } else if (each.kind === "finish") {
+            const outcome = each.outcome as "completed" | "shed" | "cancelled";
+            checker.finish(each.index, outcome);
+          } else if (each.kind === "cancel") {
+            checker.cancel(each.index);
+          } else {
+            clock.advance(each.by);
+            checker.takeEvents();
+          }
+        }
+        clock.advance(1000);
+        checker.takeEvents();
+        while (checker.running.size > 0) {
+          checker.finish(0, "completed");
+        }
+        assert.equal(checker.answered.size, offered);
+        const { running, queued } = controller.getStatus();
+        assert.deepEqual({ running, queued }, { running: 0, queued: 0 });
+      },
+    ),
+    { seed: 20263, numRuns: 500 },
+  );
+});
+
+test("a surge of every class at once sheds the least important first", () => {
+  const { controller } = createController({ slots: 4 });
+  const classes = new Map<string, number>();
+  const shed: number[] = [];
+  for (let i = 0; i < 60; i++) {
+    const request = createRequest({ classIndex: i % 3 });
+    classes.set(request.id, request.classIndex);
+    if (controller.offer(request).kind === "refused") {
+      shed.push(request.classIndex);
+    }
+  }
+  for (const event of controller.takeEvents()) {
+    if (event.kind === "refused") {
+      shed.push(classes.get(event.id) ?? -1);
+    }
+  }
+  const shedOf = (classIndex: number) =>
+    shed.filter((each) => each === classIndex).length;
+  const { queued } = controller.getStatus();
+  // The first four calls run; the queue is left to the most important class.
+  assert.deepEqual([shedOf(1), shedOf(2)], [19, 19]);
+  assert.equal(20 - 2 - shedOf(0), queued);
+});
+
+test("a caller that resends without end does not starve another of its class", () => {
+  const { clock, controller } = createController({ slots: 4 });
+  const callers = new Map<string, string>();
+  const done = new Map<string, number>();
+  let running: string[] = [];
+  const offer = (caller: string) => {
+    // The flooding caller has the more important hashes.
+    const hash = caller === "flood" ? count : 0xf0000000 + count;
+    const request = createRequest({ caller, hash });
+    callers.set(request.id, caller);
+    if (controller.offer(request).kind === "run") {
+      running.push(request.id);
+    }
+  };
+  for (let tick = 0; tick < 500; tick++) {
+    for (let i = 0; i < 20; i++) {
+      offer("flood");
+    }
+    if (tick % 2 === 0) {
+      offer("quiet");
+    }
+    clock.advance(1);
+    if (tick % 4 === 0) {
+      for (const id of running.splice(0)) {
+        const caller = callers.get(id) ?? "";
+        done.set(caller, (done.get(caller) ?? 0) + 1);
+        controller.finish(id, completed);
+      }
+    }
+    running = running.concat(
+      controller.takeEvents().filter((it) => it.kind === "run").map((it) =>
+        it.id
+      ),
+    );
+  }
+  // 250 calls of the quiet caller are half of the capacity of 500.
+  assert.ok((done.get("quiet") ?? 0) >= 230, `${done.get("quiet")} done`);
+});
+
+test("calls that cannot end in time are refused, and calls run again after a slow time", () => {
+  const { clock, controller } = createController({ slots: 1 });
+  const first = createRequest({});
+  controller.offer(first);
+  clock.advance(500);
+  controller.finish(first.id, completed);
+  const late = createRequest({ remainingMilliseconds: 100 });
+  assert.deepEqual(controller.offer(late), {
+    kind: "refused",
+    reason: "deadline-too-short",
+  });
+  clock.advance(300);
+  assert.equal(controller.offer({ ...late, id: "again" }).kind, "run");
+});
+
+test("a queued call is dropped when its deadline passes, at the stated wake time", () => {
+  const { clock, controller } = createController({ slots: 1 });
+  controller.offer(createRequest({}));
+  const waiting = createRequest({ remainingMilliseconds: 50 });
+  controller.offer(waiting);
+  const wake = controller.getWakeMilliseconds();
+  assert.equal(wake, 50);
+  clock.advance(wake ?? 0);
+  assert.deepEqual(controller.takeEvents(), [{
+    kind: "refused",
+    id: waiting.id,
+    reason: "deadline-exceeded",
+  }]);
+});
+
+test("the level rises under refusals, is bounded, and opens again", () => {
+  const { clock, controller } = createController({ slots: 2 });
+  for (let i = 0; i < 400; i++) {
+    controller.offer(createRequest({ classIndex: i % 3 }));
+    clock.advance(2);
+  }
+  const level = controller.getLevel();
+  assert.ok(level > 100 && level < 3 * 128, `level ${level}`);
+  clock.advance(10_000);
+  controller.takeEvents();
+  assert.equal(controller.getLevel(), 0);
+});
--- /dev/null
+++ b/src/retries/decide_retry_test.ts
@@ -0,0 +1,104 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSeededRandom, ManualClock } from "../common/mod.ts";
+import { decideRetry, type RetryState } from "./decide_retry.ts";
+import { ResendCounter } from "./resend_counter.ts";
+import { RetryRatio } from "./retry_ratio.ts";
+import { ServiceRefusals } from "./service_refusals.ts";
+
+const retryable: RetryState = {
+  disposition: "not-run",
+  reason: "target-shed",
+  attempts: 1,
+  isIdempotent: false,
+  isSuspect: false,
+  remainingAllowance: 5,
+  remainingMilliseconds: 1000,
+  hasRatioToken: true,
+  isServiceRefusing: false,
+};
+
+const stops: { reason: string; change: Partial<RetryState> }[] = [
+  { reason: "ran", change: { disposition: "ran", isIdempotent: true } },
+  { reason: "not-idempotent", change: { disposition: "unknown" } },
+  { reason: "not-retryable", change: { reason: "claim-in-progress" } },
+  { reason: "suspect", change: { isSuspect: true } },
+  { reason: "maximum-retries", change: { attempts: 9 } },
+  { reason: "allowance-spent", change: { remainingAllowance: 2 } },
+  { reason: "service-refusing", change: { isServiceRefusing: true } },
+  { reason: "retry-ratio", change: { hasRatioToken: false } },
+  { reason: "deadline", change: { remainingMilliseconds: 55 } },
+];
+
+for (const { reason, change } of stops) {
+  test(`decideRetry stops: ${reason}`, () => {
+    const decision = decideRetry({ ...retryable, ...change }, {
+      objective: "goodput",
+      need: 3,
+      random: createSeededRandom(1),
+      expectedMilliseconds: 50,
+    });
+    assert.deepEqual(decision, { kind: "stop", reason });
+  });
+}
+
+test("decideRetry delays with jitter, within bounds, and shorter for recovery", () => {
+  const random = createSeededRandom(2);
+  const delays = (["goodput", "recovery"] as const).map((objective) =>
+    Array.from({ length: 50 }, () => {
+      const decision = decideRetry(retryable, { objective, need: 1, random });
+      assert.equal(decision.kind, "retry");
+      return decision.kind === "retry" ? decision.delayMilliseconds : 0;
+    })
+  );
+  const [goodput = [], recovery = []] = delays;
+  assert.ok(new Set(goodput).size > 40, "no jitter");
+  assert.ok(Math.min(...goodput) >= 10 && Math.max(...goodput) <= 20);
+  assert.ok(Math.max(...recovery) < Math.min(...goodput));
+});
+
+test("decideRetry goes to another target at once when one is unreachable", () => {
+  const decision = decideRetry(
+    { ...retryable, reason: "target-unreachable" },
+    { objective: "goodput", need: 1, random: () => 0.5 },
+  );
+  assert.deepEqual(decision, {
+    kind: "retry",
+    delayMilliseconds: 0,
+    reason: "not-run",
+  });
+});
+
+test("RetryRatio bounds retries to a share of first attempts", () => {
+  const ratio = new RetryRatio(0.1);
+  let retries = 0;
+  for (let i = 0; i < 1000; i++) {
+    ratio.onFirstAttempt();
+    retries += ratio.take() ? 1 : 0;
+  }
+  assert.ok(retries >= 95 && retries <= 104, `${retries} retries`);
+});
+
+test("ServiceRefusals turns on when most attempts are refused, and off again", () => {
+  const refusals = new ServiceRefusals();
+  const record = (wasRefused: boolean) => {
+    for (let i = 0; i < 40; i++) refusals.record(wasRefused);
+    return refusals.isMostlyRefusing;
+  };
+  assert.deepEqual([record(true), record(false)], [true, false]);
+});
+
+test("ResendCounter counts resends per caller in bounded memory", () => {
+  const clock = new ManualClock();
+  const counter = new ResendCounter({ clock, capacity: 100 });
+  const sends = ["a", "a", "b", "a"].map((key) => counter.record("x", key));
+  assert.deepEqual(sends, [0, 1, 0, 2]);
+  assert.deepEqual([counter.getResends("x"), counter.getResends("y")], [2, 0]);
+  for (let i = 0; i < 10_000; i++) {
+    counter.record(`caller ${i}`, "a");
+  }
+  assert.ok(counter.size <= 202, `${counter.size} entries`);
+  assert.equal(counter.record("x", "a"), 0, "a forgotten send counts");
+  clock.advance(60_000);
+  assert.equal(counter.getResends("x"), 0);
+});
--- /dev/null
+++ b/src/routing/router_test.ts
@@ -0,0 +1,254 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { createSeededRandom, ManualClock } from "../common/mod.ts";
+import { type RouteChoice, Router } from "./router.ts";
+import type { AttemptOutcome, RoutingTarget } from "./routing_types.ts";
+
+const rule = { slots: 4, connections: 8, warmUpMilliseconds: 1000 };
+const nothing: ReadonlySet<string> = new Set();
+
+function createTarget(
+  targetId: string,
+  change: Partial<RoutingTarget> = {},
+): RoutingTarget {
+  return {
+    targetId,
+    nodeAddress: `address of ${targetId}`,
+    region: "r1",
+    availabilityZone: "z1",
+    incarnation: 1,
+    isDraining: false,
+    ageMilliseconds: 10_000,
+    ...change,
+  };
+}
+
+const inZone = createTarget("zone");
+const inRegion = createTarget("region", { availabilityZone: "z2" });
+const far = createTarget("far", { region: "r2", availabilityZone: "z3" });
+
+function createRouter(
+  targets: readonly RoutingTarget[],
+  ownTargetId?: string,
+): { clock: ManualClock; router: Router; choose: typeof choose } {
+  const clock = new ManualClock();
+  const router = new Router({
+    clock,
+    random: createSeededRandom(7),
+    region: "r1",
+    availabilityZone: "z1",
+    ownTargetId,
+    links: [
+      { from: "r1", to: "r2", bytesPerSecond: 1e6, reservedShare: 0.2 },
+    ],
+  });
+  router.updateService("s", rule);
+  router.updateView("s", targets);
+  const choose = (excluded = nothing, classIndex = 1): string =>
+    getName(router.choose({ service: "s", classIndex, excluded }));
+  return { clock, router, choose };
+}
+
+function getName(choice: RouteChoice): string {
+  return choice.kind === "target" ? choice.targetId : choice.reason;
+}
+
+test("Router spills over only when the nearer targets are saturated", () => {
+  const targets = [inZone, inRegion, far, createTarget("own")];
+  const { clock, router, choose } = createRouter(targets, "own");
+  router.updateLinkShares([{ from: "r1", to: "r2", bytesPerSecond: 1e6 }]);
+  clock.advance(1000);
+  const chosen = Array.from({ length: 18 }, () => choose());
+  const expected = ["own", "zone", "region"].flatMap((it) => Array(4).fill(it));
+  assert.deepEqual(chosen.slice(0, 12), expected);
+  // Three calls keep the far target at or below 80% of its slots.
+  assert.deepEqual(chosen.slice(12, 15), ["far", "far", "far"]);
+  assert.ok(!chosen.slice(15).includes("far"), "the far target had no room");
+});
+
+const refusals = [
+  { name: "no view", targets: [], expected: "no-target" },
+  {
+    name: "draining",
+    targets: [createTarget("a", { isDraining: true })],
+    expected: "no-target",
+  },
+  {
+    name: "already tried",
+    targets: [inZone],
+    tried: "zone",
+    expected: "no-target",
+  },
+];
+
+for (const { name, targets, tried, expected } of refusals) {
+  test(`Router refuses: ${name}`, () => {
+    const { choose } = createRouter(targets);
+    assert.equal(choose(new Set([tried ?? ""])), expected);
+  });
+}
+
+test("Router keeps to the connections of a target", () => {
+  const { choose } = createRouter([inZone]);
+  const chosen = Array.from({ length: 9 }, () => choose());
+  assert.deepEqual(chosen.indexOf("no-target"), rule.connections);
+});
+
+test("Router follows hints away from a target that others load", () => {
+  const { router, choose } = createRouter([inZone, createTarget("other")]);
+  router.onHint("zone", { running: 4, queued: 4, limit: 4 });
+  const chosen = Array.from({ length: 4 }, () => choose());
+  assert.deepEqual(new Set(chosen), new Set(["other"]));
+});
+
+test("Router sends a cold target a part of its load first", () => {
+  const cold = createTarget("cold", { ageMilliseconds: 0 });
+  const { clock, choose } = createRouter([inZone, cold]);
+  const countCold = (calls: number) =>
+    Array.from({ length: calls }, () => choose()).filter((it) => it === "cold")
+      .length;
+  assert.equal(countCold(4), 0);
+  clock.advance(1000);
+  assert.equal(countCold(4), 4);
+});
+
+test("Router ejects an unreachable target at once and returns it with one probe", () => {
+  const targets = ["a", "b", "c"].map((id) => createTarget(id));
+  const { clock, router, choose } = createRouter(targets);
+  const others = new Set(["b", "c"]);
+  assert.equal(choose(others), "a");
+  router.onFinish("a", { kind: "unreachable" });
+  assert.equal(choose(others), "no-target");
+  clock.advance(1000);
+  assert.deepEqual([choose(others), choose(others)], ["a", "no-target"]);
+  router.onFinish("a", { kind: "unreachable" });
+  clock.advance(1000);
+  assert.equal(choose(others), "no-target", "the second ejection is longer");
+  clock.advance(1000);
+  assert.equal(choose(others), "a");
+  router.onFinish("a", { kind: "completed" });
+  assert.deepEqual([choose(others), choose(others)], ["a", "a"]);
+});
+
+test("Router does not count failures of an earlier incarnation against a restarted target", () => {
+  const { router, choose } = createRouter([inZone, inRegion, far]);
+  const calls = Array.from({ length: 4 }, () => choose());
+  assert.deepEqual(new Set(calls), new Set(["zone"]));
+  router.updateView("s", [{ ...inZone, incarnation: 2 }, inRegion, far]);
+  calls.forEach((id) => router.onFinish(id, { kind: "failed" }));
+  assert.equal(router.getStatus("s").ejected, 0);
+  assert.equal(choose(), "zone");
+});
+
+test("Router never ejects more than a third of the view", () => {
+  const step = fc.record({
+    target: fc.nat(11),
+    outcome: fc.constantFrom<AttemptOutcome["kind"]>(
+      "unreachable",
+      "failed",
+      "failed",
+      "completed",
+    ),
+    advance: fc.nat(900),
+    size: fc.integer({ min: 0, max: 60 }),
+    draining: fc.nat(3),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 120, size: "max" }), (steps) => {
+      const { clock, router, choose } = createRouter([]);
+      let live = 0;
+      for (const each of steps) {
+        if (each.size <= 12) {
+          live = Math.max(0, each.size - each.draining);
+          router.updateView(
+            "s",
+            Array.from(
+              { length: each.size },
+              (_, i) => createTarget(`${i}`, { isDraining: i >= live }),
+            ),
+          );
+        }
+        const id = choose();
+        router.onFinish(id, { kind: each.outcome });
+        router.onFinish(`${each.target}`, { kind: each.outcome });
+        clock.advance(each.advance);
+        assert.ok(router.getStatus("s").ejected <= live / 3);
+      }
+    }),
+    { seed: 20264, numRuns: 500 },
+  );
+});
+
+test("Router keeps link bytes within the share, and a part for the most important class", () => {
+  const step = fc.record({
+    bytes: fc.integer({ min: 1, max: 20_000 }),
+    classIndex: fc.nat(2),
+    advance: fc.nat(40),
+    finish: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 300, size: "max" }), (steps) => {
+      const { clock, router } = createRouter([far]);
+      router.updateService("s", { ...rule, connections: 1e6 });
+      const link = { from: "r1", to: "r2" };
+      router.updateLinkShares([{ ...link, bytesPerSecond: 100_000 }]);
+      const inFlight: { id: string; reservedBytes?: number; bytes: number }[] =
+        [];
+      // The bucket starts with the safe part, 1/256 of the link, over 250 ms.
+      let allowed = 1e6 / 256 / 4;
+      let sent = 0;
+      let sentByOthers = 0;
+      const finish = () => {
+        const call = inFlight.shift();
+        if (call !== undefined) {
+          const { id, reservedBytes } = call;
+          router.onFinish(id, { kind: "completed", reservedBytes });
+        }
+      };
+      for (const { bytes, classIndex, advance, finish: isFinish } of steps) {
+        clock.advance(advance);
+        allowed += advance * 100;
+        const choice = router.choose({
+          service: "s",
+          classIndex,
+          excluded: nothing,
+          expectedBytes: bytes,
+        });
+        if (choice.kind === "target") {
+          assert.deepEqual(choice.link, link);
+          router.onLinkBytes(link, bytes);
+          sent += bytes;
+          sentByOthers += classIndex === 0 ? 0 : bytes;
+          inFlight.push({ id: choice.targetId, bytes, ...choice });
+        }
+        if (isFinish) {
+          finish();
+        }
+        assert.ok(sent <= allowed + 1e-6);
+        assert.ok(sentByOthers <= 0.8 * allowed + 1e-6);
+      }
+      const reported = router.takeLinkBytes();
+      assert.equal(reported[0]?.bytes ?? 0, sent);
+    }),
+    { seed: 20265, numRuns: 300 },
+  );
+});
+
+test("Router leaves the rest of the budget to the most important class", () => {
+  const { router, choose } = createRouter([far]);
+  router.updateLinkShares([{ from: "r1", to: "r2", bytesPerSecond: 0 }]);
+  assert.equal(choose(nothing, 1), "link-budget");
+  assert.equal(choose(nothing, 0), "link-budget");
+});
+
+test("Router stays balanced over 1,000 targets", () => {
+  const targets = Array.from({ length: 1000 }, (_, i) => createTarget(`${i}`));
+  const { choose } = createRouter(targets);
+  const counts = new Map<string, number>();
+  for (let i = 0; i < 2000; i++) {
+    const id = choose();
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  assert.ok(Math.max(...counts.values()) <= 4, "a target got twice its slots");
+});
--- /dev/null
+++ b/src/suspects/suspects_test.ts
@@ -0,0 +1,141 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "../common/mod.ts";
+import { CrashCorrelator } from "./crash_correlator.ts";
+import { SuspectList } from "./suspect_list.ts";
+
+interface Step {
+  readonly inFlight: readonly string[];
+  readonly wasAlone?: boolean;
+  /** Fingerprints that completed before the crash. */
+  readonly cleared?: readonly string[];
+  readonly waitMilliseconds?: number;
+}
+
+const cases: { name: string; steps: Step[]; quarantined: string[] }[] = [
+  {
+    name: "one crash only suspects",
+    steps: [{ inFlight: ["a", "b"] }],
+    quarantined: [],
+  },
+  {
+    name: "a crash of a call that ran alone",
+    steps: [{ inFlight: ["a", "b"] }, { inFlight: ["a"], wasAlone: true }],
+    quarantined: ["a"],
+  },
+  {
+    name: "the only one common to two crashes",
+    steps: [{ inFlight: ["a", "b"] }, { inFlight: ["c", "a"] }],
+    quarantined: ["a"],
+  },
+  {
+    name: "two in common decide nothing",
+    steps: [{ inFlight: ["a", "b"] }, { inFlight: ["b", "a"] }],
+    quarantined: [],
+  },
+  {
+    name: "a third crash decides between two in common",
+    steps: [
+      { inFlight: ["a", "b"] },
+      { inFlight: ["a", "b", "c"] },
+      { inFlight: ["a", "d"] },
+    ],
+    quarantined: ["a"],
+  },
+  {
+    name: "one that completed meanwhile is innocent",
+    steps: [{ inFlight: ["a", "b"] }, {
+      inFlight: ["a", "c"],
+      cleared: ["a"],
+    }],
+    quarantined: [],
+  },
+  {
+    name: "an old crash is forgotten",
+    steps: [
+      { inFlight: ["a", "b"] },
+      { inFlight: ["a", "c"], waitMilliseconds: 600_001 },
+    ],
+    quarantined: [],
+  },
+];
+
+for (const { name, steps, quarantined } of cases) {
+  test(`CrashCorrelator: ${name}`, () => {
+    const clock = new ManualClock();
+    const correlator = new CrashCorrelator({ clock });
+    const found = steps.flatMap((step, index) => {
+      clock.advance(step.waitMilliseconds ?? 0);
+      step.cleared?.forEach((each) => correlator.onCleared(each));
+      const report = {
+        reportId: `${index}`,
+        targetId: `target ${index}`,
+        fingerprints: step.inFlight,
+        wasAlone: step.wasAlone ?? false,
+      };
+      const decision = correlator.onReport(report);
+      const repeated = correlator.onReport(report);
+      assert.deepEqual(repeated, { suspects: [], quarantined: [] });
+      assert.deepEqual(
+        new Set([...decision.suspects, ...decision.quarantined]),
+        new Set(step.inFlight),
+      );
+      return decision.quarantined;
+    });
+    assert.deepEqual(found, quarantined);
+  });
+}
+
+test("CrashCorrelator remembers a bounded number of crashes", () => {
+  const clock = new ManualClock();
+  const correlator = new CrashCorrelator({
+    clock,
+    maximumReports: 10,
+    maximumFingerprints: 4,
+  });
+  for (let i = 0; i < 1000; i++) {
+    const fingerprints = Array.from({ length: 100 }, (_, j) => `${i} ${j}`);
+    const { suspects } = correlator.onReport({
+      reportId: `${i}`,
+      targetId: "t",
+      fingerprints,
+      wasAlone: false,
+    });
+    assert.equal(suspects.length, 4);
+  }
+  assert.deepEqual([correlator.size, correlator.fingerprintCount], [10, 40]);
+});
+
+test("SuspectList: suspects get out by completing, by news and by expiry", () => {
+  const clock = new ManualClock();
+  const list = new SuspectList({ clock });
+  const report = list.onCrash(["a", "b", "c", "d", "a"], true);
+  assert.deepEqual(report, {
+    fingerprints: ["a", "b", "c", "d"],
+    wasAlone: false,
+  });
+  assert.deepEqual([list.onCompleted("a"), list.onCompleted("a")], [
+    true,
+    false,
+  ]);
+  list.applyUpdate({ suspects: ["e"], cleared: ["b"], quarantined: ["d"] });
+  const suspects = ["a", "b", "c", "e"].filter((each) => list.isSuspect(each));
+  assert.deepEqual(suspects, ["c", "e"]);
+  assert.deepEqual([list.isQuarantined("d"), list.isQuarantined("c")], [
+    true,
+    false,
+  ]);
+  clock.advance(600_000);
+  assert.deepEqual([list.isSuspect("c"), list.isSuspect("e")], [false, false]);
+  list.applyUpdate({ suspects: [], cleared: [], quarantined: [] });
+  assert.ok(!list.isQuarantined("d") && list.isEmpty);
+});
+
+test("SuspectList remembers a bounded number of suspects, the newest", () => {
+  const list = new SuspectList({
+    clock: new ManualClock(),
+    maximumSuspects: 10,
+  });
+  list.onCrash(Array.from({ length: 100 }, (_, i) => `${i}`), false);
+  assert.deepEqual([list.isSuspect("89"), list.isSuspect("90")], [false, true]);
+});
