Keep the concurrency limit when fewer calls do not make a target faster

Cause: with the deepest service slowed 10 times, the limit followed the service time down to 1, though each slot worked on its own: 116/s completed where 600/s were possible. Change: a decrease by service time is a test. When the service time does not fall by at least half of the proportion, the limit returns and the baseline adopts the present time. The baseline grows by 0.1% instead of 1% per window, so that slow growth of the limit cannot take it along.

--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -1,10 +1,14 @@
 const windowMilliseconds = 100;
-const minimumSamples = 8;
+const minimumSamples = 20;
 const tolerance = 2;
 /** Above the declared slots, the limit grows only while calls stay this fast. */
 const growthTolerance = 1.1;
-const baselineGrowth = 1.01;
+const baselineGrowth = 1.001;
 const overloadFactor = 0.9;
+/** Decrease by which the limit tests whether fewer calls at once are faster. */
+const testFactor = 0.7;
+/** Ratio of service times that proves it; halfway to proportional. */
+const helpfulRatio = 0.85;
 
 /** Options of a concurrency limit. */
 export interface ConcurrencyLimitOptions {
@@ -25,6 +29,8 @@
   #windowStart: number;
   #hasOverload = false;
   #wasInUse = false;
+  /** Limit and ratio before a test decrease; undefined when none runs. */
+  #beforeTest: { limit: number; ratio: number } | undefined;
   readonly #sums: Float64Array;
   readonly #counts: Uint32Array;
   /** Lowest recent mean service time by class; 0 when not known. */
@@ -102,11 +108,15 @@
   }
 
   #adjust(ratio: number, elapsedMilliseconds: number): void {
-    if (ratio > tolerance) {
-      this.#limit = Math.max(
-        1,
-        this.#limit * Math.max(0.5, tolerance / ratio),
-      );
+    const before = this.#beforeTest;
+    this.#beforeTest = undefined;
+    if (before !== undefined && ratio > before.ratio * helpfulRatio) {
+      // Slow for another reason than too many calls, such as a slow disk.
+      this.#limit = before.limit;
+      this.#adoptBaselines();
+    } else if (ratio > tolerance) {
+      this.#beforeTest = { limit: this.#limit, ratio };
+      this.#limit = Math.max(1, this.#limit * testFactor);
     } else if (this.#limit < this.#slots || ratio <= growthTolerance) {
       const increase = this.#slots * this.#increasePerSecond *
         elapsedMilliseconds / 1000;
@@ -114,6 +124,16 @@
     }
   }
 
+  /** Takes the service times of this window as normal. */
+  #adoptBaselines(): void {
+    for (let i = 0; i < this.#counts.length; i++) {
+      const samples = this.#counts[i] ?? 0;
+      if (samples > 0) {
+        this.#baselines[i] = (this.#sums[i] ?? 0) / samples;
+      }
+    }
+  }
+
   /**
    * Gets the mean of service time over baseline, by class so that a change of
    * the mix does not look like a slower target.
