--- /dev/null
+++ b/src/admission/limit_and_levels_test.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "../common/mod.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { getImportance } from "./importance.ts";
+import { LevelTable } from "./level_table.ts";
+
+function createLimit(): ConcurrencyLimit {
+  return new ConcurrencyLimit(20, {
+    classCount: 1,
+    nowMilliseconds: 0,
+    increasePerSecond: 0.5,
+  });
+}
+
+/** Feeds 100 calls per second; returns the limit at the end. */
+function feed(
+  limit: ConcurrencyLimit,
+  options: {
+    from: number;
+    seconds: number;
+    getService: (limit: number) => number;
+    inUse?: boolean;
+  },
+): number {
+  for (let i = 0; i < options.seconds * 100; i++) {
+    if (options.inUse ?? true) {
+      limit.onInUse();
+    }
+    const service = options.getService(limit.value);
+    limit.onCompleted(0, service, options.from + i * 10);
+  }
+  return limit.value;
+}
+
+const getNormalService = () => 10;
+
+test("ConcurrencyLimit does not grow while it is not in use", () => {
+  const options = { from: 0, seconds: 5, getService: getNormalService };
+  assert.equal(feed(createLimit(), { ...options, inUse: false }), 20);
+});
+
+const slowTimes = [
+  // Ten times slower, in proportion to the calls that run at once.
+  { name: "congested", getService: (n: number) => 5 * n, least: 1, most: 12 },
+  // Fewer calls would only cut what the target completes.
+  { name: "slow at any limit", getService: () => 100, least: 18, most: 40 },
+];
+
+for (const { name, getService, least, most } of slowTimes) {
+  test(`ConcurrencyLimit under a target that is ${name}, and after it`, () => {
+    const limit = createLimit();
+    feed(limit, { from: 0, seconds: 1, getService: getNormalService });
+    const slow = feed(limit, { from: 1000, seconds: 3, getService });
+    assert.ok(slow >= least && slow <= most, `${slow} while slow`);
+    const options = { from: 4000, seconds: 3, getService: getNormalService };
+    const again = feed(limit, options);
+    assert.ok(again >= 20, `${again} after`);
+  });
+}
+
+test("ConcurrencyLimit stays within 1 and twice the slots", () => {
+  const limit = createLimit();
+  assert.equal(
+    feed(limit, { from: 0, seconds: 60, getService: getNormalService }),
+    40,
+  );
+  for (let i = 0; i < 100; i++) {
+    limit.onOverload(60_000 + i * 100);
+  }
+  assert.equal(limit.value, 1);
+});
+
+test("ConcurrencyLimit decreases at most once per window", () => {
+  const limit = createLimit();
+  for (let i = 0; i < 1000; i++) {
+    limit.onOverload(101);
+  }
+  assert.equal(limit.value, 18);
+});
+
+test("LevelTable sheds the least important and keeps a probe share open", () => {
+  const clock = new ManualClock();
+  const table = new LevelTable({ clock, classCount: 3 });
+  table.record("deep", 128);
+  const shed = (importance: number, services = ["deep"]) => {
+    let refused = 0;
+    for (let i = 0; i < 1000; i++) {
+      refused += table.shouldShed(services, importance) ? 1 : 0;
+    }
+    return refused;
+  };
+  assert.equal(shed(getImportance(1, 0xffffffff)), 0);
+  assert.equal(shed(300, ["other"]), 0);
+  const refused = shed(getImportance(2, 0));
+  assert.ok(refused >= 980 && refused <= 991, `${refused} of 1000 refused`);
+  clock.advance(250);
+  assert.equal(table.shouldShed(["deep"], 300), false, "no probe in 250 ms");
+  assert.equal(table.shouldShed(["deep"], 300), true);
+});
+
+test("LevelTable opens when nothing more is heard of a service", () => {
+  const clock = new ManualClock();
+  const table = new LevelTable({ clock, classCount: 3 });
+  table.record("deep", 300);
+  clock.advance(10_000);
+  assert.deepEqual(table.getEntries(), []);
+  assert.equal(table.shouldShed(["deep"], 383), false);
+});
