Add the header codec, the error body and the node settings

Cause: nodes need a compact, versioned context and answer between them, and callers a fixed JSON shape for refusals.

--- /dev/null
+++ b/src/request/answer_codec.ts
@@ -0,0 +1,113 @@
+import { failed, ok, type Result } from "../common/mod.ts";
+import type { Disposition } from "./disposition.ts";
+import { fieldLimits, readWholeNumber } from "./field_limits.ts";
+import { type RefusalReason, refusalReasons } from "./refusal_reason.ts";
+
+/** Name of the response header between nodes. */
+export const answerHeader = "dogwoodwalk-answer";
+
+/** Admission level of a service that is not open. */
+export interface ServiceLevel {
+  readonly service: string;
+  readonly level: number;
+}
+
+/** What the target's node tells the origin's node about an attempt. */
+export interface Answer {
+  readonly disposition: Disposition;
+  /** Absent when the target's own response follows. */
+  readonly reason?: RefusalReason | undefined;
+  /** Attempts that were handed down and not used. */
+  readonly unused: number;
+  readonly levels: readonly ServiceLevel[];
+}
+
+const formatVersion = "1";
+const fieldCount = 5;
+const servicePattern = /^[a-z0-9][a-z0-9-]*$/;
+const reasons: ReadonlySet<string> = new Set(refusalReasons);
+
+/**
+ * Encodes an answer as `1;disposition;reason;unused;service=level,...`.
+ * @param answer The answer; its values must be within the limits.
+ * @returns The value of the header.
+ */
+export function encodeAnswer(answer: Answer): string {
+  let levels = "";
+  if (answer.levels.length > 0) {
+    levels = answer.levels.slice(0, fieldLimits.levelEntries)
+      .map(({ service, level }) => `${service}=${level}`).join(",");
+  }
+  return `${formatVersion};${answer.disposition};${
+    answer.reason ?? ""
+  };${answer.unused};${levels}`;
+}
+
+/**
+ * Decodes an answer. Never throws; input beyond a limit is an error.
+ * @param text The value of the header.
+ * @returns The answer, or the fault.
+ */
+export function decodeAnswer(text: string): Result<Answer, string> {
+  if (text.length > fieldLimits.headerLength) {
+    return failed(`longer than ${fieldLimits.headerLength} characters`);
+  }
+  const fields = text.split(";");
+  if (fields[0] !== formatVersion) {
+    return failed("unknown format version");
+  }
+  if (fields.length !== fieldCount) {
+    return failed(`expected ${fieldCount} fields`);
+  }
+  const disposition = fields[1];
+  if (
+    disposition !== "not-run" && disposition !== "ran" &&
+    disposition !== "unknown"
+  ) {
+    return failed("disposition is unknown");
+  }
+  const reason = fields[2] as string;
+  if (reason !== "" && !reasons.has(reason)) {
+    return failed("reason is unknown");
+  }
+  const unused = readWholeNumber(fields[3], fieldLimits.allowance);
+  if (unused < 0) {
+    return failed("unused allowance is out of range");
+  }
+  const levels = decodeLevels(fields[4] as string);
+  if (levels === undefined) {
+    return failed("admission levels are malformed");
+  }
+  return ok({
+    disposition,
+    reason: reason === "" ? undefined : reason as RefusalReason,
+    unused,
+    levels,
+  });
+}
+
+const noLevels: readonly ServiceLevel[] = [];
+
+function decodeLevels(text: string): readonly ServiceLevel[] | undefined {
+  if (text === "") {
+    return noLevels;
+  }
+  const entries = text.split(",");
+  if (entries.length > fieldLimits.levelEntries) {
+    return undefined;
+  }
+  const levels: ServiceLevel[] = [];
+  for (const entry of entries) {
+    const split = entry.indexOf("=");
+    const service = entry.slice(0, Math.max(0, split));
+    const level = readWholeNumber(entry.slice(split + 1), fieldLimits.level);
+    if (
+      level < 0 || service.length > fieldLimits.serviceLength ||
+      !servicePattern.test(service)
+    ) {
+      return undefined;
+    }
+    levels.push({ service, level });
+  }
+  return levels;
+}
--- /dev/null
+++ b/src/request/codec_test.ts
@@ -0,0 +1,111 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  decodeAnswer,
+  decodeContext,
+  encodeAnswer,
+  encodeContext,
+  fieldLimits,
+  refusalReasons,
+} from "./mod.ts";
+
+const runs = { seed: 20261204, numRuns: 2000 };
+
+const contexts = fc.record({
+  requestId: fc.uuid(),
+  caller: fc.string({ unit: "grapheme", maxLength: 20 }),
+  classIndex: fc.nat(fieldLimits.classIndex),
+  remainingMilliseconds: fc.nat(fieldLimits.remainingMilliseconds),
+  allowance: fc.nat(fieldLimits.allowance),
+  depth: fc.integer({ min: 1, max: fieldLimits.depth }),
+  entryIndex: fc.maxSafeNat(),
+}, { noNullPrototype: true });
+
+test("a context survives its header, whatever the caller is called", () => {
+  fc.assert(
+    fc.property(contexts, (context) => {
+      const decoded = decodeContext(encodeContext(context));
+      assert.deepEqual(decoded, { kind: "ok", value: context });
+    }),
+    runs,
+  );
+});
+
+const answers = fc.record({
+  disposition: fc.constantFrom("not-run", "ran", "unknown"),
+  reason: fc.option(fc.constantFrom(...refusalReasons), { nil: undefined }),
+  unused: fc.nat(fieldLimits.allowance),
+  levels: fc.array(
+    fc.record({
+      service: fc.stringMatching(/^[a-z0-9][a-z0-9-]{0,30}$/),
+      level: fc.nat(fieldLimits.level),
+    }, { noNullPrototype: true }),
+    { maxLength: 20 },
+  ),
+}, { noNullPrototype: true });
+
+test("an answer survives its header", () => {
+  fc.assert(
+    fc.property(answers, (answer) => {
+      const decoded = decodeAnswer(encodeAnswer(answer));
+      assert.deepEqual(decoded, { kind: "ok", value: answer });
+    }),
+    runs,
+  );
+});
+
+const fields = fc.oneof(
+  fc.string(),
+  fc.integer().map(String),
+  fc.constantFrom("1", "", "0", "1e9", "-5", "1000000000", "%", "a=1,b=2"),
+);
+const texts = fc.oneof(
+  fc.string({ unit: "binary" }),
+  fc.array(fields, { maxLength: 10 }).map((each) => ["1", ...each].join(";")),
+);
+
+test("arbitrary input never throws and never exceeds a limit", () => {
+  fc.assert(
+    fc.property(texts, (text) => {
+      const context = decodeContext(text);
+      if (context.kind === "ok") {
+        const { value } = context;
+        assert.ok(value.allowance <= fieldLimits.allowance);
+        assert.ok(value.depth >= 1 && value.depth <= fieldLimits.depth);
+        assert.ok(value.remainingMilliseconds >= 0);
+        assert.ok(
+          value.remainingMilliseconds <= fieldLimits.remainingMilliseconds,
+        );
+        assert.ok(value.classIndex <= fieldLimits.classIndex);
+        assert.ok(value.caller.length <= fieldLimits.callerLength);
+        assert.deepEqual(decodeContext(encodeContext(value)), context);
+      }
+      const answer = decodeAnswer(text);
+      if (answer.kind === "ok") {
+        assert.ok(answer.value.unused <= fieldLimits.allowance);
+        assert.ok(answer.value.levels.length <= fieldLimits.levelEntries);
+      }
+    }),
+    runs,
+  );
+});
+
+const malformed = [
+  { name: "negative deadline", text: "1;r;c;0;-5;1;1;0" },
+  { name: "allowance of 10^9", text: "1;r;c;0;10;1000000000;1;0" },
+  { name: "depth of 0", text: "1;r;c;0;10;1;0;0" },
+  { name: "class of 16", text: "1;r;c;16;10;1;1;0" },
+  { name: "unsafe ledger index", text: "1;r;c;0;10;1;1;9007199254740992" },
+  { name: "missing field", text: "1;r;c;0;10;1;1" },
+  { name: "newer format", text: "2;r;c;0;10;1;1;0" },
+  { name: "truncated escape in the caller", text: "1;r;%E0;0;10;1;1;0" },
+  { name: "line break in the identity", text: "1;r\n;c;0;10;1;1;0" },
+  { name: "oversized header", text: `1;r;${"c".repeat(9999)};0;10;1;1;0` },
+];
+
+for (const { name, text } of malformed) {
+  test(`decodeContext refuses a ${name}`, () => {
+    assert.equal(decodeContext(text).kind, "error");
+  });
+}
--- /dev/null
+++ b/src/request/context_codec.ts
@@ -0,0 +1,119 @@
+import { failed, ok, type Result } from "../common/mod.ts";
+import { fieldLimits, readWholeNumber } from "./field_limits.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** Name of the header between nodes that carries the context. */
+export const contextHeader = "dogwoodwalk-context";
+
+const formatVersion = "1";
+const fieldCount = 8;
+const requestIdPattern = /^[A-Za-z0-9-]+$/;
+/** encodeURIComponent throws on these. */
+const loneSurrogates = /[\ud800-\udfff]/gu;
+const callerPattern = /^[A-Za-z0-9._~%!'()*-]*$/;
+
+/**
+ * Encodes a context as `1;request;caller;class;remaining;allowance;depth;index`.
+ * @param context The context; its values must be within the limits.
+ * @returns The value of the header.
+ */
+export function encodeContext(context: RequestContext): string {
+  return `${formatVersion};${context.requestId};${
+    encodeCaller(context.caller)
+  };${context.classIndex};${
+    Math.max(0, Math.ceil(context.remainingMilliseconds))
+  };${context.allowance};${context.depth};${context.entryIndex}`;
+}
+
+/**
+ * Cuts a caller's name to the length that the context carries, and replaces
+ * text that cannot be encoded.
+ * @param caller The name from outside.
+ * @returns The name to use.
+ */
+export function getBoundedCaller(caller: string): string {
+  return caller.slice(0, fieldLimits.callerLength)
+    .replace(loneSurrogates, "\ufffd");
+}
+
+/**
+ * Decodes a context. Never throws; input beyond a limit is an error.
+ * @param text The value of the header.
+ * @returns The context, or the fault.
+ */
+export function decodeContext(text: string): Result<RequestContext, string> {
+  if (text.length > fieldLimits.headerLength) {
+    return failed(`longer than ${fieldLimits.headerLength} characters`);
+  }
+  const fields = text.split(";");
+  if (fields[0] !== formatVersion) {
+    return failed("unknown format version");
+  }
+  if (fields.length !== fieldCount) {
+    return failed(`expected ${fieldCount} fields`);
+  }
+  const requestId = fields[1] as string;
+  if (
+    requestId.length > fieldLimits.requestIdLength ||
+    !requestIdPattern.test(requestId)
+  ) {
+    return failed("request identity is malformed");
+  }
+  const caller = decodeCaller(fields[2] as string);
+  if (caller === undefined) {
+    return failed("caller is malformed");
+  }
+  const classIndex = readWholeNumber(fields[3], fieldLimits.classIndex);
+  const remainingMilliseconds = readWholeNumber(
+    fields[4],
+    fieldLimits.remainingMilliseconds,
+  );
+  const allowance = readWholeNumber(fields[5], fieldLimits.allowance);
+  const depth = readWholeNumber(fields[6], fieldLimits.depth);
+  const entryIndex = readWholeNumber(fields[7], Number.MAX_SAFE_INTEGER);
+  if (classIndex < 0) {
+    return failed("class is out of range");
+  }
+  if (remainingMilliseconds < 0) {
+    return failed("deadline is out of range");
+  }
+  if (allowance < 0) {
+    return failed("allowance is out of range");
+  }
+  if (depth < 1) {
+    return failed("depth is out of range");
+  }
+  if (entryIndex < 0) {
+    return failed("ledger index is out of range");
+  }
+  return ok({
+    requestId,
+    caller,
+    classIndex,
+    remainingMilliseconds,
+    allowance,
+    depth,
+    entryIndex,
+  });
+}
+
+function encodeCaller(caller: string): string {
+  return callerPattern.test(caller) && !caller.includes("%")
+    ? caller
+    : encodeURIComponent(getBoundedCaller(caller));
+}
+
+function decodeCaller(text: string): string | undefined {
+  if (!callerPattern.test(text)) {
+    return undefined;
+  }
+  let caller = text;
+  if (text.includes("%")) {
+    try {
+      caller = decodeURIComponent(text);
+    } catch {
+      return undefined;
+    }
+  }
+  return caller.length > fieldLimits.callerLength ? undefined : caller;
+}
--- /dev/null
+++ b/src/request/error_body.ts
@@ -0,0 +1,69 @@
+import type { Disposition } from "./disposition.ts";
+import type { RefusalReason } from "./refusal_reason.ts";
+
+/** A refusal or failure as a caller is told of it. */
+export interface CallFailure {
+  readonly disposition: Disposition;
+  readonly reason: RefusalReason;
+  /** One plain sentence. */
+  readonly message: string;
+}
+
+/**
+ * Encodes the JSON body of a refusal or failure.
+ * @param failure What happened.
+ * @param requestId Identity of the request; empty when it has none.
+ * @returns The body.
+ */
+export function encodeErrorBody(
+  failure: CallFailure,
+  requestId: string,
+): string {
+  const { disposition, reason, message } = failure;
+  return JSON.stringify({ error: { disposition, reason, message, requestId } });
+}
+
+const statuses: Readonly<Record<RefusalReason, number>> = {
+  "unknown-route": 404,
+  "malformed-request": 400,
+  "too-large": 413,
+  "deadline-exceeded": 504,
+  "deadline-too-short": 503,
+  "queue-full": 503,
+  "evicted": 503,
+  "shed-early": 503,
+  "caller-share": 429,
+  "allowance-spent": 503,
+  "depth-exceeded": 508,
+  "no-target": 503,
+  "target-shed": 503,
+  "target-draining": 503,
+  "target-unreachable": 502,
+  "target-reset": 502,
+  "target-timeout": 504,
+  "answer-incomplete": 502,
+  "key-required": 400,
+  "key-conflict": 422,
+  "claim-in-progress": 409,
+  "claim-ran": 409,
+  "claim-unknown": 409,
+  "claim-superseded": 409,
+  "ledger-unavailable": 503,
+  "ledger-full": 503,
+  "suspect": 503,
+  "quarantined": 503,
+  // Written only to a log or to a caller that has left.
+  "cancelled": 499,
+  "stopping": 503,
+  "node-unreachable": 502,
+  "link-budget": 503,
+};
+
+/**
+ * Gets the HTTP status with which a reason is told to a caller.
+ * @param reason The reason.
+ * @returns A status from 400 to 599.
+ */
+export function getReasonStatus(reason: RefusalReason): number {
+  return statuses[reason];
+}
--- /dev/null
+++ b/src/request/field_limits.ts
@@ -0,0 +1,41 @@
+/** Largest values that a decoded header may carry. */
+export const fieldLimits = {
+  requestIdLength: 64,
+  callerLength: 128,
+  classIndex: 15,
+  /** The document allows the same deadline. */
+  remainingMilliseconds: 600_000,
+  /** The document allows the same allowance. */
+  allowance: 10_000,
+  depth: 64,
+  /** 16 classes of 128 buckets. */
+  level: 16 * 128,
+  levelEntries: 64,
+  serviceLength: 64,
+  headerLength: 4096,
+} as const;
+
+/**
+ * Reads a decimal number without sign, leading zeros or other characters.
+ * @param text The text; `undefined` when the field is missing.
+ * @param maximum Largest value that is accepted.
+ * @returns The number, or -1 when the text is anything else.
+ */
+export function readWholeNumber(
+  text: string | undefined,
+  maximum: number,
+): number {
+  if (text === undefined || text.length === 0 || text.length > 16) {
+    return -1;
+  }
+  let value = 0;
+  for (let index = 0; index < text.length; index++) {
+    const digit = text.charCodeAt(index) - 48;
+    if (digit < 0 || digit > 9) {
+      return -1;
+    }
+    value = value * 10 + digit;
+  }
+  const hasLeadingZero = text.length > 1 && text.charCodeAt(0) === 48;
+  return hasLeadingZero || value > maximum ? -1 : value;
+}
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -1,2 +1,22 @@
 export type { Disposition } from "./disposition.ts";
 export { type RefusalReason, refusalReasons } from "./refusal_reason.ts";
+export type { RequestContext } from "./request_context.ts";
+export {
+  contextHeader,
+  decodeContext,
+  encodeContext,
+  getBoundedCaller,
+} from "./context_codec.ts";
+export {
+  type Answer,
+  answerHeader,
+  decodeAnswer,
+  encodeAnswer,
+  type ServiceLevel,
+} from "./answer_codec.ts";
+export {
+  type CallFailure,
+  encodeErrorBody,
+  getReasonStatus,
+} from "./error_body.ts";
+export { fieldLimits } from "./field_limits.ts";
--- /dev/null
+++ b/src/settings/mod.ts
@@ -0,0 +1,2 @@
+export { type NodeSettings, parseNodeSettings } from "./node_settings.ts";
+export { type Endpoint, parseEndpoint, readEndpoint } from "./endpoint.ts";
