Add the control process and the operators' command line

Cause: operators need a shared, ordered history of documents that they can change and inspect through one program. Change: src/configuration keeps document revisions and the quarantine list, src/ledger the claims, src/control combines them into one state machine and serves it over gRPC, src/command_line carries the operators' commands. A token file authenticates calls.

--- /dev/null
+++ b/src/bin/dogwoodwalk_control.ts
@@ -0,0 +1,91 @@
+#!/usr/bin/env node
+import { readFileSync } from "node:fs";
+import { Command } from "commander";
+import { readTokenFile } from "../authentication/mod.ts";
+import { createLog, createMetrics, formatFinding } from "../common/mod.ts";
+import {
+  type RunningControl,
+  SingleInstanceLog,
+  startControl,
+} from "../control/mod.ts";
+import { type ControlSettings, parseControlSettings } from "../settings/mod.ts";
+
+const exitCodes = { failed: 1, invalidInput: 2 } as const;
+
+async function main(): Promise<void> {
+  const command = new Command("dogwoodwalk-control")
+    .description("Runs a control instance.")
+    .argument("<settings>", "settings file (TOML)")
+    .addHelpText(
+      "after",
+      "\nExample:\n  dogwoodwalk-control /etc/dogwoodwalk/control.toml",
+    )
+    .parse();
+  const file = command.args[0] as string;
+  const settings = readSettings(file);
+  if (settings === undefined) {
+    process.exitCode = exitCodes.invalidInput;
+    return;
+  }
+  const token = readTokenFile(settings.tokenFile);
+  if (token.kind === "error") {
+    process.stderr.write(`${token.error}\n`);
+    process.exitCode = exitCodes.invalidInput;
+    return;
+  }
+  const eventLog = createLog({
+    base: { process: "control", instance: settings.address },
+  });
+  const control = await startControl({
+    settings,
+    token: token.value,
+    eventLog,
+    metrics: createMetrics({
+      address: settings.statsd?.host,
+      port: settings.statsd?.port,
+    }),
+    openLog: (stateMachine) =>
+      new SingleInstanceLog(stateMachine, { address: settings.address }),
+  });
+  stopOnSignal(control, (signal) => eventLog.info("stopping", { signal }));
+}
+
+function readSettings(file: string): ControlSettings | undefined {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    process.stderr.write(`${file}: ${(error as Error).message}\n`);
+    return undefined;
+  }
+  const parsed = parseControlSettings(text, file);
+  if (parsed.kind === "error") {
+    for (const finding of parsed.error) {
+      process.stderr.write(`${formatFinding(finding)}\n`);
+    }
+    return undefined;
+  }
+  return parsed.value;
+}
+
+function stopOnSignal(
+  control: RunningControl,
+  onSignal: (signal: string) => void,
+): void {
+  let isStopping = false;
+  const stop = (signal: string) => {
+    if (isStopping) {
+      return;
+    }
+    isStopping = true;
+    onSignal(signal);
+    control.stop().then(() => process.exit(0), () => process.exit(1));
+  };
+  process.on("SIGTERM", () => stop("SIGTERM"));
+  process.on("SIGINT", () => stop("SIGINT"));
+}
+
+main().catch((error) => {
+  process.stderr.write(`dogwoodwalk-control: ${(error as Error).message}\n`);
+  process.exit(exitCodes.failed);
+});
--- /dev/null
+++ b/src/command_line/command_line.ts
@@ -0,0 +1,340 @@
+import { readFileSync } from "node:fs";
+import { userInfo } from "node:os";
+import {
+  Command,
+  CommanderError,
+  InvalidArgumentError,
+  Option,
+} from "commander";
+import ora from "ora";
+import {
+  createClientInterceptor,
+  readTokenFile,
+} from "../authentication/mod.ts";
+import type { CommandContext } from "./command_context.ts";
+import { ControlConnection } from "./control_connection.ts";
+import {
+  apply,
+  diff,
+  promote,
+  showHistory,
+  validate,
+} from "./document_commands.ts";
+import { type ExitCode, exitCodes } from "./exit_code.ts";
+import {
+  clearQuarantine,
+  drain,
+  listQuarantine,
+  replaceInstance,
+  showStatus,
+} from "./fleet_commands.ts";
+import type { Outcome } from "./outcome.ts";
+
+/** Where the command line writes. */
+export interface CommandLineIo {
+  readonly writeOutput: (text: string) => void;
+  readonly writeError: (text: string) => void;
+  /** Whether progress is shown. */
+  readonly isTerminal: boolean;
+}
+
+interface CommonOptions {
+  readonly control: string;
+  readonly tokenFile?: string;
+  readonly operator: string;
+  readonly timeout: number;
+  readonly json?: boolean;
+}
+
+/** Runs a command in its context. */
+type Action = (context: CommandContext) => Promise<Outcome> | Outcome;
+
+/**
+ * Runs the operators' command line.
+ * @param argumentList Arguments after the name of the program.
+ * @param io Where it writes.
+ * @returns The exit code.
+ */
+export async function runCommandLine(
+  argumentList: readonly string[],
+  io: CommandLineIo,
+): Promise<ExitCode> {
+  let exitCode: ExitCode = exitCodes.ok;
+  const run = async (options: CommonOptions, action: Action) => {
+    exitCode = await runAction(options, action, io);
+  };
+  const program = createProgram(run, io);
+  try {
+    await program.parseAsync([...argumentList], { from: "user" });
+  } catch (error) {
+    if (error instanceof CommanderError) {
+      return error.exitCode === 0 ? exitCodes.ok : exitCodes.invalidInput;
+    }
+    io.writeError(`${(error as Error).message}\n`);
+    return exitCodes.other;
+  }
+  return exitCode;
+}
+
+type Run = (options: CommonOptions, action: Action) => Promise<void>;
+
+function createProgram(run: Run, io: CommandLineIo): Command {
+  const program = new Command("dogwoodwalk")
+    .description("Controls the documents and the fleet of dogwoodwalk.")
+    .exitOverride()
+    .configureOutput({ writeOut: io.writeOutput, writeErr: io.writeError })
+    .addHelpText(
+      "after",
+      `
+Exit codes: 0 ok, 1 other, 2 invalid input, 3 conflict, 4 unreachable,
+5 not in force in time.`,
+    );
+  addDocumentCommands(program, run);
+  addFleetCommands(program, run);
+  return program;
+}
+
+function addDocumentCommands(program: Command, run: Run): void {
+  addCommand(program, "validate <file>", {
+    description: "Checks a document and shows every finding.",
+    examples: ["validate trial.toml", "validate --json trial.toml"],
+  }).action((file: string, options: CommonOptions) =>
+    run(options, (context) => validate(context, file))
+  );
+  addChangeOptions(addCommand(program, "apply <environment> <file>", {
+    description: "Applies a document in place of its base revision.",
+    examples: [
+      "apply trial trial.toml --base 0",
+      "apply trial trial.toml --base 17 --wait",
+    ],
+  })).action((environment, file, options) =>
+    run(options, (context) => apply(context, { ...options, environment, file }))
+  );
+  addChangeOptions(addCommand(program, "promote", {
+    description:
+      "Promotes the exact bytes of a revision that is in force in trial.",
+    examples: ["promote 18 --base 9", "promote 18 --base 9 --wait"],
+  }))
+    .argument("<revision>", "revision to promote", parseWholeNumber)
+    .option("--from <environment>", "environment of the revision", "trial")
+    .option("--to <environment>", "environment that gets it", "production")
+    .action((revision, options) =>
+      run(options, (context) =>
+        promote(context, {
+          ...options,
+          revision,
+          environment: options.to,
+        }))
+    );
+  addCommand(program, "diff <environment> [file]", {
+    description:
+      "Shows the lines that differ between two revisions, or a revision and a file.",
+    examples: [
+      "diff trial trial.toml",
+      "diff production --from 8 --to 9",
+    ],
+  })
+    .option("--from <revision>", "older revision", parseWholeNumber)
+    .option("--to <revision>", "newer revision", parseWholeNumber)
+    .action((environment, file, options) =>
+      run(
+        options,
+        (context) => diff(context, { ...options, environment, file }),
+      )
+    );
+  addCommand(program, "history <environment>", {
+    description: "Lists the newest revisions.",
+    examples: ["history trial", "history production --limit 5 --json"],
+  })
+    .option("--limit <count>", "how many revisions", parseWholeNumber, 20)
+    .action((environment, options) =>
+      run(
+        options,
+        (context) =>
+          showHistory(context, { environment, limit: options.limit }),
+      )
+    );
+}
+
+function addFleetCommands(program: Command, run: Run): void {
+  addCommand(program, "status", {
+    description:
+      "Shows the control group, nodes, targets, revisions and admission levels.",
+    examples: ["status", "status --control 10.0.0.1:7300 --json"],
+  }).action((options) => run(options, showStatus));
+  addCommand(program, "drain <environment> <target>", {
+    description: "Asks the node of a target to drain it.",
+    examples: ["drain production treasury-3"],
+  }).action((environment, targetId, options) =>
+    run(options, (context) => drain(context, { environment, targetId }))
+  );
+  const control = program.command("control").exitOverride()
+    .description("Changes the control group.");
+  addCommand(control, "replace <old> <new>", {
+    description:
+      "Adds a new instance, waits until it has the state, and removes the old one.",
+    examples: ["control replace 10.0.0.1:7300 10.0.0.4:7300"],
+  }).action((oldAddress, newAddress, options) =>
+    run(
+      options,
+      (context) => replaceInstance(context, { oldAddress, newAddress }),
+    )
+  );
+  const quarantine = program.command("quarantine").exitOverride()
+    .description("Shows and clears the quarantine of crashing requests.");
+  addCommand(quarantine, "list <environment>", {
+    description: "Lists the fingerprints in quarantine.",
+    examples: ["quarantine list production"],
+  }).action((environment, options) =>
+    run(options, (context) => listQuarantine(context, environment))
+  );
+  addCommand(quarantine, "clear <environment> [fingerprint]", {
+    description: "Removes a fingerprint from quarantine, or all with --all.",
+    examples: [
+      "quarantine clear production 9f2c11aa03b7d4e5",
+      "quarantine clear production --all",
+    ],
+  })
+    .option("--all", "remove every fingerprint of the environment")
+    .action((environment, fingerprint, options, command: Command) => {
+      if ((fingerprint === undefined) !== (options.all === true)) {
+        command.error("error: expected either a fingerprint or --all");
+      }
+      return run(
+        options,
+        (context) => clearQuarantine(context, { environment, fingerprint }),
+      );
+    });
+}
+
+function addCommand(
+  parent: Command,
+  usage: string,
+  texts: { description: string; examples: readonly string[] },
+): Command {
+  const examples = texts.examples.map((each) => `  dogwoodwalk ${each}`);
+  return parent.command(usage)
+    .exitOverride()
+    .description(texts.description)
+    .addOption(
+      new Option("--control <addresses>", "control instances, host:port,…")
+        .env("DOGWOODWALK_CONTROL").default("127.0.0.1:7300"),
+    )
+    .addOption(
+      new Option("--token-file <file>", "file with the shared token")
+        .env("DOGWOODWALK_TOKEN_FILE"),
+    )
+    .addOption(
+      new Option("--operator <name>", "name recorded with a change")
+        .env("DOGWOODWALK_OPERATOR").default(userInfo().username),
+    )
+    .option(
+      "--timeout <seconds>",
+      "time for an answer, resends included",
+      parseSeconds,
+      10,
+    )
+    .option("--json", "print JSON")
+    .addHelpText("after", `\nExamples:\n${examples.join("\n")}`);
+}
+
+function addChangeOptions(command: Command): Command {
+  return command
+    .requiredOption(
+      "--base <revision>",
+      "current revision that the change replaces, 0 for none",
+      parseWholeNumber,
+    )
+    .option("--wait", "wait until all live nodes have the revision in force")
+    .option(
+      "--wait-seconds <seconds>",
+      "how long to wait",
+      parseSeconds,
+      15,
+    )
+    .option("--change-id <id>", "id of an earlier send of the same change");
+}
+
+async function runAction(
+  options: CommonOptions,
+  action: Action,
+  io: CommandLineIo,
+): Promise<ExitCode> {
+  const token = readTokenFile(options.tokenFile);
+  if (token.kind === "error") {
+    io.writeError(`${token.error}\n`);
+    return exitCodes.invalidInput;
+  }
+  const connection = new ControlConnection({
+    addresses: options.control.split(",").map((each) => each.trim()),
+    interceptors: token.value === undefined
+      ? []
+      : [createClientInterceptor(token.value)],
+    timeoutMilliseconds: options.timeout * 1000,
+  });
+  const progress = io.isTerminal && !options.json
+    ? ora({ discardStdin: false })
+    : undefined;
+  try {
+    const outcome = await action({
+      connection,
+      operator: options.operator,
+      showProgress: (text) => progress?.start(text),
+      readFile: readInput,
+    });
+    progress?.stop();
+    printOutcome(outcome, options, io);
+    return outcome.exitCode;
+  } catch (error) {
+    progress?.stop();
+    if (error instanceof InputError) {
+      io.writeError(`${error.message}\n`);
+      return exitCodes.invalidInput;
+    }
+    throw error;
+  } finally {
+    connection.close();
+  }
+}
+
+function printOutcome(
+  outcome: Outcome,
+  options: CommonOptions,
+  io: CommandLineIo,
+): void {
+  if (options.json) {
+    io.writeOutput(`${JSON.stringify(outcome.json, undefined, 2)}\n`);
+    return;
+  }
+  const write = outcome.exitCode === exitCodes.ok
+    ? io.writeOutput
+    : io.writeError;
+  write(outcome.lines.map((line) => `${line}\n`).join(""));
+}
+
+/** A file that the operator named cannot be read. */
+class InputError extends Error {}
+
+function readInput(file: string): Buffer {
+  try {
+    return readFileSync(file);
+  } catch (error) {
+    throw new InputError(`${file}: ${(error as Error).message}`);
+  }
+}
+
+function parseWholeNumber(text: string): number {
+  const value = Number(text);
+  if (!/^\d+$/.test(text) || !Number.isSafeInteger(value)) {
+    throw new InvalidArgumentError("Expected a whole number.");
+  }
+  return value;
+}
+
+function parseSeconds(text: string): number {
+  const value = Number(text);
+  if (!(value > 0 && value <= 86_400)) {
+    throw new InvalidArgumentError("Expected seconds above 0.");
+  }
+  return value;
+}
--- /dev/null
+++ b/src/command_line/command_line_test.ts
@@ -0,0 +1,186 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { Token } from "../authentication/mod.ts";
+import { createLog, discardedMetrics } from "../common/mod.ts";
+import {
+  type DrainOutcome,
+  type LiveNode,
+  type RunningControl,
+  SingleInstanceLog,
+  startControl,
+} from "../control/mod.ts";
+import { runCommandLine } from "./command_line.ts";
+
+const folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-"));
+const secret = "correct-horse-battery";
+const running: RunningControl[] = [];
+after(async () => {
+  await Promise.all(running.map((each) => each.stop()));
+  rmSync(folder, { recursive: true });
+});
+
+const document = readFileSync("examples/strike-fund.toml", "utf8");
+const nodes: LiveNode[] = [];
+let drained: DrainOutcome = { kind: "unknown-target" };
+
+async function startInstance(token?: Token): Promise<number> {
+  const control = await startControl({
+    settings: {
+      dataFolder: folder,
+      listen: { host: "127.0.0.1", port: 0 },
+      address: "127.0.0.1:0",
+      members: ["127.0.0.1:0"],
+      region: "Muntenia",
+      availabilityZone: "muntenia-a",
+      stopLimitMilliseconds: 1000,
+    },
+    token,
+    eventLog: createLog({ write: () => {} }),
+    metrics: discardedMetrics,
+    openLog: (stateMachine) =>
+      new SingleInstanceLog(stateMachine, { address: "127.0.0.1:0" }),
+    addSessionServices: () => ({
+      getLiveNodes: () => nodes,
+      getTargets: () => [],
+      drain: () => Promise.resolve(drained),
+      stop: () => Promise.resolve(),
+    }),
+  });
+  running.push(control);
+  return control.port;
+}
+
+function write(name: string, text: string): string {
+  const file = join(folder, name);
+  writeFileSync(file, text);
+  return file;
+}
+
+const token = write("token", secret);
+const wrongToken = write("wrong", "another-secret-of-ours");
+const first = write("first.toml", document);
+const second = write("second.toml", document.replace("0.5", "0.4"));
+const broken = write(
+  "broken.toml",
+  document.replace("slots = 36", 'slots = "x"'),
+);
+const port = await startInstance(new Token(secret));
+
+async function run(line: string): Promise<{ code: number; text: string }> {
+  let text = "";
+  const write = (each: string) => {
+    text += each;
+  };
+  const code = await runCommandLine(
+    [
+      ...line.split(" "),
+      ...`--control 127.0.0.1:1,127.0.0.1:${port} --operator ana`.split(" "),
+      ...(line.includes("--token-file") ? [] : ["--token-file", token]),
+    ],
+    { writeOutput: write, writeError: write, isTerminal: false },
+  );
+  return { code, text };
+}
+
+// The steps share the state of one control group, in this order.
+const steps = [
+  { line: `validate ${first}`, code: 0, text: /no findings/ },
+  { line: `validate ${broken}`, code: 2, text: /broken\.toml:18: services/ },
+  { line: `apply trial ${broken} --base 0`, code: 2, text: /broken\.toml:18/ },
+  { line: `apply mars ${first} --base 0`, code: 2, text: /invalid-request/ },
+  { line: `apply trial missing --base 0`, code: 2, text: /missing: ENOENT/ },
+  { line: `apply trial ${first}`, code: 2, text: /--base <revision>/ },
+  {
+    line: `apply trial ${first} --base 0 --change-id a`,
+    code: 0,
+    text: /trial revision 1 accepted/,
+  },
+  {
+    line: `apply trial ${first} --base 0 --change-id a`,
+    code: 0,
+    text: /trial revision 1 accepted/,
+  },
+  { line: `apply trial ${second} --base 1`, code: 0, text: /revision 2/ },
+  {
+    line: `apply trial ${first} --base 1`,
+    code: 3,
+    text: /revision 2 by ana[^]*-caller_share = 0\.5\n\+caller_share = 0\.4/,
+  },
+  {
+    line: `apply trial ${second} --base 0 --change-id a`,
+    code: 2,
+    text: /change-id-reused/,
+  },
+  { line: "diff trial", code: 0, text: /\+caller_share = 0\.4/ },
+  { line: "history trial --json", code: 0, text: /"operator": "ana"/ },
+  { line: "promote 2 --base 0", code: 2, text: /not-in-force/ },
+  { line: "status", code: 0, text: /trial: revision 2, in force none/ },
+  { line: "drain trial t1", code: 2, text: /unknown-target/ },
+  { line: "quarantine list trial", code: 0, text: /nothing in quarantine/ },
+  { line: "quarantine clear trial", code: 2, text: /a fingerprint or --all/ },
+  {
+    line: `status --token-file ${wrongToken}`,
+    code: 1,
+    text: /unauthenticated/,
+  },
+];
+
+for (const { line, code, text } of steps) {
+  test(`${line.replaceAll(folder, "")} exits with ${code}`, async () => {
+    const result = await run(line);
+    assert.match(result.text, text);
+    assert.equal(result.code, code);
+    assert.ok(!result.text.includes(secret), "the token was printed");
+  });
+}
+
+test("apply --wait names the nodes that are behind and exits with 5", async () => {
+  nodes.push({
+    nodeId: "portal-1",
+    service: "member-portal",
+    nodeAddress: "127.0.0.1:9",
+    revision: 2,
+    isConnected: false,
+    admissionLevel: 0,
+  });
+  const line = `apply trial ${first} --base 2 --wait --wait-seconds 0.1`;
+  const { code, text } = await run(line);
+  assert.match(text, /portal-1 +member-portal +revision 2 +unreachable/);
+  assert.equal(code, 5);
+});
+
+test("a revision on all live nodes is marked and can be promoted", async () => {
+  nodes.splice(0, 1, { ...nodes[0] as LiveNode, revision: 4 });
+  const applied = await run(`apply trial ${second} --base 3 --wait`);
+  assert.match(applied.text, /in force on all 1 live nodes/);
+  let text = "";
+  for (let left = 100; left > 0 && !text.includes("in force 4"); left--) {
+    text = (await run("status")).text;
+  }
+  const promoted = await run("promote 4 --base 0");
+  assert.match(promoted.text, /production revision 1 accepted/);
+  const diff = await run(`diff production ${second}`);
+  assert.match(diff.text, /no differences/);
+});
+
+test("drain shows the state of the target", async () => {
+  drained = { kind: "asked", state: "draining" };
+  assert.match((await run("drain trial t1")).text, /t1: draining/);
+});
+
+test("no instance in reach exits with 4 and shows the change id", async () => {
+  let text = "";
+  const write = (each: string) => {
+    text += each;
+  };
+  const line = `apply trial ${first} --base 0 --control 127.0.0.1:1`;
+  const code = await runCommandLine(
+    [...line.split(" "), "--timeout", "0.3"],
+    { writeOutput: write, writeError: write, isTerminal: false },
+  );
+  assert.match(text, /--change-id [0-9a-f-]{36}/);
+  assert.equal(code, 4);
+});
--- /dev/null
+++ b/src/command_line/exit_code.ts
@@ -0,0 +1,37 @@
+import type { Refusal } from "../protocol/generated/common.ts";
+
+/** Exit codes of the command line. */
+export const exitCodes = {
+  ok: 0,
+  other: 1,
+  invalidInput: 2,
+  conflict: 3,
+  unreachable: 4,
+  notInForce: 5,
+} as const;
+
+/** An exit code of the command line. */
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
+
+const invalidReasons = new Set([
+  "invalid-document",
+  "invalid-request",
+  "unknown-environment",
+  "unknown-revision",
+  "unknown-target",
+]);
+const unreachableReasons = new Set(["not-leader", "isolated", "stopping"]);
+
+/**
+ * Gets the exit code for a refusal of a control instance.
+ * @param refusal The refusal.
+ * @returns The code.
+ */
+export function getRefusalExitCode(refusal: Refusal): ExitCode {
+  if (invalidReasons.has(refusal.reason)) {
+    return exitCodes.invalidInput;
+  }
+  return unreachableReasons.has(refusal.reason)
+    ? exitCodes.unreachable
+    : exitCodes.other;
+}
--- /dev/null
+++ b/src/command_line/outcome.ts
@@ -0,0 +1,70 @@
+import type { CallFailure } from "./control_connection.ts";
+import { type ExitCode, exitCodes, getRefusalExitCode } from "./exit_code.ts";
+
+/** What a command prints, and the exit code of the process. */
+export interface Outcome {
+  readonly exitCode: ExitCode;
+  /** Printed with `--json`. */
+  readonly json: unknown;
+  /** Lines printed without `--json`. */
+  readonly lines: readonly string[];
+}
+
+/**
+ * Creates the outcome of a call that has no reply.
+ * @param failure Why there is none.
+ * @param hint A line with what the operator can do.
+ * @returns The outcome.
+ */
+export function createFailureOutcome(
+  failure: CallFailure,
+  hint?: string,
+): Outcome {
+  const { exitCode, error, message } = describe(failure);
+  return {
+    exitCode,
+    json: { error, message, hint },
+    lines: [`${error}: ${message}`, ...(hint === undefined ? [] : [hint])],
+  };
+}
+
+function describe(failure: CallFailure) {
+  switch (failure.kind) {
+    case "refused":
+      return {
+        exitCode: getRefusalExitCode(failure.refusal),
+        error: failure.refusal.reason,
+        message: failure.refusal.message,
+      };
+    case "unauthenticated":
+      return {
+        exitCode: exitCodes.other,
+        error: failure.kind,
+        message: failure.message,
+      };
+    case "unreachable":
+      return {
+        exitCode: exitCodes.unreachable,
+        error: failure.kind,
+        message: failure.message,
+      };
+  }
+}
+
+/**
+ * Lays out rows in columns.
+ * @param rows Cells of each row.
+ * @returns One line a row.
+ */
+export function formatColumns(rows: readonly (readonly string[])[]): string[] {
+  const widths: number[] = [];
+  for (const row of rows) {
+    row.forEach((cell, column) => {
+      widths[column] = Math.max(widths[column] ?? 0, cell.length);
+    });
+  }
+  return rows.map((row) =>
+    row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ")
+      .trimEnd()
+  );
+}
--- /dev/null
+++ b/src/configuration/document_history.ts
@@ -0,0 +1,310 @@
+import { createHash } from "node:crypto";
+import { getDocumentDigest } from "../document/mod.ts";
+import type {
+  ApplyDocument,
+  DocumentResult,
+  HistorySnapshot,
+  KnownChange,
+  LedgerLimits,
+  MarkInForce,
+  PromoteDocument,
+  Revision,
+} from "../protocol/generated/control.ts";
+
+/** Revisions of an environment that are listed; older ones are forgotten. */
+export const revisionLimit = 2000;
+/**
+ * Newest revisions of an environment whose bytes are kept, beside the newest
+ * one in force. With documents of at most 1 MiB this bounds the memory.
+ */
+export const keptDocumentCount = 50;
+/** Change ids that are remembered; nearly four days at 2,100 changes a day. */
+export const knownChangeLimit = 8192;
+/** Revisions that a conflict names; the newest ones. */
+const conflictRevisionLimit = 20;
+
+/** The time of a log entry. */
+export interface EntryTime {
+  readonly time: Date;
+}
+
+type ResultKind =
+  | "accepted"
+  | "conflict"
+  | "change-id-reused"
+  | "unknown-revision"
+  | "not-in-force";
+
+interface NewRevision {
+  readonly environment: string;
+  readonly baseRevision: number;
+  readonly bytes: Buffer;
+  readonly changeId: string;
+  readonly operator: string;
+  readonly ledgerLimits: LedgerLimits | undefined;
+  readonly fromEnvironment: string;
+  readonly fromRevision: number;
+}
+
+/**
+ * Keeps the revisions of the documents of every environment. Deterministic:
+ * the same commands in the same order give the same state on each instance.
+ */
+export class DocumentHistory {
+  readonly #revisions = new Map<string, Revision[]>();
+  readonly #documents = new Map<string, Buffer>();
+  readonly #changes = new Map<string, KnownChange>();
+
+  /**
+   * Applies a document when its base is the current revision.
+   * @param command The document and the revision that it replaces.
+   * @param entry The log entry.
+   * @returns The new revision, or who changed the document since the base.
+   */
+  apply(command: ApplyDocument, entry: EntryTime): DocumentResult {
+    const digest = getCommandDigest([
+      "apply",
+      command.environment,
+      command.baseRevision,
+      getDocumentDigest(command.bytes),
+    ]);
+    return this.#once(command.changeId, digest, () =>
+      this.#append({
+        ...command,
+        fromEnvironment: "",
+        fromRevision: 0,
+      }, entry));
+  }
+
+  /**
+   * Promotes the exact bytes of a revision that was in force in another
+   * environment.
+   * @param command The revision and the one that it replaces.
+   * @param entry The log entry.
+   * @returns The new revision, or why there is none.
+   */
+  promote(command: PromoteDocument, entry: EntryTime): DocumentResult {
+    const digest = getCommandDigest([
+      "promote",
+      command.fromEnvironment,
+      command.fromRevision,
+      command.environment,
+      command.baseRevision,
+    ]);
+    return this.#once(command.changeId, digest, () => {
+      const source = this.getRevision(
+        command.fromEnvironment,
+        command.fromRevision,
+      );
+      const bytes = source && this.#documents.get(source.digest);
+      if (source === undefined || bytes === undefined) {
+        return this.#createResult("unknown-revision", command.environment);
+      }
+      if (source.inForceMilliseconds === 0) {
+        return this.#createResult("not-in-force", command.environment);
+      }
+      return this.#append({
+        ...command,
+        bytes,
+        ledgerLimits: source.ledgerLimits,
+      }, entry);
+    });
+  }
+
+  /**
+   * Marks a revision as in force on all live nodes of its environment.
+   * @param command The revision.
+   * @param entry The log entry.
+   * @returns The current revision, or that the revision is not known.
+   */
+  markInForce(command: MarkInForce, entry: EntryTime): DocumentResult {
+    const { environment, revision } = command;
+    const revisions = this.#revisions.get(environment) ?? [];
+    const index = revisions.findIndex((each) => each.revision === revision);
+    const marked = revisions[index];
+    if (marked === undefined) {
+      return this.#createResult("unknown-revision", environment);
+    }
+    if (marked.inForceMilliseconds === 0) {
+      revisions[index] = {
+        ...marked,
+        inForceMilliseconds: Math.max(1, entry.time.getTime()),
+      };
+      this.#forgetOld(environment);
+    }
+    return this.#createResult("accepted", environment);
+  }
+
+  /** Gets the names of the environments that have a document. */
+  getEnvironments(): string[] {
+    return [...this.#revisions.keys()].sort();
+  }
+
+  /** Gets the current revision of an environment. */
+  getCurrent(environment: string): Revision | undefined {
+    return this.#revisions.get(environment)?.at(-1);
+  }
+
+  /** Gets the newest revision that was in force on all live nodes. */
+  getInForce(environment: string): Revision | undefined {
+    return this.#revisions.get(environment)?.findLast((each) =>
+      each.inForceMilliseconds > 0
+    );
+  }
+
+  /** Gets a revision that is still listed. */
+  getRevision(environment: string, revision: number): Revision | undefined {
+    return this.#revisions.get(environment)?.find((each) =>
+      each.revision === revision
+    );
+  }
+
+  /**
+   * Gets the newest revisions of an environment.
+   * @param environment Its name.
+   * @param limit How many at most.
+   * @returns The revisions, newest first.
+   */
+  getRevisions(environment: string, limit: number): Revision[] {
+    const revisions = this.#revisions.get(environment) ?? [];
+    return revisions.slice(Math.max(0, revisions.length - limit)).reverse();
+  }
+
+  /** Gets the bytes of a document that is still kept. */
+  getBytes(digest: string): Uint8Array | undefined {
+    return this.#documents.get(digest);
+  }
+
+  /** Takes a copy of the state; equal states give equal copies. */
+  takeSnapshot(): HistorySnapshot {
+    return {
+      revisions: this.getEnvironments().flatMap((each) =>
+        this.#revisions.get(each) ?? []
+      ),
+      documents: [...this.#documents.keys()].sort().map((digest) => ({
+        digest,
+        bytes: this.#documents.get(digest) ?? Buffer.alloc(0),
+      })),
+      changes: [...this.#changes.values()],
+    };
+  }
+
+  /** Replaces the state with a copy. */
+  restoreSnapshot(snapshot: HistorySnapshot): void {
+    this.#revisions.clear();
+    this.#documents.clear();
+    this.#changes.clear();
+    for (const each of snapshot.revisions) {
+      const revisions = this.#revisions.get(each.environment);
+      if (revisions === undefined) {
+        this.#revisions.set(each.environment, [each]);
+      } else {
+        revisions.push(each);
+      }
+    }
+    for (const { digest, bytes } of snapshot.documents) {
+      this.#documents.set(digest, bytes);
+    }
+    for (const each of snapshot.changes) {
+      this.#changes.set(each.changeId, each);
+    }
+  }
+
+  #once(
+    changeId: string,
+    commandDigest: string,
+    run: () => DocumentResult,
+  ): DocumentResult {
+    const known = this.#changes.get(changeId);
+    if (known?.commandDigest === commandDigest) {
+      return known.result ?? emptyResult;
+    }
+    if (known !== undefined) {
+      return { ...emptyResult, kind: "change-id-reused" };
+    }
+    const result = run();
+    this.#changes.set(changeId, { changeId, commandDigest, result });
+    if (this.#changes.size > knownChangeLimit) {
+      for (const oldest of this.#changes.keys()) {
+        this.#changes.delete(oldest);
+        break;
+      }
+    }
+    return result;
+  }
+
+  #append(change: NewRevision, entry: EntryTime): DocumentResult {
+    const { environment, baseRevision } = change;
+    const current = this.getCurrent(environment);
+    if ((current?.revision ?? 0) !== baseRevision) {
+      return {
+        ...this.#createResult("conflict", environment),
+        sinceBase: this.getRevisions(environment, conflictRevisionLimit)
+          .filter((each) => each.revision > baseRevision),
+      };
+    }
+    const digest = getDocumentDigest(change.bytes);
+    const revision: Revision = {
+      environment,
+      revision: baseRevision + 1,
+      digest,
+      operator: change.operator,
+      changeId: change.changeId,
+      timeMilliseconds: Math.max(0, entry.time.getTime()),
+      sizeBytes: change.bytes.length,
+      fromEnvironment: change.fromEnvironment,
+      fromRevision: change.fromRevision,
+      inForceMilliseconds: 0,
+      ledgerLimits: change.ledgerLimits,
+    };
+    const revisions = this.#revisions.get(environment) ?? [];
+    revisions.push(revision);
+    this.#revisions.set(environment, revisions);
+    this.#documents.set(digest, change.bytes);
+    this.#forgetOld(environment);
+    return this.#createResult("accepted", environment);
+  }
+
+  /** Drops what the limits no longer allow after a change of an environment. */
+  #forgetOld(environment: string): void {
+    const revisions = this.#revisions.get(environment) ?? [];
+    const inForce = this.getInForce(environment);
+    while (revisions.length > revisionLimit) {
+      revisions.splice(revisions[0] === inForce ? 1 : 0, 1);
+    }
+    const kept = new Set<string>();
+    for (const name of this.#revisions.keys()) {
+      for (const each of this.getRevisions(name, keptDocumentCount)) {
+        kept.add(each.digest);
+      }
+      kept.add(this.getInForce(name)?.digest ?? "");
+    }
+    for (const digest of this.#documents.keys()) {
+      if (!kept.has(digest)) {
+        this.#documents.delete(digest);
+      }
+    }
+  }
+
+  #createResult(kind: ResultKind, environment: string): DocumentResult {
+    const current = this.getCurrent(environment);
+    return {
+      kind,
+      revision: current?.revision ?? 0,
+      digest: current?.digest ?? "",
+      sinceBase: [],
+    };
+  }
+}
+
+const emptyResult: DocumentResult = {
+  kind: "change-id-reused" satisfies ResultKind,
+  revision: 0,
+  digest: "",
+  sinceBase: [],
+};
+
+function getCommandDigest(parts: readonly (string | number)[]): string {
+  return createHash("sha256").update(JSON.stringify(parts)).digest("hex")
+    .slice(0, 32);
+}
--- /dev/null
+++ b/src/configuration/quarantine_list.ts
@@ -0,0 +1,103 @@
+import type {
+  ClearQuarantine,
+  Quarantine,
+  QuarantineEntry,
+  QuarantineResult,
+} from "../protocol/generated/control.ts";
+import type { EntryTime } from "./document_history.ts";
+
+/** Fingerprints in quarantine at once, over all environments. */
+export const quarantineLimit = 10_000;
+
+/**
+ * Keeps the fingerprints of requests that crash targets. Deterministic: the
+ * time comes with each entry.
+ */
+export class QuarantineList {
+  readonly #entries = new Map<string, QuarantineEntry>();
+
+  /**
+   * Adds a fingerprint, or lengthens its quarantine.
+   * @param command The fingerprint and how long it stays.
+   * @param entry The log entry.
+   * @returns One changed entry, or that the list is full.
+   */
+  add(command: Quarantine, entry: EntryTime): QuarantineResult {
+    this.#removeExpired(entry.time);
+    const key = getKey(command);
+    const known = this.#entries.get(key);
+    if (known === undefined && this.#entries.size >= quarantineLimit) {
+      return { changed: 0, isFull: true };
+    }
+    const now = Math.max(0, entry.time.getTime());
+    this.#entries.set(key, {
+      environment: command.environment,
+      fingerprint: command.fingerprint,
+      sinceMilliseconds: known?.sinceMilliseconds ?? now,
+      untilMilliseconds: Math.max(
+        known?.untilMilliseconds ?? 0,
+        now + command.seconds * 1000,
+      ),
+      reason: command.reason,
+      reportedBy: command.reportedBy,
+    });
+    return { changed: 1, isFull: false };
+  }
+
+  /**
+   * Removes one fingerprint, or all of an environment.
+   * @param command What to remove.
+   * @returns How many entries were removed.
+   */
+  clear(command: ClearQuarantine): QuarantineResult {
+    let changed = 0;
+    for (const [key, each] of this.#entries) {
+      const isMeant = each.environment === command.environment &&
+        (command.fingerprint === "" ||
+          command.fingerprint === each.fingerprint);
+      if (isMeant) {
+        this.#entries.delete(key);
+        changed += 1;
+      }
+    }
+    return { changed, isFull: false };
+  }
+
+  /**
+   * Gets the entries of an environment whose time has not passed.
+   * @param environment Its name.
+   * @param now The time.
+   * @returns The entries, oldest first.
+   */
+  getEntries(environment: string, now: Date): QuarantineEntry[] {
+    return [...this.#entries.values()].filter((each) =>
+      each.environment === environment &&
+      each.untilMilliseconds > now.getTime()
+    );
+  }
+
+  /** Takes a copy of the state; equal states give equal copies. */
+  takeSnapshot(): QuarantineEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Replaces the state with a copy. */
+  restoreSnapshot(entries: readonly QuarantineEntry[]): void {
+    this.#entries.clear();
+    for (const each of entries) {
+      this.#entries.set(getKey(each), each);
+    }
+  }
+
+  #removeExpired(now: Date): void {
+    for (const [key, each] of this.#entries) {
+      if (each.untilMilliseconds <= now.getTime()) {
+        this.#entries.delete(key);
+      }
+    }
+  }
+}
+
+function getKey(entry: { environment: string; fingerprint: string }): string {
+  return `${entry.environment} ${entry.fingerprint}`;
+}
--- /dev/null
+++ b/src/control/accepted_documents.ts
@@ -0,0 +1,46 @@
+import type { DocumentHistory } from "../configuration/mod.ts";
+import { parseDocument } from "../document/mod.ts";
+import type { AcceptedDocument } from "./session_host.ts";
+
+/** Parses the current document of each environment once per revision. */
+export class AcceptedDocuments {
+  readonly #history: DocumentHistory;
+  readonly #parsed = new Map<string, AcceptedDocument>();
+
+  /**
+   * @param history The confirmed revisions.
+   */
+  constructor(history: DocumentHistory) {
+    this.#history = history;
+  }
+
+  /**
+   * Gets the current document of an environment.
+   * @param environment Its name.
+   * @returns The document; `undefined` when there is none.
+   */
+  get(environment: string): AcceptedDocument | undefined {
+    const current = this.#history.getCurrent(environment);
+    if (current === undefined) {
+      return undefined;
+    }
+    const known = this.#parsed.get(environment);
+    if (known?.revision === current.revision) {
+      return known;
+    }
+    const { revision, digest } = current;
+    const bytes = this.#history.getBytes(digest);
+    const parsed = parseDocument(
+      new TextDecoder().decode(bytes),
+      `${environment} revision ${revision}`,
+    );
+    if (parsed.kind === "error") {
+      // Only a document accepted by another release can come here; the
+      // earlier one stays in use.
+      return known;
+    }
+    const accepted = { environment, revision, digest, document: parsed.value };
+    this.#parsed.set(environment, accepted);
+    return accepted;
+  }
+}
--- /dev/null
+++ b/src/control/control_state_machine.ts
@@ -0,0 +1,159 @@
+import { createHash } from "node:crypto";
+import { match } from "ts-pattern";
+import { DocumentHistory, QuarantineList } from "../configuration/mod.ts";
+import { ClaimLedger } from "../ledger/mod.ts";
+import {
+  ControlCommand,
+  ControlResult,
+  ControlSnapshot,
+  type LedgerCommand,
+} from "../protocol/generated/control.ts";
+import type { LogEntry, StateMachine } from "./replicated_log.ts";
+
+/** Version of commands, results and snapshots. */
+export const formatVersion = 1;
+
+/** A part of the state that changed, with its environment. */
+export interface StateChange {
+  readonly kind: "document" | "quarantine" | "restored";
+  /** Absent when everything may have changed. */
+  readonly environment?: string;
+}
+
+/**
+ * The replicated state: documents, quarantine and claims. Each command belongs
+ * to one of them.
+ */
+export class ControlStateMachine implements StateMachine {
+  readonly history = new DocumentHistory();
+  readonly quarantine = new QuarantineList();
+  readonly ledger = new ClaimLedger((environment) =>
+    this.history.getCurrent(environment)?.ledgerLimits
+  );
+  readonly #listeners: ((change: StateChange) => void)[] = [];
+  #index = 0;
+  #milliseconds = 0;
+
+  /** Index of the last entry that was applied. */
+  get index(): number {
+    return this.#index;
+  }
+
+  /** Calls a function after each change of a document or of the quarantine. */
+  subscribe(listener: (change: StateChange) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  apply(entry: LogEntry): Uint8Array {
+    const { command, formatVersion: version } = ControlCommand.decode(
+      entry.command,
+    );
+    if (version > formatVersion) {
+      throw createVersionError("Log entry", version);
+    }
+    this.#index = entry.index;
+    this.#milliseconds = Math.max(this.#milliseconds, entry.time.getTime());
+    const moment = { time: new Date(this.#milliseconds) };
+    const result = match(command)
+      .returnType<ControlResult["result"]>()
+      .with({ $case: "applyDocument" }, ({ applyDocument }) => ({
+        $case: "document",
+        document: this.history.apply(applyDocument, moment),
+      }))
+      .with({ $case: "promoteDocument" }, ({ promoteDocument }) => ({
+        $case: "document",
+        document: this.history.promote(promoteDocument, moment),
+      }))
+      .with({ $case: "markInForce" }, ({ markInForce }) => ({
+        $case: "document",
+        document: this.history.markInForce(markInForce, moment),
+      }))
+      .with({ $case: "ledger" }, ({ ledger }) => ({
+        $case: "ledger",
+        ledger: { answers: this.#applyLedger(ledger, moment.time) },
+      }))
+      .with({ $case: "quarantine" }, ({ quarantine }) => ({
+        $case: "quarantine",
+        quarantine: this.quarantine.add(quarantine, moment),
+      }))
+      .with({ $case: "clearQuarantine" }, ({ clearQuarantine }) => ({
+        $case: "quarantine",
+        quarantine: this.quarantine.clear(clearQuarantine),
+      }))
+      .with(undefined, () => ({ $case: "unsupported", unsupported: {} }))
+      .exhaustive();
+    this.#announce(command);
+    return ControlResult.encode({ formatVersion, result }).finish();
+  }
+
+  takeSnapshot(): Uint8Array {
+    return ControlSnapshot.encode({
+      formatVersion,
+      index: this.#index,
+      timeMilliseconds: this.#milliseconds,
+      history: this.history.takeSnapshot(),
+      quarantine: this.quarantine.takeSnapshot(),
+      ledger: this.ledger.takeSnapshot(),
+    }).finish();
+  }
+
+  restoreSnapshot(bytes: Uint8Array): void {
+    const snapshot = ControlSnapshot.decode(bytes);
+    if (snapshot.formatVersion > formatVersion) {
+      throw createVersionError("Snapshot", snapshot.formatVersion);
+    }
+    const { history, ledger } = snapshot;
+    if (history === undefined || ledger === undefined) {
+      throw new Error("Snapshot lacks the documents or the ledger");
+    }
+    this.#index = snapshot.index;
+    this.#milliseconds = snapshot.timeMilliseconds;
+    this.history.restoreSnapshot(history);
+    this.quarantine.restoreSnapshot(snapshot.quarantine);
+    this.ledger.restoreSnapshot(ledger);
+    this.#listeners.forEach((listener) => listener({ kind: "restored" }));
+  }
+
+  /** Gets a digest of the whole state; encodes all of it. */
+  getDigest(): string {
+    return createHash("sha256").update(this.takeSnapshot()).digest("hex")
+      .slice(0, 32);
+  }
+
+  #applyLedger(command: LedgerCommand, time: Date) {
+    return command.batches.map((batch) =>
+      this.ledger.apply({ index: this.#index, time, batch })
+    );
+  }
+
+  #announce(command: ControlCommand["command"]): void {
+    const change = match(command)
+      .returnType<StateChange | undefined>()
+      .with({ $case: "applyDocument" }, ({ applyDocument }) => ({
+        kind: "document",
+        environment: applyDocument.environment,
+      }))
+      .with({ $case: "promoteDocument" }, ({ promoteDocument }) => ({
+        kind: "document",
+        environment: promoteDocument.environment,
+      }))
+      .with({ $case: "quarantine" }, ({ quarantine }) => ({
+        kind: "quarantine",
+        environment: quarantine.environment,
+      }))
+      .with({ $case: "clearQuarantine" }, ({ clearQuarantine }) => ({
+        kind: "quarantine",
+        environment: clearQuarantine.environment,
+      }))
+      .otherwise(() => undefined);
+    if (change !== undefined) {
+      this.#listeners.forEach((listener) => listener(change));
+    }
+  }
+}
+
+function createVersionError(subject: string, version: number): Error {
+  return new Error(
+    `${subject} has format version ${version}, this release reads up to ${formatVersion}`,
+  );
+}
--- /dev/null
+++ b/src/control/proposer.ts
@@ -0,0 +1,136 @@
+import { credentials, type Interceptor, Metadata } from "@grpc/grpc-js";
+import { failed, ok, type Result } from "../common/mod.ts";
+import type { Refusal } from "../protocol/generated/common.ts";
+import {
+  ControlCommand,
+  ControlResult,
+  ForwardClient,
+  type ForwardServer,
+} from "../protocol/generated/control.ts";
+import { formatVersion } from "./control_state_machine.ts";
+import { createProposeRefusal, createRefusal } from "./refusal.ts";
+import type { ReplicatedLog } from "./replicated_log.ts";
+
+/** Deadline of a forwarded command; the same as for every RPC of the group. */
+const forwardMilliseconds = 1000;
+
+/** What {@link Proposer} needs. */
+export interface ProposerOptions {
+  readonly log: ReplicatedLog;
+  /** Own address, to which nothing is forwarded. */
+  readonly address: string;
+  readonly interceptors: readonly Interceptor[];
+}
+
+/** Proposes commands, through the leader when this instance is a follower. */
+export class Proposer {
+  readonly #options: ProposerOptions;
+  readonly #clients = new Map<string, ForwardClient>();
+
+  constructor(options: ProposerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Proposes a command. A lost answer of the leader is `outcome-unknown`: the
+   * command may still be applied.
+   * @param command The command.
+   * @returns Its result, or why there is none.
+   */
+  async propose(
+    command: ControlCommand["command"],
+  ): Promise<Result<ControlResult["result"], Refusal>> {
+    const bytes = ControlCommand.encode({ formatVersion, command }).finish();
+    const proposed = await this.#options.log.propose(bytes);
+    if (proposed.kind === "ok") {
+      return ok(ControlResult.decode(proposed.value).result);
+    }
+    const { error } = proposed;
+    const leaderAddress = error.kind === "not-leader"
+      ? error.leaderAddress
+      : undefined;
+    if (
+      leaderAddress === undefined || leaderAddress === this.#options.address
+    ) {
+      return failed(createProposeRefusal(error));
+    }
+    return await this.#forward(leaderAddress, bytes);
+  }
+
+  /** Gets the service that takes commands of other instances. */
+  getService(): ForwardServer {
+    return {
+      propose: async (call, callback) => {
+        const { command } = call.request;
+        if (!isKnownCommand(command)) {
+          const refusal = createRefusal(
+            "unsupported-format",
+            "The command is of a newer release or damaged",
+          );
+          callback(null, { formatVersion, refusal, result: Buffer.alloc(0) });
+          return;
+        }
+        const proposed = await this.#options.log.propose(command);
+        callback(null, {
+          formatVersion,
+          refusal: proposed.kind === "error"
+            ? createProposeRefusal(proposed.error)
+            : undefined,
+          result: proposed.kind === "ok"
+            ? Buffer.from(proposed.value)
+            : Buffer.alloc(0),
+        });
+      },
+    };
+  }
+
+  /** Closes the connections to other instances. */
+  close(): void {
+    for (const client of this.#clients.values()) {
+      client.close();
+    }
+    this.#clients.clear();
+  }
+
+  #forward(
+    address: string,
+    command: Uint8Array,
+  ): Promise<Result<ControlResult["result"], Refusal>> {
+    const request = { formatVersion, command: Buffer.from(command) };
+    const options = { deadline: Date.now() + forwardMilliseconds };
+    return new Promise((resolve) => {
+      const client = this.#getClient(address);
+      client.propose(request, new Metadata(), options, (error, answer) => {
+        if (error !== null) {
+          const message = `Leader ${address} did not answer: ${error.details}`;
+          resolve(failed(createRefusal("outcome-unknown", message)));
+        } else if (answer.refusal !== undefined) {
+          resolve(failed(answer.refusal));
+        } else {
+          resolve(ok(ControlResult.decode(answer.result).result));
+        }
+      });
+    });
+  }
+
+  #getClient(address: string): ForwardClient {
+    let client = this.#clients.get(address);
+    if (client === undefined) {
+      client = new ForwardClient(address, credentials.createInsecure(), {
+        interceptors: [...this.#options.interceptors],
+      });
+      this.#clients.set(address, client);
+    }
+    return client;
+  }
+}
+
+function isKnownCommand(bytes: Uint8Array): boolean {
+  try {
+    const decoded = ControlCommand.decode(bytes);
+    return decoded.formatVersion <= formatVersion &&
+      decoded.command !== undefined;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/src/settings/control_settings.ts
@@ -0,0 +1,117 @@
+import { isLoopbackHost } from "../authentication/mod.ts";
+import { failed, type Finding, ok, type Result } from "../common/mod.ts";
+import { parseTomlFile, type ValueReader } from "../toml/mod.ts";
+import { type Endpoint, parseEndpoint, readEndpoint } from "./endpoint.ts";
+
+/** Instances of a control group. */
+const maximumMembers = 7;
+
+/** Settings of a control process. */
+export interface ControlSettings {
+  readonly dataFolder: string;
+  /** Listener for all gRPC services. */
+  readonly listen: Endpoint;
+  /** Address (host:port) under which others reach this instance. */
+  readonly address: string;
+  /**
+   * Addresses of the first members, this one included, the same on each. An
+   * instance that joins later names the current members and not itself.
+   */
+  readonly members: readonly string[];
+  readonly region: string;
+  readonly availabilityZone: string;
+  readonly tokenFile?: string | undefined;
+  readonly statsd?: Endpoint | undefined;
+  /** Time for calls in flight after SIGTERM. */
+  readonly stopLimitMilliseconds: number;
+}
+
+/**
+ * Parses the settings of a control process. All findings are reported
+ * together.
+ * @param text The TOML text.
+ * @param file Name of the file, for findings.
+ * @returns The settings, or every finding.
+ */
+export function parseControlSettings(
+  text: string,
+  file: string,
+): Result<ControlSettings, Finding[]> {
+  const parsed = parseTomlFile(text, file);
+  if (parsed.kind === "error") {
+    return parsed;
+  }
+  const { reader, findings } = parsed.value;
+  const settings = readSettings(reader);
+  if (settings.tokenFile === undefined) {
+    reportOpenListener(reader, settings.listen);
+  }
+  reader.reportUnknownKeys();
+  if (findings.length > 0) {
+    return failed(findings.toSorted((a, b) => a.line - b.line));
+  }
+  return ok(settings);
+}
+
+function readSettings(reader: ValueReader): ControlSettings {
+  const listen = readEndpoint(reader, "listen");
+  return {
+    dataFolder: reader.readText("data_folder"),
+    listen,
+    address: reader.hasKey("address")
+      ? readAddress(reader, "address")
+      : formatEndpoint(listen),
+    members: readMembers(reader),
+    region: reader.readText("region"),
+    availabilityZone: reader.readText("availability_zone"),
+    tokenFile: reader.readText("token_file", { optional: true }),
+    statsd: reader.hasKey("statsd")
+      ? readEndpoint(reader, "statsd")
+      : undefined,
+    stopLimitMilliseconds: reader.readNumber("stop_limit_ms", {
+      minimum: 0,
+      maximum: 600_000,
+      isInteger: true,
+      fallback: 5000,
+    }),
+  };
+}
+
+function readAddress(reader: ValueReader, key: string): string {
+  return formatEndpoint(readEndpoint(reader, key));
+}
+
+function formatEndpoint(endpoint: Endpoint): string {
+  const host = endpoint.host.includes(":")
+    ? `[${endpoint.host}]`
+    : endpoint.host;
+  return `${host}:${endpoint.port}`;
+}
+
+function readMembers(reader: ValueReader): string[] {
+  const members = reader.readTexts("members");
+  if (members.length > maximumMembers) {
+    reader.addFinding("members", `Expected at most ${maximumMembers} members`);
+  }
+  if (new Set(members).size !== members.length) {
+    reader.addFinding("members", "A member is named twice");
+  }
+  members.forEach((member, index) => {
+    if ((parseEndpoint(member)?.port ?? 0) === 0) {
+      reader.addFinding(
+        `members.${index}`,
+        `Expected host:port, found "${member}"`,
+      );
+    }
+  });
+  return members;
+}
+
+function reportOpenListener(reader: ValueReader, listen: Endpoint): void {
+  if (listen.host !== "" && !isLoopbackHost(listen.host)) {
+    reader.addFinding(
+      "listen",
+      "Expected a loopback address, because token_file is not set",
+    );
+  }
+}
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -1,2 +1,6 @@
+export {
+  type ControlSettings,
+  parseControlSettings,
+} from "./control_settings.ts";
 export { type NodeSettings, parseNodeSettings } from "./node_settings.ts";
 export { type Endpoint, parseEndpoint, readEndpoint } from "./endpoint.ts";
