Run the control process on the replicated log

Cause: the state must survive the loss of an instance. Change: the process opens the replicated log in its data folder and serves all gRPC services from one server; a stop waits for the proposals in flight before the log closes.

--- a/src/authentication/token.ts
+++ b/src/authentication/token.ts
@@ -32,6 +32,11 @@
     return timingSafeEqual(getDigest(value), this.#digest);
   }
 
+  /** Gets the secret, for the metadata of other slices; never to be logged. */
+  reveal(): string {
+    return this.#secret;
+  }
+
   toString(): string {
     return "[token]";
   }
--- a/src/bin/dogwoodwalk_control.ts
+++ b/src/bin/dogwoodwalk_control.ts
@@ -3,11 +3,8 @@
 import { Command } from "commander";
 import { readTokenFile } from "../authentication/mod.ts";
 import { createLog, createMetrics, formatFinding } from "../common/mod.ts";
-import {
-  type RunningControl,
-  SingleInstanceLog,
-  startControl,
-} from "../control/mod.ts";
+import { createReplicatedLog } from "../consensus/mod.ts";
+import { type RunningControl, startControl } from "../control/mod.ts";
 import { type ControlSettings, parseControlSettings } from "../settings/mod.ts";
 
 const exitCodes = { failed: 1, invalidInput: 2 } as const;
@@ -36,16 +33,26 @@
   const eventLog = createLog({
     base: { process: "control", instance: settings.address },
   });
+  const metrics = createMetrics({
+    address: settings.statsd?.host,
+    port: settings.statsd?.port,
+  });
   const control = await startControl({
     settings,
     token: token.value,
     eventLog,
-    metrics: createMetrics({
-      address: settings.statsd?.host,
-      port: settings.statsd?.port,
-    }),
-    openLog: (stateMachine) =>
-      new SingleInstanceLog(stateMachine, { address: settings.address }),
+    metrics,
+    openLog: (stateMachine, server) =>
+      createReplicatedLog({
+        dataFolder: settings.dataFolder,
+        address: settings.address,
+        initialMembers: settings.members,
+        stateMachine,
+        log: eventLog,
+        token: token.value?.reveal(),
+        server,
+        onFailure: () => metrics.increment("control.storage_failed", {}),
+      }),
   });
   stopOnSignal(control, (signal) => eventLog.info("stopping", { signal }));
 }
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -22,12 +22,16 @@
 import { createLedgerService } from "./ledger_service.ts";
 import { createOperatorService } from "./operator_service.ts";
 import { Proposer } from "./proposer.ts";
-import type { ReplicatedLog, StateMachine } from "./replicated_log.ts";
+import type { ReplicatedLog, StateMachine } from "../consensus/mod.ts";
 import type { SessionHost } from "./session_host.ts";
 
 /** Interval at which the leader looks for revisions in force everywhere. */
 const inForceCheckMilliseconds = 200;
 const gaugeMilliseconds = 5000;
+/** Time for answers that are already written, after the log has stopped. */
+const shutdownMilliseconds = 500;
+/** The same as the limit of the transport of the replicated log. */
+const largestMessageBytes = 64 * 1024 * 1024;
 
 /** Opens the replicated log and adds its services to the server. */
 export type OpenLog = (
@@ -115,9 +119,13 @@
     stop: async () => {
       timers.forEach(clearInterval);
       await sessions?.stop();
-      await shutDown(server, settings.stopLimitMilliseconds);
-      proposer.close();
+      // The log needs the server until the last proposal has its result.
+      const isDone = await proposer.stop(settings.stopLimitMilliseconds);
+      if (!isDone) {
+        eventLog.warn("stopped with proposals in flight");
+      }
       await log.stop();
+      await shutDown(server);
       metrics.close();
     },
   };
@@ -126,6 +134,8 @@
 function createServerOptions(token: Token | undefined): ServerOptions {
   return {
     interceptors: token === undefined ? [] : [createServerInterceptor(token)],
+    "grpc.max_receive_message_length": largestMessageBytes,
+    "grpc.max_send_message_length": largestMessageBytes,
   };
 }
 
@@ -156,10 +166,10 @@
     isIsolated: () => log.getStatus().isolated,
     getLedgerIndex: () => stateMachine.index,
     getControlAddresses: () => {
-      const { members, leaderAddress } = log.getStatus();
+      const { members, leader } = log.getStatus();
       const addresses = members.map((each) => each.address);
       return addresses.sort((a, b) =>
-        Number(b === leaderAddress) - Number(a === leaderAddress)
+        Number(b === leader?.address) - Number(a === leader?.address)
       );
     },
     subscribe: (listener) =>
@@ -225,16 +235,15 @@
   });
 }
 
-/** Waits for calls in flight up to a limit, then ends them. */
-function shutDown(server: Server, limitMilliseconds: number): Promise<void> {
+/** Gives answers on their way a moment, then ends all connections. */
+function shutDown(server: Server): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setTimeout(() => {
-      server.forceShutdown();
-      resolve();
-    }, limitMilliseconds);
-    server.tryShutdown(() => {
+    const end = () => {
       clearTimeout(timer);
+      server.forceShutdown();
       resolve();
-    });
+    };
+    const timer = setTimeout(end, shutdownMilliseconds);
+    server.tryShutdown(end);
   });
 }
--- a/src/control/control_state_machine.ts
+++ b/src/control/control_state_machine.ts
@@ -8,7 +8,7 @@
   ControlSnapshot,
   type LedgerCommand,
 } from "../protocol/generated/control.ts";
-import type { LogEntry, StateMachine } from "./replicated_log.ts";
+import type { StateMachine } from "../consensus/mod.ts";
 
 /** Version of commands, results and snapshots. */
 export const formatVersion = 1;
@@ -44,7 +44,7 @@
     this.#listeners.push(listener);
   }
 
-  apply(entry: LogEntry): Uint8Array {
+  apply(entry: Parameters<StateMachine["apply"]>[0]): Uint8Array {
     const { command, formatVersion: version } = ControlCommand.decode(
       entry.command,
     );
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -25,7 +25,7 @@
 import type { FleetView, LiveNode } from "./fleet_view.ts";
 import type { Proposer } from "./proposer.ts";
 import { createProposeRefusal, createRefusal } from "./refusal.ts";
-import type { ReplicatedLog } from "./replicated_log.ts";
+import type { ReplicatedLog } from "../consensus/mod.ts";
 
 /** Largest document, in bytes; bounds the memory of the history. */
 export const largestDocumentBytes = 1024 * 1024;
@@ -317,7 +317,7 @@
         address,
         role: status.role,
         term: status.term,
-        leaderAddress: status.leaderAddress ?? "",
+        leaderAddress: status.leader?.address ?? "",
         isolated: status.isolated,
         members: [...status.members],
         appliedIndex: stateMachine.index,
--- a/src/control/proposer.ts
+++ b/src/control/proposer.ts
@@ -9,7 +9,7 @@
 } from "../protocol/generated/control.ts";
 import { formatVersion } from "./control_state_machine.ts";
 import { createProposeRefusal, createRefusal } from "./refusal.ts";
-import type { ReplicatedLog } from "./replicated_log.ts";
+import type { ReplicatedLog } from "../consensus/mod.ts";
 
 /** Deadline of a forwarded command; the same as for every RPC of the group. */
 const forwardMilliseconds = 1000;
@@ -26,6 +26,9 @@
 export class Proposer {
   readonly #options: ProposerOptions;
   readonly #clients = new Map<string, ForwardClient>();
+  #inFlight = 0;
+  #isStopping = false;
+  #onIdle: (() => void) | undefined;
 
   constructor(options: ProposerOptions) {
     this.#options = options;
@@ -41,6 +44,12 @@
     command: ControlCommand["command"],
   ): Promise<Result<ControlResult["result"], Refusal>> {
     const bytes = ControlCommand.encode({ formatVersion, command }).finish();
+    return await this.#track(() => this.#proposeOrForward(bytes));
+  }
+
+  async #proposeOrForward(
+    bytes: Uint8Array,
+  ): Promise<Result<ControlResult["result"], Refusal>> {
     const proposed = await this.#options.log.propose(bytes);
     if (proposed.kind === "ok") {
       return ok(ControlResult.decode(proposed.value).result);
@@ -70,26 +79,62 @@
           callback(null, { formatVersion, refusal, result: Buffer.alloc(0) });
           return;
         }
-        const proposed = await this.#options.log.propose(command);
+        const proposed = await this.#track(() => this.#proposeHere(command));
         callback(null, {
           formatVersion,
-          refusal: proposed.kind === "error"
-            ? createProposeRefusal(proposed.error)
-            : undefined,
-          result: proposed.kind === "ok"
-            ? Buffer.from(proposed.value)
-            : Buffer.alloc(0),
+          refusal: proposed.kind === "error" ? proposed.error : undefined,
+          result: Buffer.from(proposed.kind === "ok" ? proposed.value : []),
         });
       },
     };
   }
 
-  /** Closes the connections to other instances. */
-  close(): void {
-    for (const client of this.#clients.values()) {
-      client.close();
+  /**
+   * Refuses new commands, waits for those in flight, and closes the
+   * connections to other instances.
+   * @param limitMilliseconds How long to wait.
+   * @returns Whether nothing was left in flight.
+   */
+  async stop(limitMilliseconds: number): Promise<boolean> {
+    this.#isStopping = true;
+    if (this.#inFlight > 0) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, limitMilliseconds);
+        this.#onIdle = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
     }
+    this.#clients.forEach((client) => client.close());
     this.#clients.clear();
+    return this.#inFlight === 0;
+  }
+
+  async #track<Value>(
+    run: () => Promise<Result<Value, Refusal>>,
+  ): Promise<Result<Value, Refusal>> {
+    if (this.#isStopping) {
+      return failed(createRefusal("stopping", "This instance stops"));
+    }
+    this.#inFlight += 1;
+    try {
+      return await run();
+    } finally {
+      this.#inFlight -= 1;
+      if (this.#inFlight === 0) {
+        this.#onIdle?.();
+      }
+    }
+  }
+
+  async #proposeHere(
+    command: Uint8Array,
+  ): Promise<Result<Uint8Array, Refusal>> {
+    const proposed = await this.#options.log.propose(command);
+    return proposed.kind === "error"
+      ? failed(createProposeRefusal(proposed.error))
+      : proposed;
   }
 
   #forward(
--- a/src/control/refusal.ts
+++ b/src/control/refusal.ts
@@ -1,4 +1,4 @@
-import type { ProposeError } from "./replicated_log.ts";
+import type { ProposeError } from "../consensus/mod.ts";
 import type { Refusal } from "../protocol/generated/common.ts";
 
 /** Every reason for which a control instance refuses a call. */
@@ -7,6 +7,7 @@
   "isolated",
   "outcome-unknown",
   "storage-failed",
+  "member-change-refused",
   "unsupported-format",
   "invalid-document",
   "invalid-request",
@@ -56,6 +57,7 @@
         "The command was proposed, but its result is not known",
       );
     case "storage-failed":
-      return createRefusal("storage-failed", error.message);
+    case "member-change-refused":
+      return createRefusal(error.kind, error.message);
   }
 }
--- a/src/control/single_instance_log.ts
+++ b/src/control/single_instance_log.ts
@@ -4,7 +4,7 @@
   ProposeError,
   ReplicatedLog,
   StateMachine,
-} from "./replicated_log.ts";
+} from "../consensus/mod.ts";
 
 /** A log of one instance without a disk, for tests. */
 export class SingleInstanceLog implements ReplicatedLog {
@@ -41,13 +41,27 @@
   }
 
   getStatus(): ConsensusStatus {
+    const id = "single";
+    const index = this.#index;
+    const stateMachine = this.#stateMachine;
     return {
+      id,
+      address: this.#address,
+      groupId: "single",
+      bootCount: 1,
       role: "leader",
       term: 1,
-      leaderAddress: this.#address,
+      leader: { id, address: this.#address },
       isolated: false,
-      members: [{ address: this.#address, id: "single", isVoter: true }],
-      appliedIndex: this.#index,
+      members: [{ id, address: this.#address, isVoter: true }],
+      matchIndexes: new Map(),
+      snapshotIndex: 0,
+      appliedIndex: index,
+      commitIndex: index,
+      lastIndex: index,
+      get digest() {
+        return stateMachine.getDigest();
+      },
     };
   }
 
--- a/src/settings/control_settings.ts
+++ b/src/settings/control_settings.ts
@@ -14,8 +14,8 @@
   /** Address (host:port) under which others reach this instance. */
   readonly address: string;
   /**
-   * Addresses of the first members, this one included, the same on each. An
-   * instance that joins later names the current members and not itself.
+   * Addresses of the members of a new group, in the same order on each; empty
+   * for an instance that is added to a group that exists.
    */
   readonly members: readonly string[];
   readonly region: string;
@@ -43,6 +43,10 @@
   }
   const { reader, findings } = parsed.value;
   const settings = readSettings(reader);
+  const { address, members } = settings;
+  if (members.length > 0 && !members.includes(address)) {
+    reader.addFinding("members", `Expected ${address}, this instance, in it`);
+  }
   if (settings.tokenFile === undefined) {
     reportOpenListener(reader, settings.listen);
   }
@@ -89,7 +93,7 @@
 }
 
 function readMembers(reader: ValueReader): string[] {
-  const members = reader.readTexts("members");
+  const members = reader.readTexts("members", { optional: true });
   if (members.length > maximumMembers) {
     reader.addFinding("members", `Expected at most ${maximumMembers} members`);
   }
