--- /dev/null
+++ b/src/configuration/document_history_test.ts
@@ -0,0 +1,207 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { DocumentResult } from "../protocol/generated/control.ts";
+import {
+  DocumentHistory,
+  keptDocumentCount,
+  knownChangeLimit,
+  revisionLimit,
+} from "./document_history.ts";
+import { getChangedLines } from "./line_diff.ts";
+import { QuarantineList } from "./quarantine_list.ts";
+
+const seed = 20261204;
+
+interface Change {
+  environment?: string;
+  base: number;
+  text: string;
+  changeId: string;
+  operator?: string;
+}
+
+function apply(history: DocumentHistory, change: Change): DocumentResult {
+  return history.apply({
+    environment: change.environment ?? "trial",
+    baseRevision: change.base,
+    bytes: Buffer.from(change.text),
+    changeId: change.changeId,
+    operator: change.operator ?? "ana",
+    ledgerLimits: undefined,
+  }, { time: new Date(1000) });
+}
+
+function copy(history: DocumentHistory): DocumentHistory {
+  const restored = new DocumentHistory();
+  restored.restoreSnapshot(structuredClone(history.takeSnapshot()));
+  return restored;
+}
+
+test("operators that race and resend get one winner per base and the first result again", () => {
+  const change = fc.record({
+    environment: fc.constantFrom("trial", "production"),
+    operator: fc.constantFrom("ana", "ben", "cleo"),
+    lag: fc.nat(2),
+    text: fc.constantFrom("a", "b", "c", "d"),
+  });
+  // A step is a new change, or a resend of an earlier one.
+  const step = fc.oneof(
+    { weight: 2, arbitrary: change },
+    { weight: 1, arbitrary: fc.nat(30) },
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 40 }), fc.nat(40), (
+      steps,
+      restartAt,
+    ) => {
+      let history = new DocumentHistory();
+      const sent: { change: Change; result: DocumentResult }[] = [];
+      const winners = new Map<string, string>();
+      steps.forEach((step, position) => {
+        if (position === restartAt) {
+          history = copy(history);
+        }
+        if (typeof step === "number") {
+          const earlier = sent[step];
+          if (earlier !== undefined) {
+            assert.deepEqual(apply(history, earlier.change), earlier.result);
+          }
+          return;
+        }
+        const { environment, operator, lag, text } = step;
+        const current = history.getCurrent(environment)?.revision ?? 0;
+        const base = Math.max(0, current - lag);
+        const change = {
+          environment,
+          operator,
+          base,
+          text,
+          changeId: `change ${position}`,
+        };
+        const result = apply(history, change);
+        sent.push({ change, result });
+        assert.equal(result.kind, base === current ? "accepted" : "conflict");
+        if (result.kind === "accepted") {
+          const key = `${environment} ${base}`;
+          assert.equal(winners.has(key), false, "two winners of one base");
+          winners.set(key, operator);
+          assert.equal(result.revision, base + 1);
+        } else {
+          const first = result.sinceBase.at(-1);
+          assert.equal(first?.operator, winners.get(`${environment} ${base}`));
+        }
+      });
+      for (const { result } of sent) {
+        assert.ok(
+          result.kind !== "accepted" ||
+            history.getBytes(result.digest) !== undefined,
+        );
+      }
+    }),
+    { numRuns: 300, seed },
+  );
+});
+
+const promotions = [
+  { name: "a revision in force", marked: true, from: 1, kind: "accepted" },
+  { name: "not in force", marked: false, from: 1, kind: "not-in-force" },
+  { name: "unknown", marked: true, from: 7, kind: "unknown-revision" },
+  { name: "another base", marked: true, from: 1, base: 3, kind: "conflict" },
+];
+
+for (const { name, marked, from, base = 0, kind } of promotions) {
+  test(`promote: ${name} gives ${kind}`, () => {
+    const history = new DocumentHistory();
+    const { digest } = apply(history, { base: 0, text: "x", changeId: "a" });
+    const entry = { time: new Date(2000) };
+    if (marked) {
+      history.markInForce({ environment: "trial", revision: 1 }, entry);
+    }
+    const result = history.promote({
+      fromEnvironment: "trial",
+      fromRevision: from,
+      environment: "production",
+      baseRevision: base,
+      changeId: "b",
+      operator: "ben",
+    }, entry);
+    assert.equal(result.kind, kind);
+    assert.equal(
+      history.getCurrent("production")?.digest,
+      kind === "accepted" ? digest : undefined,
+    );
+  });
+}
+
+test("a change id with another content is refused and changes nothing", () => {
+  const history = new DocumentHistory();
+  apply(history, { base: 0, text: "x", changeId: "a" });
+  const other = apply(history, { base: 1, text: "y", changeId: "a" });
+  assert.equal(other.kind, "change-id-reused");
+  assert.equal(history.getCurrent("trial")?.revision, 1);
+});
+
+test("the history stays within its limits and keeps what is in force", () => {
+  const history = new DocumentHistory();
+  const count = Math.max(revisionLimit, knownChangeLimit) + 10;
+  for (let base = 0; base < count; base++) {
+    apply(history, { base, text: `text ${base}`, changeId: `id ${base}` });
+    if (base === 4) {
+      history.markInForce({ environment: "trial", revision: 5 }, {
+        time: new Date(0),
+      });
+    }
+  }
+  const { revisions, documents, changes } = history.takeSnapshot();
+  assert.equal(revisions.length, revisionLimit);
+  assert.equal(documents.length, keptDocumentCount + 1);
+  assert.equal(changes.length, knownChangeLimit);
+  const inForce = history.getInForce("trial");
+  assert.equal(inForce?.revision, 5);
+  assert.equal(
+    Buffer.from(history.getBytes(inForce?.digest ?? "") ?? []).toString(),
+    "text 4",
+  );
+});
+
+test("a fingerprint leaves quarantine at its time or when it is cleared", () => {
+  const list = new QuarantineList();
+  const add = (fingerprint: string, seconds: number) =>
+    list.add({
+      environment: "trial",
+      fingerprint,
+      seconds,
+      reason: "crash",
+      reportedBy: "c1",
+    }, { time: new Date(0) });
+  const getNames = (milliseconds: number) =>
+    list.getEntries("trial", new Date(milliseconds))
+      .map((each) => each.fingerprint);
+  add("a", 10);
+  add("b", 5);
+  add("a", 2);
+  assert.deepEqual(getNames(4999), ["a", "b"]);
+  assert.deepEqual(getNames(5000), ["a"]);
+  const cleared = list.clear({
+    environment: "trial",
+    fingerprint: "a",
+    operator: "ana",
+  });
+  assert.equal(cleared.changed, 1);
+  assert.deepEqual(getNames(0), ["b"]);
+});
+
+const diffs = [
+  { before: "a\nb\nc\n", after: "a\nb\nc\n", lines: [] },
+  { before: "a\nb\nc\n", after: "a\nx\nc\n", lines: ["-b", "+x"] },
+  { before: "", after: "a\n", lines: ["+a"] },
+  { before: "a\na\n", after: "a\n", lines: ["-a"] },
+  { before: "a\nb\nc\nd\n", after: "b\nx\nd\n", lines: ["-a", "-c", "+x"] },
+];
+
+for (const { before, after, lines } of diffs) {
+  test(`getChangedLines of ${JSON.stringify([before, after])}`, () => {
+    assert.deepEqual(getChangedLines(before, after), lines);
+  });
+}
