Host the session and exchange services in the control process

Cause: nodes need documents, the quarantine list and each other, and operators need to see which nodes have a revision in force. Change: NodeServices connects the session host to the replicated state: it tells nodes of changes once per turn of the event loop, moves them away while the instance is isolated or stops, and turns crash reports into quarantines. The leader marks a revision as in force when all live nodes have it. The drain command reaches the node of a target.

--- a/src/control/accepted_documents.ts
+++ b/src/control/accepted_documents.ts
@@ -1,6 +1,6 @@
 import type { DocumentHistory } from "../configuration/mod.ts";
 import { parseDocument } from "../document/mod.ts";
-import type { AcceptedDocument } from "./session_host.ts";
+import type { AcceptedDocument } from "../session_server/mod.ts";
 
 /** Parses the current document of each environment once per revision. */
 export class AcceptedDocuments {
@@ -39,7 +39,7 @@
       // earlier one stays in use.
       return known;
     }
-    const accepted = { environment, revision, digest, document: parsed.value };
+    const accepted = { revision, digest, document: parsed.value };
     this.#parsed.set(environment, accepted);
     return accepted;
   }
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -15,18 +15,20 @@
 import { LedgerService } from "../protocol/generated/ledger.ts";
 import { OperatorService } from "../protocol/generated/operator.ts";
 import type { ControlSettings } from "../settings/mod.ts";
-import { AcceptedDocuments } from "./accepted_documents.ts";
 import { ControlStateMachine } from "./control_state_machine.ts";
-import { emptyFleet, type FleetView } from "./fleet_view.ts";
 import { InForceMarker } from "./in_force_marker.ts";
+import { NodeServices } from "./node_services.ts";
 import { createLedgerService } from "./ledger_service.ts";
 import { createOperatorService } from "./operator_service.ts";
 import { Proposer } from "./proposer.ts";
 import type { ReplicatedLog, StateMachine } from "../consensus/mod.ts";
-import type { SessionHost } from "./session_host.ts";
 
 /** Interval at which the leader looks for revisions in force everywhere. */
 const inForceCheckMilliseconds = 200;
+/** Part of the 2 s within which an instance tells that it is isolated. */
+const availabilityMilliseconds = 100;
+/** Interval at which entries whose time has passed are noticed. */
+const quarantineMilliseconds = 1000;
 const gaugeMilliseconds = 5000;
 /** Time for answers that are already written, after the log has stopped. */
 const shutdownMilliseconds = 500;
@@ -39,12 +41,6 @@
   server: Server,
 ) => Promise<ReplicatedLog> | ReplicatedLog;
 
-/** Adds the services for nodes to the server. */
-export type AddSessionServices = (
-  server: Server,
-  host: SessionHost,
-) => FleetView & { stop(): Promise<void> };
-
 /** What a control process is made of. */
 export interface ControlOptions {
   readonly settings: ControlSettings;
@@ -52,7 +48,6 @@
   readonly eventLog: Log;
   readonly metrics: Metrics;
   readonly openLog: OpenLog;
-  readonly addSessionServices?: AddSessionServices;
 }
 
 /** A running control instance. */
@@ -87,14 +82,14 @@
     address: settings.address,
     interceptors: createInterceptors(token),
   });
-  const host = createSessionHost({
-    address: settings.address,
+  const nodes = new NodeServices({
     stateMachine,
     log,
     proposer,
+    eventLog,
+    interceptors: createInterceptors(token),
   });
-  const sessions = options.addSessionServices?.(server, host);
-  const fleet = sessions ?? emptyFleet;
+  nodes.host.addServices(server);
   server.addService(LedgerService, createLedgerService(proposer, metrics));
   server.addService(ForwardService, proposer.getService());
   server.addService(
@@ -103,7 +98,7 @@
       stateMachine,
       log,
       proposer,
-      fleet,
+      fleet: nodes.host,
       address: settings.address,
       eventLog,
       now: () => new Date(),
@@ -111,14 +106,14 @@
   );
   const port = await listen(server, settings);
   eventLog.info("listening", { address: settings.address, port });
-  const timers = startTimers({ stateMachine, log, proposer, fleet, options });
+  const timers = startTimers({ stateMachine, log, proposer, nodes, options });
   return {
     stateMachine,
     log,
     port,
     stop: async () => {
       timers.forEach(clearInterval);
-      await sessions?.stop();
+      nodes.stop();
       // The log needs the server until the last proposal has its result.
       const isDone = await proposer.stop(settings.stopLimitMilliseconds);
       if (!isDone) {
@@ -148,54 +143,17 @@
   return token === undefined ? [] : [createClientInterceptor(token)];
 }
 
-interface Parts {
-  readonly stateMachine: ControlStateMachine;
-  readonly log: ReplicatedLog;
-  readonly proposer: Proposer;
-}
-
-function createSessionHost(parts: Parts & { address: string }): SessionHost {
-  const { stateMachine, log, proposer, address } = parts;
-  const documents = new AcceptedDocuments(stateMachine.history);
-  return {
-    address,
-    getAcceptedDocument: (environment) => documents.get(environment),
-    getQuarantined: (environment) =>
-      stateMachine.quarantine.getEntries(environment, new Date())
-        .map((each) => each.fingerprint),
-    isIsolated: () => log.getStatus().isolated,
-    getLedgerIndex: () => stateMachine.index,
-    getControlAddresses: () => {
-      const { members, leader } = log.getStatus();
-      const addresses = members.map((each) => each.address);
-      return addresses.sort((a, b) =>
-        Number(b === leader?.address) - Number(a === leader?.address)
-      );
-    },
-    subscribe: (listener) =>
-      stateMachine.subscribe((change) => listener(change.environment)),
-    quarantine: async (request) => {
-      const { environment } = request;
-      const accepted = documents.get(environment);
-      const proposed = await proposer.propose({
-        $case: "quarantine",
-        quarantine: {
-          ...request,
-          seconds: accepted?.document.quarantineSeconds ?? 3600,
-        },
-      });
-      return proposed.kind === "ok";
-    },
-  };
-}
-
-function startTimers(
-  parts: Parts & { fleet: FleetView; options: ControlOptions },
-): NodeJS.Timeout[] {
-  const { stateMachine, log, proposer, fleet, options } = parts;
+function startTimers(parts: {
+  stateMachine: ControlStateMachine;
+  log: ReplicatedLog;
+  proposer: Proposer;
+  nodes: NodeServices;
+  options: ControlOptions;
+}): NodeJS.Timeout[] {
+  const { stateMachine, log, proposer, nodes, options } = parts;
   const marker = new InForceMarker({
     history: stateMachine.history,
-    fleet,
+    fleet: nodes.host,
     isLeader: () => log.getStatus().role === "leader",
     propose: (environment, revision) =>
       proposer.propose({
@@ -203,26 +161,36 @@
         markInForce: { environment, revision },
       }),
   });
-  const sendGauges = () => {
-    const { metrics } = options;
-    const status = log.getStatus();
-    metrics.gauge("control.isolated", status.isolated ? 1 : 0, {});
-    metrics.gauge("control.leader", status.role === "leader" ? 1 : 0, {});
-    metrics.gauge("control.applied_index", stateMachine.index, {});
-    for (const environment of stateMachine.history.getEnvironments()) {
-      const { records, answerBytes } = stateMachine.ledger.getCounts(
-        environment,
-      );
-      metrics.gauge("ledger.claims", records, { environment });
-      metrics.gauge("ledger.answer_bytes", answerBytes, { environment });
-    }
-  };
   return [
+    setInterval(() => nodes.checkAvailability(), availabilityMilliseconds),
     setInterval(() => void marker.check(), inForceCheckMilliseconds),
-    setInterval(sendGauges, gaugeMilliseconds),
+    setInterval(() => nodes.checkQuarantine(), quarantineMilliseconds),
+    setInterval(
+      () => sendGauges(options.metrics, stateMachine, log),
+      gaugeMilliseconds,
+    ),
   ];
 }
 
+function sendGauges(
+  metrics: Metrics,
+  stateMachine: ControlStateMachine,
+  log: ReplicatedLog,
+): void {
+  const { isolated, role, failure } = log.getStatus();
+  metrics.gauge("control.isolated", isolated ? 1 : 0, {});
+  metrics.gauge("control.leader", role === "leader" ? 1 : 0, {});
+  metrics.gauge("control.failed", failure === undefined ? 0 : 1, {});
+  metrics.gauge("control.applied_index", stateMachine.index, {});
+  for (const environment of stateMachine.history.getEnvironments()) {
+    const { records, answerBytes } = stateMachine.ledger.getCounts(
+      environment,
+    );
+    metrics.gauge("ledger.claims", records, { environment });
+    metrics.gauge("ledger.answer_bytes", answerBytes, { environment });
+  }
+}
+
 function listen(server: Server, settings: ControlSettings): Promise<number> {
   const { host, port } = settings.listen;
   const address = host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -6,6 +6,7 @@
   isEnvironment,
 } from "../configuration/mod.ts";
 import { parseDocument } from "../document/mod.ts";
+import type { LiveNode } from "../session_server/mod.ts";
 import type { Refusal } from "../protocol/generated/common.ts";
 import type {
   ControlCommand,
@@ -15,6 +16,8 @@
 import type {
   ApplyRequest,
   ChangeAnswer,
+  DrainAnswer,
+  DrainRequest,
   EnvironmentStatus,
   OperatorServer,
 } from "../protocol/generated/operator.ts";
@@ -22,7 +25,7 @@
   type ControlStateMachine,
   formatVersion,
 } from "./control_state_machine.ts";
-import type { FleetView, LiveNode } from "./fleet_view.ts";
+import type { FleetView } from "./fleet_view.ts";
 import type { Proposer } from "./proposer.ts";
 import { createProposeRefusal, createRefusal } from "./refusal.ts";
 import type { ReplicatedLog } from "../consensus/mod.ts";
@@ -98,7 +101,7 @@
         limit === 0 ? 20 : limit,
       ),
     })),
-    getStatus: handle(() => Promise.resolve(handlers.getStatus())),
+    getStatus: handle(() => handlers.getStatus()),
     getRollout: handle(async ({ environment, revision }) => {
       const refusal = await handlers.confirmRead();
       const { history } = options.stateMachine;
@@ -112,36 +115,7 @@
         currentRevision: history.getCurrent(environment)?.revision ?? 0,
       };
     }),
-    drain: handle(async ({ environment, targetId, operator }) => {
-      const outcome = await options.fleet.drain({ environment, targetId });
-      options.eventLog.info("drain requested", {
-        environment,
-        targetId,
-        operator,
-        outcome: outcome.kind,
-      });
-      switch (outcome.kind) {
-        case "asked":
-          return { ...refuse(undefined), state: outcome.state };
-        case "unknown-target":
-          return {
-            ...refuse(createRefusal(
-              "unknown-target",
-              `No live node of ${environment} has target ${targetId}`,
-            )),
-            state: "",
-          };
-        case "elsewhere":
-          return {
-            ...refuse(createRefusal(
-              "session-elsewhere",
-              `The node of ${targetId} has its session elsewhere`,
-              { controlAddresses: [outcome.controlAddress] },
-            )),
-            state: "",
-          };
-      }
-    }),
+    drain: handle((request) => handlers.drain(request)),
     replaceInstance: handle(async (request) => ({
       ...refuse(await handlers.replaceInstance(request)),
       members: [...options.log.getStatus().members],
@@ -270,6 +244,35 @@
       : undefined;
   }
 
+  drain(request: DrainRequest): DrainAnswer {
+    const { environment, targetId, operator } = request;
+    const { fleet, eventLog } = this.#options;
+    const outcome = fleet.drain({ environment, targetId });
+    eventLog.info("drain requested", {
+      environment,
+      targetId,
+      operator,
+      outcome: outcome.kind,
+    });
+    switch (outcome.kind) {
+      case "asked":
+        return { ...refuse(undefined), state: outcome.state };
+      case "unknown-target": {
+        const message = `No live node of ${environment} has target ${targetId}`;
+        const refusal = createRefusal("unknown-target", message);
+        return { ...refuse(refusal), state: "" };
+      }
+      case "elsewhere": {
+        const message = `The node of ${targetId} has its session elsewhere`;
+        const controlAddresses = [outcome.controlAddress];
+        const refusal = createRefusal("session-elsewhere", message, {
+          controlAddresses,
+        });
+        return { ...refuse(refusal), state: "" };
+      }
+    }
+  }
+
   async replaceInstance(request: {
     oldAddress: string;
     newAddress: string;
@@ -380,10 +383,10 @@
 
 /** Answers a call, or fails it when the handler threw. */
 function handle<Request extends { formatVersion: number }, Reply>(
-  answer: (request: Request) => Promise<Reply>,
+  answer: (request: Request) => Promise<Reply> | Reply,
 ): handleUnaryCall<Request, Reply> {
   return (call: ServerUnaryCall<Request, Reply>, callback) => {
-    answer(call.request).then(
+    Promise.resolve(call.request).then(answer).then(
       (reply) => callback(null, reply),
       (error) => callback(error as Error),
     );
