--- a/src/command_line/command_line_test.ts
+++ b/src/command_line/command_line_test.ts
@@ -207,6 +207,23 @@
   );
 });
 
+test("a request that crashed a target alone is quarantined until cleared", async () => {
+  const [node] = sessions;
+  node?.session.reportCrash({
+    reportId: "r1",
+    targetId: "portal-2-target",
+    fingerprints: ["f00d"],
+    wasAlone: true,
+  });
+  const isTold = (count: number) => () =>
+    node?.suspects.at(-1)?.quarantined.length === count;
+  await waitUntil(isTold(1), "the node is told of the quarantine");
+  assert.match((await run("quarantine list trial")).text, /f00d/);
+  const cleared = await run("quarantine clear trial f00d");
+  assert.match(cleared.text, /1 removed/);
+  await waitUntil(isTold(0), "the node is told that it was cleared");
+});
+
 test("no instance in reach exits with 4 and shows the change id", async () => {
   let text = "";
   const write = (each: string) => {
