--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -15,7 +15,7 @@
   AdmissionStatus,
   FinishSample,
 } from "./admission_types.ts";
-import { CallerTable, type CallerUse } from "./caller_table.ts";
+import { CallerTable } from "./caller_table.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { HoldTime } from "./hold_time.ts";
 import { getImportance } from "./importance.ts";
@@ -233,60 +233,48 @@
     }
     this.#level.onTurnedAway();
     const victim = this.#getVictim(entry);
-    if (victim === undefined || victim.classIndex < entry.classIndex) {
+    if (victim === undefined) {
       return "queue-full";
     }
-    const isShared = victim.classIndex === entry.classIndex &&
-      victim.use !== entry.use;
-    if (isShared && this.#isOverQueueShare(entry.use, victim.use)) {
+    if (
+      victim.classIndex === entry.classIndex &&
+      this.#isOverQueueShare(entry) && victim.use !== entry.use
+    ) {
       return "caller-share";
     }
-    const isForced = isShared && this.#isOverQueueShare(victim.use, entry.use);
-    if (!isForced && compareEntries(victim, entry) < 0) {
+    const isOver = victim.classIndex === entry.classIndex &&
+      victim.use !== entry.use && this.#isOverQueueShare(victim);
+    if (!isOver && compareEntries(victim, entry) < 0) {
       return "queue-full";
     }
     this.#refuse(victim, "evicted");
     return undefined;
   }
 
-  /**
-   * Gets the entry to evict: of the least important class that waits, the
-   * lowest entry of a caller above its share, or else the lowest. A new call
-   * of a caller above its share can only take the place of the caller's own.
-   */
+  /** Gets the lowest entry, one of a caller above its share first. */
   #getVictim(entry: AdmissionEntry): AdmissionEntry | undefined {
     const last = this.#queue.at(this.#queue.length - 1);
-    if (last?.classIndex !== entry.classIndex) {
-      return last;
+    if (last === undefined) {
+      return undefined;
     }
-    const isOver = this.#isOverQueueShare(entry.use, undefined);
-    const count = this.#queue.getClassCount(last.classIndex);
-    for (let i = 1; i <= count; i++) {
-      const each = this.#queue.at(this.#queue.length - i);
-      const use = each?.use;
-      if (
-        use !== undefined &&
-        (isOver
-          ? use === entry.use
-          : use !== entry.use && this.#isOverQueueShare(use, entry.use))
-      ) {
+    const isOver = last.classIndex === entry.classIndex &&
+      this.#isOverQueueShare(entry);
+    for (let i = this.#queue.length - 1; i >= 0; i--) {
+      const each = this.#queue.at(i);
+      if (each === undefined || each.classIndex !== last.classIndex) {
+        break;
+      }
+      if (isOver ? each.use === entry.use : this.#isOverQueueShare(each)) {
         return each;
       }
     }
     return last;
   }
 
-  /**
-   * Checks whether a caller has its share of the queued calls of a class while
-   * others wait.
-   * @param use The caller.
-   * @param newcomer A caller that is about to wait too.
-   */
-  #isOverQueueShare(use: CallerUse, newcomer: CallerUse | undefined): boolean {
-    const count = this.#queue.getClassCount(use.classIndex);
-    const hasOthers = count > use.queued ||
-      (newcomer !== undefined && newcomer !== use);
-    return hasOthers && use.queued >= Math.ceil(count * this.#callerShare);
+  #isOverQueueShare(entry: AdmissionEntry): boolean {
+    const count = this.#queue.getClassCount(entry.classIndex);
+    return entry.use.queued >= Math.ceil(count * this.#callerShare) &&
+      count > entry.use.queued;
   }
 
   #isOverRunningShare(entry: AdmissionEntry): boolean {
--- /dev/null
+++ b/src/bin/dogwoodwalk_node.ts
@@ -0,0 +1,74 @@
+#!/usr/bin/env node
+import { readFileSync } from "node:fs";
+import { Command } from "commander";
+import { createLog, createMetrics, formatFinding } from "../common/mod.ts";
+import { parseDocument } from "../document/mod.ts";
+import { NodeProcess } from "../node/mod.ts";
+import { type NodeSettings, parseNodeSettings } from "../settings/mod.ts";
+
+const program = new Command("dogwoodwalk-node")
+  .description("Runs the node beside one target.")
+  .argument("<settings>", "settings file (TOML)")
+  .addHelpText(
+    "after",
+    "\nExample:\n  dogwoodwalk-node /etc/dogwoodwalk/node.toml",
+  )
+  .parse();
+const file = program.args[0] as string;
+
+const parsed = parseNodeSettings(readText(file), file);
+if (parsed.kind === "error") {
+  fail(parsed.error.map(formatFinding).join("\n"), 2);
+}
+await run(parsed.value);
+
+async function run(settings: NodeSettings): Promise<void> {
+  const log = createLog({
+    base: { process: "node", node: settings.nodeId },
+  });
+  const node = new NodeProcess(settings, {
+    log,
+    metrics: createMetrics({
+      address: settings.statsd?.host,
+      port: settings.statsd?.port,
+    }),
+  });
+  if (settings.documentFile !== undefined) {
+    applyFile(node, settings.documentFile);
+  }
+  try {
+    await node.start();
+  } catch (error) {
+    fail(`Cannot listen: ${(error as Error).message}`, 1);
+  }
+  let isStopping = false;
+  const stop = (): void => {
+    if (!isStopping) {
+      isStopping = true;
+      node.stop().then(({ cutOff }) => process.exit(cutOff > 0 ? 1 : 0));
+    }
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+}
+
+function applyFile(node: NodeProcess, documentFile: string): void {
+  const document = parseDocument(readText(documentFile), documentFile);
+  if (document.kind === "error") {
+    fail(document.error.map(formatFinding).join("\n"), 2);
+  }
+  node.applyDocument(document.value, 1);
+}
+
+function readText(path: string): string {
+  try {
+    return readFileSync(path, "utf8");
+  } catch (error) {
+    fail(`Cannot read ${path}: ${(error as Error).message}`, 2);
+  }
+}
+
+function fail(message: string, code: number): never {
+  process.stderr.write(message + "\n");
+  process.exit(code);
+}
--- /dev/null
+++ b/src/node/announcements.ts
@@ -0,0 +1,113 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { parseEndpoint } from "../settings/mod.ts";
+import type {
+  AnnouncedTarget,
+  TargetAnnouncement,
+} from "./announced_target.ts";
+import { BodyCollector } from "./body_collector.ts";
+import type { BodyMemory } from "./body_memory.ts";
+import { writeFailure, writeJson } from "./caller_response.ts";
+
+/** Settings of the announcement pages. */
+export interface AnnouncementOptions {
+  readonly target: AnnouncedTarget;
+  readonly memory: BodyMemory;
+  readonly leaseMilliseconds: number;
+}
+
+/**
+ * Handles `POST /dogwoodwalk/announce|renew|drain|leave` of the target. An
+ * announcement has the JSON body `{"address": "host:port", "incarnation": n}`;
+ * the incarnation defaults to the current time. The others need no body.
+ * @param request The request.
+ * @param response Its response.
+ * @param options The target.
+ * @returns Whether the path is one of these.
+ */
+export function handleAnnouncement(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: AnnouncementOptions,
+): boolean {
+  const { target } = options;
+  const action = request.url?.slice("/dogwoodwalk/".length) ?? "";
+  if (
+    request.method !== "POST" ||
+    !["announce", "renew", "drain", "leave"].includes(action)
+  ) {
+    return false;
+  }
+  new BodyCollector(request, options.memory, {
+    onBody: (body) => {
+      options.memory.release(body.length);
+      if (action === "announce") {
+        announce(body, response, options);
+        return;
+      }
+      const isKnown = action === "renew"
+        ? target.renew()
+        : action === "drain"
+        ? target.drain()
+        : target.leave();
+      respond(response, options, isKnown);
+    },
+    onOverflow: () => refuse(response, "The body is too large"),
+    onBroken: (message) => refuse(response, message),
+  });
+  return true;
+}
+
+function announce(
+  body: Buffer,
+  response: ServerResponse,
+  options: AnnouncementOptions,
+): void {
+  const announcement = parseAnnouncement(body.toString());
+  if (typeof announcement === "string") {
+    refuse(response, announcement);
+    return;
+  }
+  const isAccepted = options.target.announce(announcement, { hasLease: true });
+  respond(response, options, isAccepted);
+}
+
+/** A target that is not known must announce itself again. */
+function respond(
+  response: ServerResponse,
+  options: AnnouncementOptions,
+  isKnown: boolean,
+): void {
+  writeJson(response, isKnown ? 200 : 409, {
+    state: options.target.state,
+    leaseMilliseconds: options.leaseMilliseconds,
+  });
+}
+
+function refuse(response: ServerResponse, message: string): void {
+  writeFailure(response, {
+    disposition: "not-run",
+    reason: "malformed-request",
+    message,
+  }, { requestId: "" });
+}
+
+function parseAnnouncement(text: string): TargetAnnouncement | string {
+  let fields: { address?: unknown; incarnation?: unknown } | null;
+  try {
+    fields = JSON.parse(text);
+  } catch {
+    return "The body is not valid JSON";
+  }
+  const address = fields?.address;
+  const endpoint = typeof address === "string"
+    ? parseEndpoint(address)
+    : undefined;
+  if (endpoint === undefined || endpoint.port === 0) {
+    return 'Expected "address" as host:port';
+  }
+  const incarnation = fields?.incarnation ?? Date.now();
+  if (!Number.isSafeInteger(incarnation) || (incarnation as number) < 0) {
+    return 'Expected "incarnation" as a whole number';
+  }
+  return { endpoint, incarnation: incarnation as number };
+}
--- /dev/null
+++ b/src/node/attempt.ts
@@ -0,0 +1,88 @@
+import type { IncomingMessage } from "node:http";
+import type {
+  Answer,
+  CallFailure,
+  Disposition,
+  LoadHint,
+  RefusalReason,
+  ServiceLevel,
+} from "../request/mod.ts";
+import type { ResponseHead } from "./exchange.ts";
+
+/** An attempt that gave no response of the target. */
+export interface AttemptFailure extends CallFailure {
+  /** Attempts that were handed down and not used. */
+  readonly unused: number;
+  readonly levels: readonly ServiceLevel[];
+  readonly load?: LoadHint | undefined;
+}
+
+/** A response that is streamed. */
+export interface StreamedResponse {
+  readonly head: ResponseHead;
+  readonly response: IncomingMessage;
+  /** Chunks that were read before. */
+  readonly chunks: readonly Buffer[];
+  /** Called by the receiver when the whole body passed or broke off. */
+  onEnd(isWhole: boolean, bytes: number): void;
+}
+
+/** Receives the outcome of an attempt; exactly one method is called. */
+export interface AttemptSink {
+  /** The receiver releases the bytes of the body. */
+  onHeld(answer: Answer, head: ResponseHead, body: Buffer): void;
+  onStream(answer: Answer, streamed: StreamedResponse): void;
+  onFailure(failure: AttemptFailure): void;
+}
+
+/** An attempt under way. */
+export interface Attempt {
+  /**
+   * Ends the attempt; its sink is not called any more.
+   * @returns What is known about whether it ran.
+   */
+  cancel(): Disposition;
+}
+
+const noLevels: readonly ServiceLevel[] = [];
+
+/**
+ * Creates the failure of an attempt of which nothing was handed down further.
+ * @param failure What happened.
+ * @param unused Attempts that were not used.
+ * @returns The failure.
+ */
+export function createFailure(
+  failure: CallFailure,
+  unused: number,
+): AttemptFailure {
+  const { disposition, reason, message } = failure;
+  return { disposition, reason, message, unused, levels: noLevels };
+}
+
+const capacityReasons: ReadonlySet<RefusalReason> = new Set([
+  "queue-full",
+  "evicted",
+  "caller-share",
+  "deadline-too-short",
+  "target-shed",
+  "suspect",
+]);
+
+/** Reports whether a reason is a refusal for lack of capacity. */
+export function isCapacityReason(reason: RefusalReason): boolean {
+  return capacityReasons.has(reason);
+}
+
+const absenceReasons: ReadonlySet<RefusalReason> = new Set([
+  "node-unreachable",
+  "target-unreachable",
+  "no-target",
+  "target-draining",
+  "stopping",
+]);
+
+/** Reports whether a reason means that the target takes no calls. */
+export function isAbsenceReason(reason: RefusalReason): boolean {
+  return absenceReasons.has(reason);
+}
--- /dev/null
+++ b/src/node/body_collector.ts
@@ -0,0 +1,105 @@
+import type { IncomingMessage } from "node:http";
+import { type BodyMemory, heldBodyBytes } from "./body_memory.ts";
+
+/** Receives a collected body. */
+export interface CollectorEvents {
+  /** The whole body is there. Its bytes stay reserved until released. */
+  onBody(body: Buffer): void;
+  /**
+   * The body is too large or there is no memory; nothing is reserved any more.
+   * The message is paused, and continues where the chunks end.
+   */
+  onOverflow(chunks: readonly Buffer[]): void;
+  /** The sender broke off before the end. */
+  onBroken(message: string): void;
+}
+
+const noBytes = Buffer.alloc(0);
+
+/** Collects a small body of a request or a response. */
+export class BodyCollector {
+  readonly #message: IncomingMessage;
+  readonly #memory: BodyMemory;
+  readonly #events: CollectorEvents;
+  #first: Buffer | undefined;
+  #rest: Buffer[] | undefined;
+  #size = 0;
+  #isDone = false;
+
+  /**
+   * @param message Where the body comes from; nothing must be read yet.
+   * @param memory What the bytes are reserved from.
+   * @param events Who receives the body.
+   */
+  constructor(
+    message: IncomingMessage,
+    memory: BodyMemory,
+    events: CollectorEvents,
+  ) {
+    this.#message = message;
+    this.#memory = memory;
+    this.#events = events;
+    message.on("data", this.#onData);
+    message.on("end", this.#onEnd);
+    message.on("error", this.#onClose);
+    message.on("close", this.#onClose);
+  }
+
+  /** Stops without an event and gives the memory back. */
+  stop(): void {
+    if (!this.#isDone) {
+      this.#finish();
+      this.#memory.release(this.#size);
+    }
+  }
+
+  readonly #onData = (chunk: Buffer): void => {
+    const size = this.#size + chunk.length;
+    if (size > heldBodyBytes || !this.#memory.reserve(chunk.length)) {
+      this.#finish();
+      this.#memory.release(this.#size);
+      this.#message.pause();
+      const chunks = this.#first === undefined ? [] : [this.#first];
+      this.#events.onOverflow([...chunks, ...(this.#rest ?? []), chunk]);
+      return;
+    }
+    this.#size = size;
+    if (this.#first === undefined) {
+      this.#first = chunk;
+    } else {
+      (this.#rest ??= []).push(chunk);
+    }
+  };
+
+  readonly #onEnd = (): void => {
+    if (this.#isDone) {
+      return;
+    }
+    this.#finish();
+    if (!this.#message.complete) {
+      this.#memory.release(this.#size);
+      this.#events.onBroken("the message ended before its length");
+      return;
+    }
+    const first = this.#first ?? noBytes;
+    this.#events.onBody(
+      this.#rest === undefined ? first : Buffer.concat([first, ...this.#rest]),
+    );
+  };
+
+  readonly #onClose = (): void => {
+    if (!this.#isDone) {
+      this.#finish();
+      this.#memory.release(this.#size);
+      this.#events.onBroken("the connection closed inside the message");
+    }
+  };
+
+  #finish(): void {
+    this.#isDone = true;
+    this.#message.off("data", this.#onData);
+    this.#message.off("end", this.#onEnd);
+    this.#message.off("close", this.#onClose);
+    // The error listener stays, so that a late error has a listener.
+  }
+}
--- /dev/null
+++ b/src/node/body_pump.ts
@@ -0,0 +1,70 @@
+import type { IncomingMessage } from "node:http";
+import type { Writable } from "node:stream";
+
+/** Settings of {@link pumpBody}. */
+export interface PumpOptions {
+  /** Chunks that were read before. */
+  readonly chunks: readonly Buffer[];
+  /** Most bytes that may pass. */
+  readonly limit: number;
+  /**
+   * Called once.
+   * @param fault What went wrong; `undefined` when the whole body passed.
+   * @param bytes The bytes that passed.
+   */
+  onEnd(fault: PumpFault | undefined, bytes: number): void;
+}
+
+/** Why a body did not pass whole. */
+export type PumpFault = "broken" | "too-large";
+
+/**
+ * Passes a large body on with back-pressure. The end of the source ends the
+ * destination only when the source was complete.
+ * @param source Where the body comes from.
+ * @param destination Where it goes.
+ * @param options Chunks read before, limit and end.
+ */
+export function pumpBody(
+  source: IncomingMessage,
+  destination: Writable,
+  options: PumpOptions,
+): void {
+  let bytes = 0;
+  let isDone = false;
+  const finish = (fault: PumpFault | undefined): void => {
+    if (isDone) {
+      return;
+    }
+    isDone = true;
+    source.off("data", onData);
+    destination.off("drain", onDrain);
+    if (fault === undefined) {
+      destination.end();
+    }
+    options.onEnd(fault, bytes);
+  };
+  const onData = (chunk: Buffer): void => {
+    bytes += chunk.length;
+    if (bytes > options.limit) {
+      source.pause();
+      finish("too-large");
+    } else if (!destination.write(chunk)) {
+      source.pause();
+    }
+  };
+  const onDrain = (): void => {
+    source.resume();
+  };
+  destination.on("drain", onDrain);
+  source.on("data", onData);
+  source.on("end", () => finish(source.complete ? undefined : "broken"));
+  source.on("error", () => finish("broken"));
+  source.on("close", () => finish("broken"));
+  for (const chunk of options.chunks) {
+    onData(chunk);
+  }
+  if (!destination.writableNeedDrain && !isDone) {
+    source.resume();
+  }
+}
--- /dev/null
+++ b/src/node/call_counters.ts
@@ -0,0 +1,123 @@
+import type { Metrics } from "../common/mod.ts";
+import type { RefusalReason } from "../request/mod.ts";
+import type { RetryReason, RetryStopReason } from "../retries/mod.ts";
+
+/** Counters of one service and class at this node. */
+export interface ClassCounters {
+  readonly service: string;
+  readonly className: string;
+  /** Calls of this origin that got the target's response. */
+  completed: number;
+  /** Attempts that the target beside this node was given. */
+  dispatched: number;
+  /** Calls of this origin that were refused or failed. */
+  readonly refused: Map<RefusalReason, number>;
+  /** Attempts of any origin that the target's node refused or that failed. */
+  readonly failedAttempts: Map<RefusalReason, number>;
+  readonly retried: Map<RetryReason, number>;
+  readonly notRetried: Map<RetryStopReason, number>;
+}
+
+/** Counts calls, and sends what was added to the metrics once a second. */
+export class CallCounters {
+  readonly #metrics: Metrics;
+  readonly #all = new Map<string, ClassCounters>();
+  readonly #sent = new Map<string, number>();
+  readonly #timer: NodeJS.Timeout;
+
+  /** @param metrics Where the counters go. */
+  constructor(metrics: Metrics) {
+    this.#metrics = metrics;
+    this.#timer = setInterval(() => this.flush(), 1000);
+    this.#timer.unref();
+  }
+
+  /** Gets the counters of a service and class. */
+  get(service: string, className: string): ClassCounters {
+    const key = `${service}/${className}`;
+    const known = this.#all.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const counters: ClassCounters = {
+      service,
+      className,
+      completed: 0,
+      dispatched: 0,
+      refused: new Map(),
+      failedAttempts: new Map(),
+      retried: new Map(),
+      notRetried: new Map(),
+    };
+    this.#all.set(key, counters);
+    return counters;
+  }
+
+  /** Gets all counters as plain objects. */
+  getStatus(): Record<string, unknown>[] {
+    return [...this.#all.values()].map((each) => ({
+      service: each.service,
+      class: each.className,
+      completed: each.completed,
+      dispatched: each.dispatched,
+      refused: Object.fromEntries(each.refused),
+      failedAttempts: Object.fromEntries(each.failedAttempts),
+      retried: Object.fromEntries(each.retried),
+      notRetried: Object.fromEntries(each.notRetried),
+    }));
+  }
+
+  /** Sends what was added since the last time. */
+  flush(): void {
+    for (const each of this.#all.values()) {
+      const tags = { service: each.service, class: each.className };
+      this.#send("calls.completed", tags, each.completed);
+      this.#send("attempts.dispatched", tags, each.dispatched);
+      this.#sendReasons("calls.refused", tags, each.refused);
+      this.#sendReasons("attempts.failed", tags, each.failedAttempts);
+      this.#sendReasons("calls.retried", tags, each.retried);
+      this.#sendReasons("calls.not_retried", tags, each.notRetried);
+    }
+  }
+
+  /** Sends the rest and stops. */
+  close(): void {
+    clearInterval(this.#timer);
+    this.flush();
+  }
+
+  #sendReasons(
+    name: string,
+    tags: Readonly<Record<string, string>>,
+    counts: ReadonlyMap<string, number>,
+  ): void {
+    for (const [reason, count] of counts) {
+      this.#send(name, { ...tags, reason }, count);
+    }
+  }
+
+  #send(
+    name: string,
+    tags: Readonly<Record<string, string>>,
+    count: number,
+  ): void {
+    const key = `${name} ${Object.values(tags).join(" ")}`;
+    const added = count - (this.#sent.get(key) ?? 0);
+    if (added > 0) {
+      this.#sent.set(key, count);
+      this.#metrics.increment(name, tags, added);
+    }
+  }
+}
+
+/**
+ * Adds one to a counter that is kept by reason.
+ * @param counts The counters.
+ * @param reason The reason.
+ */
+export function countReason<Reason extends string>(
+  counts: Map<Reason, number>,
+  reason: Reason,
+): void {
+  counts.set(reason, (counts.get(reason) ?? 0) + 1);
+}
--- /dev/null
+++ b/src/node/call_details.ts
@@ -0,0 +1,80 @@
+import { getBytesHash } from "../common/mod.ts";
+import type { RoutePlan } from "./document_view.ts";
+import type { BodySource } from "./exchange.ts";
+import { setContentLength } from "./forwarded_headers.ts";
+
+/** What is known of a call at one node; the same for all of its attempts. */
+export interface CallDetails {
+  readonly plan: RoutePlan;
+  readonly requestId: string;
+  readonly caller: string;
+  readonly classIndex: number;
+  /** Calls on the chain, this one included. */
+  readonly depth: number;
+  /** Stable hash of the request identity. */
+  readonly hash: number;
+  /** Ledger index known where the call was sent. */
+  readonly entryIndex: number;
+  /** Monotonic time, in milliseconds. */
+  readonly deadlineMilliseconds: number;
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  /** Alternating names and values for the next hop, with its framing. */
+  readonly headers: string[];
+  /** Value of Idempotency-Key; `undefined` when absent. */
+  readonly key: string | undefined;
+  /** Whether the call must be claimed before it runs. */
+  readonly needsClaim: boolean;
+}
+
+/** Body of a call: either held whole or streamed. */
+export interface CallBody {
+  readonly body: Buffer | undefined;
+  readonly source: BodySource | undefined;
+  /** Content-Length of a streamed body; -1 when chunked. */
+  readonly streamedLength: number;
+}
+
+/** Body of a call without one. */
+export const emptyBody: CallBody = {
+  body: Buffer.alloc(0),
+  source: undefined,
+  streamedLength: 0,
+};
+
+const bodylessMethods = new Set([
+  "GET",
+  "HEAD",
+  "DELETE",
+  "OPTIONS",
+  "TRACE",
+]);
+
+/**
+ * Writes the framing headers of a body.
+ * @param details The call; its headers are changed in place.
+ * @param body The body that will be sent.
+ */
+export function frameBody(
+  details: Pick<CallDetails, "headers" | "method">,
+  body: CallBody,
+): void {
+  if (body.body !== undefined) {
+    if (body.body.length > 0 || !bodylessMethods.has(details.method)) {
+      setContentLength(details.headers, body.body.length);
+    }
+  } else if (body.streamedLength < 0) {
+    details.headers.push("Transfer-Encoding", "chunked");
+  }
+}
+
+/** Reports whether a small response of the call is held until complete. */
+export function isResponseHeld(details: CallDetails): boolean {
+  return details.plan.route.idempotent || details.needsClaim;
+}
+
+/** Gets a short hash of a key, for log lines that should not carry keys. */
+export function getKeyHash(key: string): string {
+  return getBytesHash(Buffer.from(key));
+}
--- /dev/null
+++ b/src/node/caller_group.ts
@@ -0,0 +1,87 @@
+import type { ServerResponse } from "node:http";
+import type { CallFailure } from "../request/mod.ts";
+import type { StreamedResponse } from "./attempt.ts";
+import { writeFailure, writeHeld, writeStreamed } from "./caller_response.ts";
+import type { ResponseHead } from "./exchange.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+
+/** Someone who waits for the outcome of a call. */
+export interface Caller {
+  readonly response: ServerResponse;
+  /** Whether the caller came by the outside listener. */
+  readonly isOutside: boolean;
+}
+
+/** The callers of one call: the first, and resends that joined. */
+export class CallerGroup {
+  #callers: Caller[];
+  readonly #onAllLeft: () => void;
+
+  /**
+   * @param first The caller that made the call.
+   * @param onAllLeft Called when the last caller closed its connection.
+   */
+  constructor(first: Caller, onAllLeft: () => void) {
+    this.#callers = [];
+    this.#onAllLeft = onAllLeft;
+    this.add(first);
+  }
+
+  /** Reports whether one of the callers came by the outside listener. */
+  get hasOutside(): boolean {
+    return this.#callers.some((each) => each.isOutside);
+  }
+
+  /** Adds a caller. */
+  add(caller: Caller): void {
+    this.#callers.push(caller);
+    caller.response.on("close", () => this.#onClose(caller));
+  }
+
+  /** Removes the first caller, who joins another call. */
+  takeFirst(): Caller {
+    return this.#callers.shift() as Caller;
+  }
+
+  /** Gives all callers a response that is held. */
+  writeHeld(head: ResponseHead, body: Buffer): void {
+    for (const { response } of this.#callers) {
+      writeHeld(response, head, { body });
+    }
+  }
+
+  /** Streams a response to the first caller; it cannot be given twice. */
+  writeStreamed(streamed: StreamedResponse): void {
+    const [first, ...others] = this.#callers;
+    for (const { response } of others) {
+      writeFailure(response, {
+        disposition: "ran",
+        reason: "claim-ran",
+        message: getRefusalMessage("claim-ran"),
+      }, { requestId: "" });
+    }
+    if (first === undefined) {
+      streamed.onEnd(false, 0);
+    } else {
+      writeStreamed(first.response, streamed, {});
+    }
+  }
+
+  /** Tells all callers of a refusal or failure. */
+  writeFailure(failure: CallFailure, requestId: string): void {
+    for (const { response } of this.#callers) {
+      writeFailure(response, failure, { requestId });
+    }
+  }
+
+  #onClose(caller: Caller): void {
+    const index = this.#callers.indexOf(caller);
+    if (index < 0 || caller.response.writableFinished) {
+      return;
+    }
+    this.#callers.splice(index, 1);
+    if (this.#callers.length === 0) {
+      this.#onAllLeft();
+    }
+  }
+}
--- /dev/null
+++ b/src/node/connection_pool.ts
@@ -0,0 +1,180 @@
+import type { ClientRequest } from "node:http";
+import { Socket } from "node:net";
+import type { Endpoint } from "../settings/mod.ts";
+
+/**
+ * Idle time after which a connection is closed here. Node's own servers close
+ * theirs after 5 s; closing first avoids requests that meet a closing socket.
+ */
+const idleLimitMilliseconds = 4000;
+/** How much earlier than the other side says an idle connection is closed. */
+const idleMarginMilliseconds = 1000;
+
+interface IdleSocket {
+  readonly socket: Socket;
+  readonly expiresAt: number;
+}
+
+/** Settings of a pool. */
+export interface ConnectionPoolOptions extends Endpoint {
+  /** Most connections at once; further requests wait for a free one. */
+  readonly limit: number;
+}
+
+/**
+ * Keeps connections to one endpoint. It stands in for `http.Agent`, whose
+ * lookup by a name built from all options costs more than the reuse itself.
+ */
+export class ConnectionPool {
+  // Read by ClientRequest.
+  readonly keepAlive = true;
+  readonly maxSockets: number;
+  readonly defaultPort = 80;
+  readonly protocol = "http:";
+  readonly options = {};
+
+  readonly host: string;
+  readonly port: number;
+  #limit: number;
+  readonly #open = new Set<Socket>();
+  readonly #idle: IdleSocket[] = [];
+  readonly #waiting: ClientRequest[] = [];
+  readonly #sweep: NodeJS.Timeout;
+  #idleLimitMilliseconds = idleLimitMilliseconds;
+
+  /**
+   * @param options The endpoint and the limit.
+   */
+  constructor(options: ConnectionPoolOptions) {
+    this.host = options.host;
+    this.port = options.port;
+    this.#limit = options.limit;
+    this.maxSockets = Number.POSITIVE_INFINITY;
+    this.#sweep = setInterval(() => this.#closeIdle(), 500);
+    this.#sweep.unref();
+  }
+
+  /** Gets the number of open connections, idle ones included. */
+  getOpenCount(): number {
+    return this.#open.size;
+  }
+
+  /** Sets the most connections at once; open ones are kept. */
+  setLimit(limit: number): void {
+    this.#limit = limit;
+    this.#serveWaiting();
+  }
+
+  /**
+   * Notes how long the other side keeps idle connections.
+   * @param seconds The time that it announced.
+   */
+  noteKeepAlive(seconds: number): void {
+    const limit = Math.max(0, seconds * 1000 - idleMarginMilliseconds);
+    this.#idleLimitMilliseconds = Math.min(limit, idleLimitMilliseconds);
+  }
+
+  /** Gives a request its connection; called by ClientRequest. */
+  addRequest(request: ClientRequest): void {
+    const socket = this.#takeIdle();
+    if (socket !== undefined) {
+      request.reusedSocket = true;
+      request.onSocket(socket);
+    } else if (this.#open.size < this.#limit) {
+      request.onSocket(this.#connect());
+    } else {
+      this.#waiting.push(request);
+    }
+  }
+
+  /** Closes all idle connections, and others when their request ends. */
+  close(): void {
+    clearInterval(this.#sweep);
+    this.#idleLimitMilliseconds = 0;
+    for (const { socket } of this.#idle.splice(0)) {
+      socket.destroy();
+    }
+  }
+
+  #connect(): Socket {
+    const socket = new Socket();
+    socket.setNoDelay(true);
+    socket.connect({ host: this.host, port: this.port });
+    this.#open.add(socket);
+    socket.on("free", () => this.#onFree(socket));
+    // Requests have their own listener; this one serves idle sockets.
+    socket.on("error", ignoreError);
+    socket.once("close", () => this.#onClose(socket));
+    return socket;
+  }
+
+  #onFree(socket: Socket): void {
+    if (socket.destroyed || !socket.writable) {
+      return;
+    }
+    const next = this.#takeWaiting();
+    if (next !== undefined) {
+      next.reusedSocket = true;
+      next.onSocket(socket);
+    } else if (
+      this.#idleLimitMilliseconds === 0 || this.#open.size > this.#limit
+    ) {
+      socket.destroy();
+    } else {
+      const expiresAt = performance.now() + this.#idleLimitMilliseconds;
+      this.#idle.push({ socket, expiresAt });
+    }
+  }
+
+  #onClose(socket: Socket): void {
+    this.#open.delete(socket);
+    const index = this.#idle.findIndex((each) => each.socket === socket);
+    if (index >= 0) {
+      this.#idle.splice(index, 1);
+    }
+    this.#serveWaiting();
+  }
+
+  #serveWaiting(): void {
+    while (this.#open.size < this.#limit) {
+      const next = this.#takeWaiting();
+      if (next === undefined) {
+        return;
+      }
+      next.onSocket(this.#connect());
+    }
+  }
+
+  #takeWaiting(): ClientRequest | undefined {
+    let next = this.#waiting.shift();
+    while (next?.destroyed) {
+      next = this.#waiting.shift();
+    }
+    return next;
+  }
+
+  /** The connection used last is the least likely to be closing. */
+  #takeIdle(): Socket | undefined {
+    let idle = this.#idle.pop();
+    while (idle !== undefined) {
+      if (
+        idle.socket.writable && !idle.socket.destroyed &&
+        idle.expiresAt > performance.now()
+      ) {
+        return idle.socket;
+      }
+      idle.socket.destroy();
+      idle = this.#idle.pop();
+    }
+    return undefined;
+  }
+
+  #closeIdle(): void {
+    const now = performance.now();
+    while (this.#idle[0] !== undefined && this.#idle[0].expiresAt <= now) {
+      this.#idle.shift()?.socket.destroy();
+    }
+  }
+}
+
+function ignoreError(): void {}
--- /dev/null
+++ b/src/node/crash_detector.ts
@@ -0,0 +1,115 @@
+import { connect } from "node:net";
+import type { Clock } from "../common/mod.ts";
+import type { Endpoint } from "../settings/mod.ts";
+
+/** Time for one connection attempt to the target. */
+const probeMilliseconds = 500;
+/**
+ * Time during which a new incarnation of the target explains connections that
+ * were reset before.
+ */
+const restartMilliseconds = 10_000;
+
+/** A call whose connection to the target broke. */
+export interface BrokenCall {
+  readonly fingerprint: string;
+  /** Whether it was a suspect that ran with nothing else in flight. */
+  readonly ranAlone: boolean;
+  /** Called when it is known whether the target died. */
+  onVerdict(hasCrashed: boolean): void;
+}
+
+/** Settings of a {@link CrashDetector}. */
+export interface CrashDetectorOptions {
+  readonly clock: Clock;
+  /** Gets the address of the target. */
+  getEndpoint(): Endpoint | undefined;
+  /** Called once for each death, with the fingerprints that were in flight. */
+  onCrash(fingerprints: readonly string[], wasAlone: boolean): void;
+}
+
+interface RecentReset {
+  readonly fingerprint: string;
+  readonly ranAlone: boolean;
+  readonly milliseconds: number;
+}
+
+/**
+ * Tells whether broken connections mean that the target died: it then accepts
+ * no connection, or announces itself with a new incarnation.
+ */
+export class CrashDetector {
+  readonly #options: CrashDetectorOptions;
+  #waiting: BrokenCall[] = [];
+  #recent: RecentReset[] = [];
+  #isProbing = false;
+
+  /** @param options Clock, target address and listener. */
+  constructor(options: CrashDetectorOptions) {
+    this.#options = options;
+  }
+
+  /** Examines a call whose connection broke. */
+  examine(call: BrokenCall): void {
+    this.#waiting.push(call);
+    if (!this.#isProbing) {
+      this.#probe();
+    }
+  }
+
+  /** Records that a new incarnation of the target was announced. */
+  onNewIncarnation(): void {
+    const oldest = this.#options.clock.monotonicMilliseconds() -
+      restartMilliseconds;
+    const resets = this.#recent.filter((each) => each.milliseconds >= oldest);
+    this.#recent = [];
+    if (resets.length > 0) {
+      this.#report(resets);
+    }
+  }
+
+  #probe(): void {
+    const endpoint = this.#options.getEndpoint();
+    if (endpoint === undefined) {
+      this.#conclude(true);
+      return;
+    }
+    this.#isProbing = true;
+    const socket = connect(endpoint.port, endpoint.host);
+    socket.setTimeout(probeMilliseconds);
+    const end = (hasCrashed: boolean): void => {
+      socket.removeAllListeners();
+      socket.on("error", () => {});
+      socket.destroy();
+      this.#isProbing = false;
+      this.#conclude(hasCrashed);
+    };
+    socket.once("connect", () => end(false));
+    socket.once("timeout", () => end(false));
+    socket.once("error", () => end(true));
+  }
+
+  #conclude(hasCrashed: boolean): void {
+    const calls = this.#waiting;
+    this.#waiting = [];
+    const milliseconds = this.#options.clock.monotonicMilliseconds();
+    const resets = calls.map(({ fingerprint, ranAlone }) => ({
+      fingerprint,
+      ranAlone,
+      milliseconds,
+    }));
+    if (hasCrashed) {
+      this.#report(resets);
+    } else {
+      this.#recent = [...this.#recent, ...resets].slice(-1024);
+    }
+    for (const call of calls) {
+      call.onVerdict(hasCrashed);
+    }
+  }
+
+  #report(resets: readonly RecentReset[]): void {
+    const wasAlone = resets.length === 1 && resets[0]?.ranAlone === true;
+    this.#options.onCrash(resets.map((each) => each.fingerprint), wasAlone);
+  }
+}
--- /dev/null
+++ b/src/node/document_view.ts
@@ -0,0 +1,91 @@
+import {
+  CallGraph,
+  type EnvironmentDocument,
+  type Route,
+  RouteTable,
+  type Service,
+} from "../document/mod.ts";
+import type { CallCounters, ClassCounters } from "./call_counters.ts";
+
+/** A route with everything about it that calls need, computed once. */
+export interface RoutePlan {
+  readonly route: Route;
+  readonly service: Service;
+  /** Attempts that a call takes without retries, itself included. */
+  readonly need: number;
+  /** The route's service and all that its calls reach. */
+  readonly reached: readonly string[];
+  /** Counters by class index. */
+  readonly counters: readonly ClassCounters[];
+}
+
+/** Settings of a {@link DocumentView}. */
+export interface DocumentViewOptions {
+  readonly revision: number;
+  readonly counters: CallCounters;
+}
+
+/** The document in force at a node. */
+export class DocumentView {
+  readonly document: EnvironmentDocument;
+  readonly revision: number;
+  readonly #routes: RouteTable;
+  readonly #graph: CallGraph;
+  readonly #counters: CallCounters;
+  readonly #plans = new Map<Route, RoutePlan>();
+
+  /**
+   * @param document The document, or the part for this node.
+   * @param options Its revision and the counters.
+   */
+  constructor(document: EnvironmentDocument, options: DocumentViewOptions) {
+    this.document = document;
+    this.revision = options.revision;
+    this.#counters = options.counters;
+    this.#routes = new RouteTable(document);
+    this.#graph = new CallGraph(document);
+  }
+
+  /** Reports whether the document has a service. */
+  hasService(service: string): boolean {
+    return this.document.services.has(service);
+  }
+
+  /**
+   * Gets the plan of the route that a call matches.
+   * @param call Service, method in upper case, and path without its query.
+   * @returns The plan, or `undefined` when no route matches.
+   */
+  getPlan(
+    call: { service: string; method: string; path: string },
+  ): RoutePlan | undefined {
+    const route = this.#routes.getRoute(call);
+    if (route === undefined) {
+      return undefined;
+    }
+    return this.#plans.get(route) ?? this.#createPlan(route);
+  }
+
+  /** Gets the name of a class, or its number when it has none. */
+  getClassName(classIndex: number): string {
+    return this.document.classes[classIndex] ?? String(classIndex);
+  }
+
+  #createPlan(route: Route): RoutePlan | undefined {
+    const service = this.document.services.get(route.service);
+    if (service === undefined) {
+      return undefined;
+    }
+    const plan = {
+      route,
+      service,
+      need: this.#graph.getRouteNeed(route),
+      reached: [route.service, ...this.#graph.getReachedServices(route)],
+      counters: this.document.classes.map((name) =>
+        this.#counters.get(route.service, name)
+      ),
+    };
+    this.#plans.set(route, plan);
+    return plan;
+  }
+}
--- /dev/null
+++ b/src/node/exchange.ts
@@ -0,0 +1,223 @@
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { BodyCollector, type CollectorEvents } from "./body_collector.ts";
+import { type BodyMemory, heldBodyBytes } from "./body_memory.ts";
+import { pumpBody } from "./body_pump.ts";
+import type { ConnectionPool } from "./connection_pool.ts";
+import { copyHeaders, type ForwardedHeaders } from "./forwarded_headers.ts";
+
+/** Largest body that is streamed through, in bytes. */
+export const streamedBodyBytes = 1024 * 1024 * 1024;
+
+/** One request to a target or to another node. */
+export interface ExchangeRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Alternating names and values, framing included. */
+  readonly headers: string[];
+  /** The whole body; `undefined` when it is streamed from `source`. */
+  readonly body: Buffer | undefined;
+  readonly source: BodySource | undefined;
+}
+
+/** A request body that is streamed. */
+export interface BodySource {
+  readonly message: IncomingMessage;
+  /** Chunks that were read before. */
+  readonly chunks: readonly Buffer[];
+}
+
+/** Status and headers of a response. */
+export interface ResponseHead extends ForwardedHeaders {
+  readonly status: number;
+  readonly statusMessage: string;
+}
+
+/** Why an exchange gave no complete response. */
+export type ExchangeFault =
+  /** No byte of the request left this process. */
+  | "not-sent"
+  /** The connection ended before a response began. */
+  | "reset"
+  /** The response broke off. */
+  | "incomplete"
+  /** The caller's body broke off or was too large. */
+  | "body-broken";
+
+/** Receives the outcome of an exchange; exactly one method is called. */
+export interface ExchangeEvents {
+  /** The whole response is there; its bytes stay reserved. */
+  onHeld(head: ResponseHead, body: Buffer): void;
+  /** The response began and is too large to hold, or should not be held. */
+  onStream(
+    head: ResponseHead,
+    response: IncomingMessage,
+    chunks: readonly Buffer[],
+  ): void;
+  onFault(fault: ExchangeFault, message: string): void;
+}
+
+/** What an exchange needs besides its request. */
+export interface ExchangeOptions {
+  readonly pool: ConnectionPool;
+  readonly memory: BodyMemory;
+  /** Whether a small response is held until it is complete. */
+  readonly isHeld: boolean;
+  readonly events: ExchangeEvents;
+}
+
+/** Sends one request over a pooled connection. */
+export class Exchange implements CollectorEvents {
+  readonly #options: ExchangeOptions;
+  readonly #events: ExchangeEvents;
+  readonly #method: string;
+  readonly #request: ClientRequest;
+  #response: IncomingMessage | undefined;
+  #head: ResponseHead | undefined;
+  #collector: BodyCollector | undefined;
+  #isDone = false;
+  #isBodyBroken = false;
+
+  /**
+   * Sends the request.
+   * @param outgoing The request.
+   * @param options The connection and who receives the outcome.
+   */
+  constructor(outgoing: ExchangeRequest, options: ExchangeOptions) {
+    this.#options = options;
+    this.#events = options.events;
+    this.#method = outgoing.method;
+    const { pool } = options;
+    this.#request = request({
+      // The pool has what ClientRequest calls on an agent.
+      agent: pool as never,
+      host: pool.host,
+      port: pool.port,
+      method: outgoing.method,
+      path: outgoing.path,
+      headers: outgoing.headers as never,
+    });
+    this.#request.on("response", this.#onResponse);
+    this.#request.on("error", this.#onError);
+    if (outgoing.source === undefined) {
+      this.#request.end(outgoing.body);
+    } else {
+      this.#sendSource(outgoing.source);
+    }
+  }
+
+  /** Reports whether a byte of the request may have left this process. */
+  get mayBeSent(): boolean {
+    const { socket } = this.#request;
+    return socket !== null && socket !== undefined && !socket.connecting;
+  }
+
+  /** Ends the exchange without an event; its connection is destroyed. */
+  cancel(): void {
+    if (!this.#isDone) {
+      this.#isDone = true;
+      this.#collector?.stop();
+    }
+    this.#request.destroy();
+  }
+
+  onBody(body: Buffer): void {
+    this.#isDone = true;
+    if (!this.#request.writableFinished && this.#isUnsent()) {
+      // The response came before the request was sent whole.
+      this.#request.destroy();
+    }
+    this.#events.onHeld(this.#head as ResponseHead, body);
+  }
+
+  onOverflow(chunks: readonly Buffer[]): void {
+    this.#isDone = true;
+    this.#events.onStream(
+      this.#head as ResponseHead,
+      this.#response as IncomingMessage,
+      chunks,
+    );
+  }
+
+  onBroken(message: string): void {
+    this.#fail("incomplete", message);
+  }
+
+  readonly #onResponse = (response: IncomingMessage): void => {
+    if (this.#isDone) {
+      return;
+    }
+    const head = copyHeaders(response.rawHeaders) as
+      & ForwardedHeaders
+      & { status: number; statusMessage: string };
+    head.status = response.statusCode ?? 0;
+    head.statusMessage = response.statusMessage ?? "";
+    this.#response = response;
+    this.#head = head;
+    if (head.keepAliveSeconds >= 0) {
+      this.#options.pool.noteKeepAlive(head.keepAliveSeconds);
+    }
+    if (head.status < 200 || head.status > 999) {
+      this.#fail("incomplete", `the response has status ${head.status}`);
+    } else if (!this.#hasLength(head)) {
+      this.#fail("incomplete", "the response has no length");
+    } else if (this.#options.isHeld && head.contentLength <= heldBodyBytes) {
+      this.#collector = new BodyCollector(response, this.#options.memory, this);
+    } else {
+      this.#isDone = true;
+      response.on("error", ignoreError);
+      this.#events.onStream(head, response, []);
+    }
+  };
+
+  readonly #onError = (error: Error & { syscall?: string }): void => {
+    if (this.#isDone) {
+      return;
+    }
+    if (this.#isBodyBroken) {
+      this.#fail("body-broken", "the caller's body broke off");
+    } else if (error.syscall === "connect") {
+      this.#fail("not-sent", error.message);
+    } else if (this.#response !== undefined) {
+      this.#fail("incomplete", error.message);
+    } else {
+      this.#fail("reset", error.message);
+    }
+  };
+
+  #sendSource(source: BodySource): void {
+    pumpBody(source.message, this.#request, {
+      chunks: source.chunks,
+      limit: streamedBodyBytes,
+      onEnd: (fault) => {
+        if (fault !== undefined && !this.#isDone) {
+          this.#isBodyBroken = true;
+          this.#request.destroy();
+        }
+      },
+    });
+  }
+
+  /**
+   * A response whose end is only the end of its connection cannot be told from
+   * one that broke off.
+   */
+  #hasLength(head: ResponseHead): boolean {
+    return head.contentLength >= 0 || head.isChunked ||
+      head.status === 204 || head.status === 304 || this.#method === "HEAD";
+  }
+
+  #isUnsent(): boolean {
+    return !this.#request.writableEnded;
+  }
+
+  #fail(fault: ExchangeFault, message: string): void {
+    if (!this.#isDone) {
+      this.#isDone = true;
+      this.#collector?.stop();
+      this.#request.destroy();
+      this.#events.onFault(fault, message);
+    }
+  }
+}
+
+function ignoreError(): void {}
--- /dev/null
+++ b/src/node/forwarded_headers.ts
@@ -0,0 +1,149 @@
+import { answerHeader } from "../request/mod.ts";
+
+/** Prefix of the headers that only nodes set. */
+const ownPrefix = "dogwoodwalk-";
+
+/** Headers of a message and what its framing headers said. */
+export interface ForwardedHeaders {
+  /** Alternating names and values, ready for the next hop. */
+  readonly headers: string[];
+  /** Value of Content-Length; -1 when absent. */
+  readonly contentLength: number;
+  readonly isChunked: boolean;
+  /** Value of `dogwoodwalk-answer`; `undefined` when absent. */
+  readonly answer: string | undefined;
+  /** Seconds for which the sender keeps an idle connection; -1 when unsaid. */
+  readonly keepAliveSeconds: number;
+}
+
+/**
+ * Copies raw headers for the next hop, in order. Drops the hop-by-hop headers,
+ * those that the Connection header names, and every `dogwoodwalk-*` header.
+ * Content-Length stays; Transfer-Encoding is left to the sender of the body.
+ * @param raw Alternating names and values, as Node's `http` gives them.
+ * @returns The copy, with the framing that was read on the way.
+ */
+export function copyHeaders(raw: readonly string[]): ForwardedHeaders {
+  const headers: string[] = [];
+  let contentLength = -1;
+  let isChunked = false;
+  let answer: string | undefined;
+  let keepAliveSeconds = -1;
+  let named: string | undefined;
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] as string;
+    const value = raw[index + 1] as string;
+    switch (name.length) {
+      case 2:
+      case 6:
+      case 7:
+      case 16:
+      case 18:
+      case 19:
+        if (isHopByHop(name)) {
+          continue;
+        }
+        break;
+      case 10: {
+        const lowered = name.toLowerCase();
+        if (lowered === "connection") {
+          if (!isPlainConnection(value)) {
+            named = named === undefined ? value : `${named},${value}`;
+          }
+          continue;
+        }
+        if (lowered === "keep-alive") {
+          keepAliveSeconds = readKeepAlive(value);
+          continue;
+        }
+        break;
+      }
+      case 14:
+        if (name.toLowerCase() === "content-length") {
+          contentLength = Number(value);
+        }
+        break;
+      case 17:
+        if (name.toLowerCase() === "transfer-encoding") {
+          isChunked = true;
+          continue;
+        }
+        break;
+    }
+    if (isOwnHeader(name)) {
+      if (name.length === answerHeader.length && answer === undefined) {
+        answer = name.toLowerCase() === answerHeader ? value : undefined;
+      }
+      continue;
+    }
+    headers.push(name, value);
+  }
+  if (named !== undefined) {
+    removeNamed(headers, named);
+  }
+  return { headers, contentLength, isChunked, answer, keepAliveSeconds };
+}
+
+/**
+ * Sets Content-Length in a copied list of headers.
+ * @param headers Alternating names and values; changed in place.
+ * @param length The length of the body in bytes.
+ */
+export function setContentLength(headers: string[], length: number): void {
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] as string;
+    if (name.length === 14 && name.toLowerCase() === "content-length") {
+      headers[index + 1] = String(length);
+      return;
+    }
+  }
+  headers.push("Content-Length", String(length));
+}
+
+const hopByHop = new Set([
+  "te",
+  "expect",
+  "trailer",
+  "upgrade",
+  "proxy-connection",
+  "proxy-authenticate",
+  "proxy-authorization",
+]);
+
+function isHopByHop(name: string): boolean {
+  return hopByHop.has(name.toLowerCase());
+}
+
+function isPlainConnection(value: string): boolean {
+  const lowered = value.toLowerCase();
+  return lowered === "keep-alive" || lowered === "close";
+}
+
+function isOwnHeader(name: string): boolean {
+  // The lower-case bit makes one comparison enough for "d" and "D".
+  return (name.charCodeAt(0) | 0x20) === 0x64 &&
+    name.length > ownPrefix.length &&
+    name.slice(0, ownPrefix.length).toLowerCase() === ownPrefix;
+}
+
+function readKeepAlive(value: string): number {
+  const match = /timeout=(\d{1,6})/.exec(value);
+  return match === null ? -1 : Number(match[1]);
+}
+
+/** Content-Length and Host are kept even when they are named. */
+function removeNamed(headers: string[], named: string): void {
+  const names = new Set(
+    named.toLowerCase().split(",").map((each) => each.trim()),
+  );
+  names.delete("content-length");
+  names.delete("host");
+  let kept = 0;
+  for (let index = 0; index < headers.length; index += 2) {
+    if (!names.has((headers[index] as string).toLowerCase())) {
+      headers[kept++] = headers[index] as string;
+      headers[kept++] = headers[index + 1] as string;
+    }
+  }
+  headers.length = kept;
+}
--- /dev/null
+++ b/src/node/http_listener.ts
@@ -0,0 +1,125 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
+import type { Endpoint } from "../settings/mod.ts";
+
+/** Largest request line with headers, in bytes. */
+const maximumHeaderBytes = 16 * 1024;
+/** Time for the headers of a request. */
+const headersMilliseconds = 10_000;
+/** Above the longest deadline, which ends calls with a better reason. */
+const requestMilliseconds = 620_000;
+/** Above the time for which other nodes keep idle connections. */
+const keepAliveMilliseconds = 10_000;
+
+/** Settings of an {@link HttpListener}. */
+export interface HttpListenerOptions {
+  readonly endpoint: Endpoint;
+  handle(request: IncomingMessage, response: ServerResponse): void;
+  /** Time for the headers of a request, in milliseconds. */
+  readonly headersMilliseconds?: number | undefined;
+}
+
+/** One of the node's listeners. */
+export class HttpListener {
+  readonly #server: Server;
+  readonly #endpoint: Endpoint;
+
+  /** @param options Address and handler. */
+  constructor(options: HttpListenerOptions) {
+    this.#endpoint = options.endpoint;
+    this.#server = createServer({
+      maxHeaderSize: maximumHeaderBytes,
+      headersTimeout: options.headersMilliseconds ?? headersMilliseconds,
+      requestTimeout: requestMilliseconds,
+      keepAliveTimeout: keepAliveMilliseconds,
+      connectionsCheckingInterval: 1000,
+      noDelay: true,
+    }, options.handle);
+    this.#server.on("clientError", onClientError);
+  }
+
+  /** Gets the port, once it listens. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Starts to listen. */
+  listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(
+        this.#endpoint.port,
+        this.#endpoint.host,
+        1024,
+        () => {
+          this.#server.off("error", reject);
+          resolve();
+        },
+      );
+    });
+  }
+
+  /** Refuses new connections, and resolves when the open ones have ended. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  /** Ends all connections. */
+  closeNow(): void {
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Tells the sender of a malformed or half-sent request what is wrong. */
+function onClientError(
+  error: Error & { code?: string },
+  socket: Socket | import("node:stream").Duplex,
+): void {
+  if (!socket.writable || error.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  const { status, failure } = describeClientError(error.code);
+  const body = encodeErrorBody(failure, "");
+  socket.end(
+    `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\n` +
+      `Content-Length: ${Buffer.byteLength(body)}\r\n` +
+      `dogwoodwalk-disposition: ${failure.disposition}\r\n` +
+      `dogwoodwalk-reason: ${failure.reason}\r\n` +
+      `Connection: close\r\n\r\n${body}`,
+  );
+}
+
+function describeClientError(
+  code: string | undefined,
+): { status: string; failure: CallFailure } {
+  const disposition = "not-run";
+  if (code === "HPE_HEADER_OVERFLOW") {
+    const message = `The headers exceed ${maximumHeaderBytes} bytes`;
+    return {
+      status: "431 Request Header Fields Too Large",
+      failure: { disposition, reason: "too-large", message },
+    };
+  }
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    const message = "The request was not sent whole in time";
+    return {
+      status: "408 Request Timeout",
+      failure: { disposition, reason: "malformed-request", message },
+    };
+  }
+  const message = "The request is not valid HTTP/1.1";
+  return {
+    status: "400 Bad Request",
+    failure: { disposition, reason: "malformed-request", message },
+  };
+}
--- /dev/null
+++ b/src/node/inbound_call.ts
@@ -0,0 +1,168 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type Answer,
+  type Disposition,
+  encodeAnswer,
+  type RefusalReason,
+} from "../request/mod.ts";
+import type {
+  AttemptFailure,
+  AttemptSink,
+  StreamedResponse,
+} from "./attempt.ts";
+import type { BodyCollector } from "./body_collector.ts";
+import { type CallBody, type CallDetails, frameBody } from "./call_details.ts";
+import { writeFailure, writeHeld, writeStreamed } from "./caller_response.ts";
+import type { Expirable } from "./deadline_timers.ts";
+import type { ResponseHead } from "./exchange.ts";
+import type { ForwardedHeaders } from "./forwarded_headers.ts";
+import type { NodeState } from "./node_state.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+import { readRequestBody } from "./request_body.ts";
+import { TargetCall } from "./target_call.ts";
+import type { TargetSide } from "./target_side.ts";
+
+/** A call that another node sent to the target beside this one. */
+export interface InboundCallOptions {
+  readonly details: CallDetails;
+  readonly framing: ForwardedHeaders;
+  readonly allowance: number;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** Runs a call of another node and answers that node. */
+export class InboundCall implements AttemptSink, Expirable {
+  readonly #state: NodeState;
+  readonly #side: TargetSide;
+  readonly #options: InboundCallOptions;
+  #collector: BodyCollector | undefined;
+  #call: TargetCall | undefined;
+  #heldBytes = 0;
+  #isEnded = false;
+
+  /**
+   * @param side The target's side of this node.
+   * @param state What the parts of the node share.
+   * @param options The call.
+   */
+  constructor(side: TargetSide, state: NodeState, options: InboundCallOptions) {
+    this.#side = side;
+    this.#state = state;
+    this.#options = options;
+  }
+
+  /** Reads the body and offers the call to the target. */
+  begin(): void {
+    const { details, request, response, framing } = this.#options;
+    this.#state.timers.add(details.deadlineMilliseconds, this);
+    response.on("close", this.#onClose);
+    this.#collector = readRequestBody(request, {
+      framing,
+      memory: this.#state.memory,
+      mustHold: details.needsClaim,
+      events: {
+        onBody: (body) => this.#onBody(body),
+        onTooLarge: (message) => this.#refuse("not-run", "too-large", message),
+        onBroken: (message) =>
+          this.#refuse("not-run", "malformed-request", message),
+      },
+    });
+  }
+
+  onHeld(answer: Answer, head: ResponseHead, body: Buffer): void {
+    this.#end();
+    const { response } = this.#options;
+    writeHeld(response, head, { body, answer: this.#encode(answer) });
+    this.#state.memory.release(body.length);
+  }
+
+  onStream(answer: Answer, streamed: StreamedResponse): void {
+    writeStreamed(this.#options.response, {
+      ...streamed,
+      onEnd: (isWhole, bytes) => {
+        streamed.onEnd(isWhole, bytes);
+        this.#end();
+      },
+    }, { answer: this.#encode(answer) });
+  }
+
+  onFailure(failure: AttemptFailure): void {
+    if (this.#isEnded) {
+      return;
+    }
+    this.#end();
+    writeFailure(this.#options.response, failure, {
+      requestId: this.#options.details.requestId,
+      answer: this.#encode(failure),
+    });
+  }
+
+  onDeadline(): void {
+    if (this.#isEnded) {
+      return;
+    }
+    this.#collector?.stop();
+    const disposition = this.#call?.cancel() ?? "not-run";
+    this.#refuse(
+      disposition,
+      disposition === "unknown" ? "target-timeout" : "deadline-exceeded",
+    );
+  }
+
+  #onBody(body: CallBody): void {
+    this.#collector = undefined;
+    const { details, allowance } = this.#options;
+    frameBody(details, body);
+    this.#heldBytes = body.body?.length ?? 0;
+    const call = new TargetCall(this.#side, this.#state, {
+      details,
+      body,
+      allowance,
+      sink: this,
+    });
+    this.#call = call;
+    this.#side.take(call);
+  }
+
+  readonly #onClose = (): void => {
+    if (!this.#isEnded) {
+      this.#collector?.stop();
+      this.#call?.cancel();
+      this.#end();
+    }
+  };
+
+  #refuse(
+    disposition: Disposition,
+    reason: RefusalReason,
+    message = getRefusalMessage(reason),
+  ): void {
+    this.onFailure({
+      disposition,
+      reason,
+      message,
+      unused: this.#call?.account.remaining ?? this.#options.allowance,
+      levels: this.#side.getLevels(),
+    });
+  }
+
+  #encode(answer: Answer): string {
+    const heard = this.#state.levels.getEntries();
+    return encodeAnswer(
+      heard.length === 0
+        ? answer
+        : { ...answer, levels: [...answer.levels, ...heard] },
+    );
+  }
+
+  #end(): void {
+    this.#isEnded = true;
+    this.#state.timers.remove(
+      this.#options.details.deadlineMilliseconds,
+      this,
+    );
+    this.#state.memory.release(this.#heldBytes);
+    this.#heldBytes = 0;
+  }
+}
--- /dev/null
+++ b/src/node/mod.ts
@@ -0,0 +1,15 @@
+export {
+  type NodeEvents,
+  NodeProcess,
+  type NodeProcessOptions,
+  type StopResult,
+} from "./node_process.ts";
+export type {
+  ClaimDenial,
+  ClaimOptions,
+  ClaimOutcome,
+  FenceOutcome,
+  LedgerAnswer,
+  LedgerKey,
+  LedgerPort,
+} from "./ledger_port.ts";
--- /dev/null
+++ b/src/node/node_listener.ts
@@ -0,0 +1,122 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { getStableHash } from "../common/mod.ts";
+import {
+  decodeContext,
+  encodeAnswer,
+  type RefusalReason,
+  type RequestContext,
+} from "../request/mod.ts";
+import { writeFailure } from "./caller_response.ts";
+import { copyHeaders } from "./forwarded_headers.ts";
+import { InboundCall } from "./inbound_call.ts";
+import type { NodeState } from "./node_state.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+import { readRequestTarget } from "./request_target.ts";
+import type { TargetSide } from "./target_side.ts";
+
+/** Handles the calls that other nodes send to the target beside this one. */
+export class NodeListener {
+  readonly #state: NodeState;
+  readonly #side: TargetSide;
+
+  /**
+   * @param state What the parts of the node share.
+   * @param side The target's side of this node.
+   */
+  constructor(state: NodeState, side: TargetSide) {
+    this.#state = state;
+    this.#side = side;
+  }
+
+  /** Handles one request. */
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    const { view, settings, clock } = this.#state;
+    const text = request.headers["dogwoodwalk-context"];
+    const decoded = decodeContext(typeof text === "string" ? text : "");
+    if (decoded.kind === "error") {
+      const message = `dogwoodwalk-context is malformed: ${decoded.error}`;
+      this.#refuse(response, "malformed-request", { message });
+      return;
+    }
+    const context = decoded.value;
+    const target = readRequestTarget(request);
+    if (target === undefined) {
+      this.#refuse(response, "malformed-request", { context });
+      return;
+    }
+    if (view === undefined) {
+      this.#refuse(response, "no-target", { context });
+      return;
+    }
+    const method = request.method ?? "";
+    const plan = view.getPlan({
+      service: settings.service,
+      method,
+      path: target.routePath,
+    });
+    if (plan === undefined) {
+      this.#refuse(response, "unknown-route", { context });
+      return;
+    }
+    if (context.classIndex >= view.document.classes.length) {
+      const message = "The class is not in the document of this node";
+      this.#refuse(response, "malformed-request", { context, message });
+      return;
+    }
+    if (context.depth > view.document.maximumDepth) {
+      this.#refuse(response, "depth-exceeded", { context });
+      return;
+    }
+    const framing = copyHeaders(request.rawHeaders);
+    const key = request.headers["idempotency-key"] as string | undefined;
+    new InboundCall(this.#side, this.#state, {
+      details: {
+        plan,
+        requestId: context.requestId,
+        caller: context.caller,
+        classIndex: context.classIndex,
+        depth: context.depth,
+        hash: getStableHash(context.requestId),
+        entryIndex: context.entryIndex,
+        deadlineMilliseconds: clock.monotonicMilliseconds() +
+          context.remainingMilliseconds,
+        method,
+        path: target.path,
+        headers: framing.headers,
+        key,
+        needsClaim: key !== undefined && !plan.route.idempotent &&
+          plan.route.key !== "none",
+      },
+      framing,
+      allowance: context.allowance,
+      request,
+      response,
+    }).begin();
+  }
+
+  #refuse(
+    response: ServerResponse,
+    reason: RefusalReason,
+    options: { context?: RequestContext; message?: string },
+  ): void {
+    const { context } = options;
+    const message = options.message ?? getRefusalMessage(reason);
+    const counters = this.#state.counters.get(
+      this.#state.settings.service,
+      "none",
+    );
+    counters.failedAttempts.set(
+      reason,
+      (counters.failedAttempts.get(reason) ?? 0) + 1,
+    );
+    writeFailure(response, { disposition: "not-run", reason, message }, {
+      requestId: context?.requestId ?? "",
+      answer: encodeAnswer({
+        disposition: "not-run",
+        reason,
+        unused: context?.allowance ?? 0,
+        levels: [],
+      }),
+    });
+  }
+}
--- /dev/null
+++ b/src/node/node_process.ts
@@ -0,0 +1,260 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { LevelTable } from "../admission/mod.ts";
+import {
+  type Clock,
+  discardedMetrics,
+  type Log,
+  type Metrics,
+  type RandomSource,
+  systemClock,
+} from "../common/mod.ts";
+import type { EnvironmentDocument } from "../document/mod.ts";
+import { Router, type RoutingTarget } from "../routing/mod.ts";
+import type { NodeSettings } from "../settings/mod.ts";
+import { type CrashReport, SuspectList } from "../suspects/mod.ts";
+import { handleAnnouncement } from "./announcements.ts";
+import { BodyMemory } from "./body_memory.ts";
+import { CallCounters } from "./call_counters.ts";
+import { writeFailure, writeJson } from "./caller_response.ts";
+import { DeadlineTimers } from "./deadline_timers.ts";
+import { DocumentView } from "./document_view.ts";
+import { HttpListener } from "./http_listener.ts";
+import { absentLedger, type LedgerPort } from "./ledger_port.ts";
+import { NodeListener } from "./node_listener.ts";
+import type { NodeState } from "./node_state.ts";
+import { OriginSide } from "./origin_side.ts";
+import { handleOutcomeQuery, outcomePath } from "./outcome_query.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+import { createStatus, type StatusSource } from "./status_page.ts";
+import { TargetSide } from "./target_side.ts";
+import { TargetViews } from "./target_views.ts";
+
+/** What a node process needs besides its settings. */
+export interface NodeProcessOptions {
+  readonly log: Log;
+  readonly metrics?: Metrics;
+  readonly clock?: Clock;
+  readonly random?: RandomSource;
+  readonly ledger?: LedgerPort;
+  /** Time for the headers of a request, in milliseconds. */
+  readonly headersMilliseconds?: number;
+}
+
+/** Receives what control must be told. */
+export interface NodeEvents {
+  onTargetChange(): void;
+  onCrash(report: CrashReport): void;
+  onSuspectCleared(fingerprint: string): void;
+}
+
+/** How a graceful stop ended. */
+export interface StopResult {
+  /** Calls that were cut off at the limit. */
+  readonly cutOff: number;
+}
+
+/** The node: its listeners and both sides of the request path. */
+export class NodeProcess {
+  readonly state: NodeState;
+  readonly targetSide: TargetSide;
+  readonly originSide: OriginSide;
+  readonly outside: HttpListener;
+  readonly node: HttpListener;
+  readonly loopback: HttpListener;
+  /** Set by what connects the node to control. */
+  events: NodeEvents | undefined;
+  getControlStatus: StatusSource["getControlStatus"] = () => undefined;
+  readonly #views: TargetViews;
+  readonly #metrics: Metrics;
+
+  /**
+   * @param settings Settings of the process.
+   * @param options Log, clock and other services.
+   */
+  constructor(settings: NodeSettings, options: NodeProcessOptions) {
+    this.#metrics = options.metrics ?? discardedMetrics;
+    this.state = createState(settings, options, this.#metrics);
+    this.targetSide = new TargetSide(this.state, {
+      onTargetChange: () => {
+        this.#views.updateOwn();
+        this.events?.onTargetChange();
+      },
+      onCrash: (report) => this.events?.onCrash(report),
+      onSuspectCleared: (each) => this.events?.onSuspectCleared(each),
+    });
+    this.#views = new TargetViews(this.state, this.targetSide);
+    this.originSide = new OriginSide(this.state, this.targetSide);
+    const nodeListener = new NodeListener(this.state, this.targetSide);
+    const { headersMilliseconds } = options;
+    this.outside = new HttpListener({
+      endpoint: settings.outside,
+      handle: (request, response) => this.#onOutside(request, response),
+      headersMilliseconds,
+    });
+    this.node = new HttpListener({
+      endpoint: settings.node,
+      handle: (request, response) => nodeListener.handle(request, response),
+      headersMilliseconds,
+    });
+    this.loopback = new HttpListener({
+      endpoint: settings.loopback,
+      handle: (request, response) => this.#onLoopback(request, response),
+      headersMilliseconds,
+    });
+  }
+
+  /** Starts the listeners. */
+  async start(): Promise<void> {
+    await Promise.all([
+      this.outside.listen(),
+      this.node.listen(),
+      this.loopback.listen(),
+    ]);
+    const { settings, log } = this.state;
+    if (settings.target !== undefined) {
+      this.targetSide.target.announce({
+        endpoint: settings.target,
+        incarnation: Date.now(),
+      }, { hasLease: false });
+    }
+    log.info("node started", {
+      node: settings.nodeId,
+      outside: this.outside.port,
+      nodePort: this.node.port,
+      loopback: this.loopback.port,
+    });
+  }
+
+  /** Puts a document in force. */
+  applyDocument(document: EnvironmentDocument, revision: number): void {
+    const { state } = this;
+    const classCount = document.classes.length;
+    if (state.view?.document.classes.length !== classCount) {
+      state.levels = new LevelTable({ clock: state.clock, classCount });
+    }
+    state.view = new DocumentView(document, {
+      revision,
+      counters: state.counters,
+    });
+    for (const service of document.services.values()) {
+      state.router.updateService(service.name, service);
+    }
+    state.router.updateLinks(document.links);
+    this.targetSide.updateDocument();
+    state.log.info("document in force", { revision });
+  }
+
+  /** Applies the targets of a service. */
+  updateView(service: string, targets: readonly RoutingTarget[]): void {
+    this.#views.update(service, targets);
+  }
+
+  /** Gets the number of calls that are under way. */
+  get callCount(): number {
+    return this.originSide.callCount + this.targetSide.callCount;
+  }
+
+  /**
+   * Stops: refuses new calls, waits for those in flight up to the limit, then
+   * closes the listeners.
+   * @param limitMilliseconds The limit; that of the settings by default.
+   */
+  async stop(
+    limitMilliseconds = this.state.settings.stopLimitMilliseconds,
+  ): Promise<StopResult> {
+    const { state } = this;
+    state.isStopping = true;
+    state.log.info("stopping", { calls: this.callCount });
+    const end = performance.now() + limitMilliseconds;
+    while (this.callCount > 0 && performance.now() < end) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    const cutOff = this.callCount;
+    const closed = Promise.all([
+      this.outside.close(),
+      this.node.close(),
+      this.loopback.close(),
+    ]);
+    if (cutOff > 0) {
+      state.log.error("calls cut off at the stop limit", { calls: cutOff });
+    }
+    // A response may still be on its way to a slow caller.
+    const forced = setTimeout(() => {
+      this.outside.closeNow();
+      this.node.closeNow();
+      this.loopback.closeNow();
+    }, cutOff > 0 ? 0 : Math.max(100, end - performance.now()));
+    await closed;
+    clearTimeout(forced);
+    this.targetSide.stop();
+    this.originSide.stop();
+    state.timers.stop();
+    state.counters.close();
+    this.#metrics.close();
+    return { cutOff };
+  }
+
+  #onOutside(request: IncomingMessage, response: ServerResponse): void {
+    const url = request.url ?? "";
+    if (url.startsWith(outcomePath) && request.method === "GET") {
+      handleOutcomeQuery(this.state, url, response);
+      return;
+    }
+    this.originSide.accept(request, response, { isOutside: true });
+  }
+
+  #onLoopback(request: IncomingMessage, response: ServerResponse): void {
+    const url = request.url ?? "";
+    if (!url.startsWith("/dogwoodwalk/")) {
+      this.originSide.accept(request, response, { isOutside: false });
+      return;
+    }
+    if (url === "/dogwoodwalk/status" && request.method === "GET") {
+      writeJson(response, 200, createStatus(this));
+      return;
+    }
+    const isAnnouncement = handleAnnouncement(request, response, {
+      target: this.targetSide.target,
+      memory: this.state.memory,
+      leaseMilliseconds: this.state.settings.targetLeaseMilliseconds,
+    });
+    if (!isAnnouncement) {
+      const reason = "unknown-route";
+      writeFailure(response, {
+        disposition: "not-run",
+        reason,
+        message: getRefusalMessage(reason),
+      }, { requestId: "" });
+    }
+  }
+}
+
+function createState(
+  settings: NodeSettings,
+  options: NodeProcessOptions,
+  metrics: Metrics,
+): NodeState {
+  const clock = options.clock ?? systemClock;
+  const random = options.random ?? Math.random;
+  return {
+    settings,
+    clock,
+    log: options.log,
+    random,
+    counters: new CallCounters(metrics),
+    memory: new BodyMemory(),
+    timers: new DeadlineTimers(clock),
+    router: new Router({
+      clock,
+      random,
+      region: settings.region,
+      availabilityZone: settings.availabilityZone,
+      ownTargetId: settings.nodeId,
+    }),
+    suspects: new SuspectList({ clock }),
+    ledger: options.ledger ?? absentLedger,
+    view: undefined,
+    levels: new LevelTable({ clock, classCount: 1 }),
+    isStopping: false,
+  };
+}
--- /dev/null
+++ b/src/node/node_state.ts
@@ -0,0 +1,30 @@
+import type { LevelTable } from "../admission/mod.ts";
+import type { Clock, Log, RandomSource } from "../common/mod.ts";
+import type { Router } from "../routing/mod.ts";
+import type { NodeSettings } from "../settings/mod.ts";
+import type { SuspectList } from "../suspects/mod.ts";
+import type { BodyMemory } from "./body_memory.ts";
+import type { CallCounters } from "./call_counters.ts";
+import type { DeadlineTimers } from "./deadline_timers.ts";
+import type { DocumentView } from "./document_view.ts";
+import type { LedgerPort } from "./ledger_port.ts";
+
+/** What the parts of a node share. */
+export interface NodeState {
+  readonly settings: NodeSettings;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly random: RandomSource;
+  readonly counters: CallCounters;
+  readonly memory: BodyMemory;
+  readonly timers: DeadlineTimers;
+  readonly router: Router;
+  readonly suspects: SuspectList;
+  ledger: LedgerPort;
+  /** The document in force; `undefined` until the first one. */
+  view: DocumentView | undefined;
+  /** Levels heard from other services; replaced with the classes. */
+  levels: LevelTable;
+  /** Whether the process was told to stop. */
+  isStopping: boolean;
+}
--- /dev/null
+++ b/src/node/origin_call.ts
@@ -0,0 +1,434 @@
+import type { IncomingMessage } from "node:http";
+import {
+  type Answer,
+  type CallFailure,
+  getClaimFingerprint,
+  getRequestFingerprint,
+  type ServiceLevel,
+} from "../request/mod.ts";
+import { type AllowanceAccount, decideRetry } from "../retries/mod.ts";
+import type { AttemptOutcome, RouteChoice } from "../routing/mod.ts";
+import {
+  type Attempt,
+  type AttemptFailure,
+  type AttemptSink,
+  isAbsenceReason,
+  isCapacityReason,
+  type StreamedResponse,
+} from "./attempt.ts";
+import type { BodyCollector } from "./body_collector.ts";
+import { countReason } from "./call_counters.ts";
+import { type CallBody, type CallDetails, frameBody } from "./call_details.ts";
+import { type Caller, CallerGroup } from "./caller_group.ts";
+import { createEarlierResponse } from "./claim.ts";
+import type { Expirable } from "./deadline_timers.ts";
+import type { ResponseHead } from "./exchange.ts";
+import { getFencedResult, needsFence } from "./final_fence.ts";
+import type { ForwardedHeaders } from "./forwarded_headers.ts";
+import type { OriginSide } from "./origin_side.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+import { readRequestBody } from "./request_body.ts";
+import type { ServiceBudget } from "./retry_budget.ts";
+import type { OutgoingCall, TargetCall } from "./target_call.ts";
+
+/** A call made by a caller or by the target beside this node. */
+export interface OriginCallOptions {
+  readonly details: CallDetails;
+  readonly framing: ForwardedHeaders;
+  readonly request: IncomingMessage;
+  readonly caller: Caller;
+  /** Attempts of the request that this node may make. */
+  readonly account: AllowanceAccount;
+  /** The call of the target beside this node that made this one. */
+  readonly parent: TargetCall | undefined;
+}
+
+type TargetChoice = Extract<RouteChoice, { kind: "target" }>;
+
+interface CurrentAttempt {
+  readonly choice: TargetChoice;
+  readonly handedDown: number;
+  attempt: Attempt | undefined;
+}
+
+/** Makes the attempts of one call until it has a response or fails. */
+export class OriginCall implements AttemptSink, Expirable, OutgoingCall {
+  readonly details: CallDetails;
+  readonly #side: OriginSide;
+  readonly #options: OriginCallOptions;
+  readonly #account: AllowanceAccount;
+  readonly #budget: ServiceBudget;
+  readonly #callers: CallerGroup;
+  #collector: BodyCollector | undefined;
+  #body: CallBody | undefined;
+  #claimFingerprint: string | undefined;
+  #excluded: Set<string> | undefined;
+  #attempts = 0;
+  #mayHaveRun = false;
+  #current: CurrentAttempt | undefined;
+  #backOff: NodeJS.Timeout | undefined;
+  #isEnded = false;
+
+  /**
+   * @param side The origin's side of this node.
+   * @param options The call and its caller.
+   */
+  constructor(side: OriginSide, options: OriginCallOptions) {
+    this.#side = side;
+    this.#options = options;
+    this.details = options.details;
+    this.#account = options.account;
+    const { service } = options.details.plan;
+    this.#budget = side.budgets.get(service.name, service.retryRatio);
+    this.#callers = new CallerGroup(options.caller, () => this.#onAllLeft());
+  }
+
+  /** Reads the body and makes the first attempt. */
+  begin(): void {
+    const { details, request, framing, parent } = this.#options;
+    this.#side.state.timers.add(details.deadlineMilliseconds, this);
+    parent?.addOutgoing(this);
+    this.#collector = readRequestBody(request, {
+      framing,
+      memory: this.#side.state.memory,
+      mustHold: details.needsClaim,
+      events: {
+        onBody: (body) => this.#onBody(body),
+        onTooLarge: (message) => this.#refuse("too-large", message),
+        onBroken: (message) => this.#refuse("malformed-request", message),
+      },
+    });
+  }
+
+  /** Gets the fingerprint that sends with the same key must share. */
+  getClaimFingerprint(): string {
+    return this.#claimFingerprint ??= getClaimFingerprint({
+      ...this.details,
+      body: this.#body?.body,
+    });
+  }
+
+  /** Gives a resend of the same request the outcome of this call. */
+  join(caller: Caller): void {
+    this.#callers.add(caller);
+  }
+
+  /** Ends the call before its body was read, or with the given failure. */
+  fail(failure: CallFailure): void {
+    if (this.#isEnded) {
+      return;
+    }
+    const told: CallFailure = this.#mayHaveRun &&
+        failure.disposition === "not-run"
+      ? { ...failure, disposition: "unknown" }
+      : failure;
+    const { needsClaim, plan, key } = this.details;
+    if (!needsClaim || !needsFence(told)) {
+      this.#tellFailure(told);
+      return;
+    }
+    // The timer is stopped: the caller waits for the fence, not longer.
+    this.#stopTimers();
+    this.#isEnded = true;
+    const { ledger } = this.#side.state;
+    ledger.fence({ service: plan.route.service, key: key ?? "" })
+      .then((outcome) => {
+        this.#isEnded = false;
+        const result = getFencedResult(outcome, told);
+        if (result.kind === "failure") {
+          this.#tellFailure(result.failure);
+        } else {
+          const { head, body } = createEarlierResponse(result.answer);
+          this.#end();
+          this.#callers.writeHeld(head, body);
+        }
+      });
+  }
+
+  onHeld(answer: Answer, head: ResponseHead, body: Buffer): void {
+    this.#onResponse(answer, body.length);
+    this.#end();
+    this.#callers.writeHeld(head, body);
+    this.#side.state.memory.release(body.length);
+  }
+
+  onStream(answer: Answer, streamed: StreamedResponse): void {
+    const link = this.#current?.choice.link;
+    this.#onResponse(answer, 0);
+    this.#stopTimers();
+    this.#side.state.timers.add(this.details.deadlineMilliseconds, this);
+    this.#callers.writeStreamed({
+      ...streamed,
+      onEnd: (isWhole, bytes) => {
+        streamed.onEnd(isWhole, bytes);
+        if (link !== undefined) {
+          this.#side.state.router.onLinkBytes(link, bytes);
+        }
+        this.#end();
+      },
+    });
+  }
+
+  onFailure(failure: AttemptFailure): void {
+    const current = this.#current;
+    if (this.#isEnded || current === undefined) {
+      return;
+    }
+    this.#finishAttempt(current, {
+      kind: getOutcomeKind(failure),
+      hint: failure.load,
+    });
+    this.#account.settle(current.handedDown, failure.unused);
+    this.#recordLevels(failure.levels);
+    this.#budget.refusals.record(isCapacityReason(failure.reason));
+    if (failure.disposition !== "not-run") {
+      this.#mayHaveRun = true;
+    }
+    this.#decide(failure, current.choice.targetId);
+  }
+
+  onDeadline(): void {
+    if (this.#isEnded) {
+      return;
+    }
+    this.#collector?.stop();
+    const disposition = this.#cancelAttempt("failed");
+    const reason = disposition === "unknown"
+      ? "target-timeout"
+      : "deadline-exceeded";
+    this.fail({ disposition, reason, message: getRefusalMessage(reason) });
+  }
+
+  cancelByParent(): void {
+    if (!this.#isEnded) {
+      this.#collector?.stop();
+      const disposition = this.#cancelAttempt("cancelled");
+      const reason = "cancelled";
+      this.#tellFailure({
+        disposition: this.#mayHaveRun ? "unknown" : disposition,
+        reason,
+        message: "The request that made this call ended",
+      });
+    }
+  }
+
+  #onBody(body: CallBody): void {
+    this.#collector = undefined;
+    this.#body = body;
+    frameBody(this.details, body);
+    if (this.details.needsClaim && this.#side.joinEarlier(this)) {
+      this.#end();
+      return;
+    }
+    this.#budget.ratio.onFirstAttempt();
+    this.#attempt();
+  }
+
+  /** Gets the caller, for the call that it joins. */
+  takeCaller(): Caller {
+    return this.#callers.takeFirst();
+  }
+
+  #attempt(): void {
+    if (this.#account.remaining < 1) {
+      this.#refuse("allowance-spent");
+      return;
+    }
+    const choice = this.#choose();
+    if (choice.kind === "refused") {
+      this.#refuse(choice.reason);
+      return;
+    }
+    const { details } = this;
+    const begun = this.#account.begin(details.plan.need, this.#getReserved());
+    const handedDown = begun?.handedDown ?? 0;
+    this.#attempts++;
+    const current: CurrentAttempt = { choice, handedDown, attempt: undefined };
+    this.#current = current;
+    const attempt = this.#side.startAttempt(choice, {
+      details,
+      body: this.#body as CallBody,
+      allowance: handedDown,
+      sink: this,
+    });
+    current.attempt = attempt;
+  }
+
+  /** Tries other targets first, and the same ones when there is no other. */
+  #choose(): RouteChoice {
+    const { plan, classIndex } = this.details;
+    const { router } = this.#side.state;
+    const request = {
+      service: plan.route.service,
+      classIndex,
+      excluded: this.#excluded ?? noTargets,
+      expectedBytes: this.#body?.body?.length ?? this.#body?.streamedLength,
+    };
+    const choice = router.choose(request);
+    return choice.kind === "refused" && this.#excluded !== undefined
+      ? router.choose({ ...request, excluded: noTargets })
+      : choice;
+  }
+
+  /** Attempts that other declared calls of the parent still need. */
+  #getReserved(): number {
+    const { parent } = this.#options;
+    if (parent === undefined) {
+      return 0;
+    }
+    if (this.#attempts === 0) {
+      parent.declaredNeed = Math.max(
+        0,
+        parent.declaredNeed - this.details.plan.need,
+      );
+    }
+    return parent.declaredNeed;
+  }
+
+  #decide(failure: AttemptFailure, targetId: string): void {
+    const { details } = this;
+    const { plan, classIndex } = details;
+    const { state } = this.#side;
+    const counters = plan.counters[classIndex];
+    const decision = decideRetry({
+      disposition: this.#mayHaveRun && failure.disposition === "not-run"
+        ? "unknown"
+        : failure.disposition,
+      reason: failure.reason,
+      attempts: this.#attempts,
+      isIdempotent: plan.route.idempotent,
+      isSuspect: failure.reason === "suspect" || this.#isSuspect(),
+      remainingAllowance: this.#account.remaining,
+      remainingMilliseconds: details.deadlineMilliseconds -
+        state.clock.monotonicMilliseconds(),
+      hasRatioToken: this.#budget.ratio.hasToken,
+      isServiceRefusing: this.#budget.refusals.isMostlyRefusing,
+    }, {
+      objective: state.view?.document.objective ?? "goodput",
+      need: plan.need,
+      random: state.random,
+    });
+    if (decision.kind === "stop" || this.#body?.source !== undefined) {
+      const reason = decision.kind === "stop"
+        ? decision.reason
+        : "not-retryable";
+      counters && countReason(counters.notRetried, reason);
+      this.fail(failure);
+      return;
+    }
+    this.#budget.ratio.take();
+    counters && countReason(counters.retried, decision.reason);
+    (this.#excluded ??= new Set()).add(targetId);
+    if (decision.delayMilliseconds === 0) {
+      this.#attempt();
+    } else {
+      this.#backOff = setTimeout(
+        () => this.#attempt(),
+        decision.delayMilliseconds,
+      );
+    }
+  }
+
+  #isSuspect(): boolean {
+    const { suspects } = this.#side.state;
+    return !suspects.isEmpty && suspects.isSuspect(getRequestFingerprint({
+      ...this.details,
+      body: this.#body?.body,
+      streamedLength: this.#body?.streamedLength ?? -1,
+    }));
+  }
+
+  #onResponse(answer: Answer, bytes: number): void {
+    const current = this.#current;
+    if (current !== undefined) {
+      this.#finishAttempt(current, { kind: "completed", hint: answer.load });
+      this.#account.settle(current.handedDown, answer.unused);
+      const { link } = current.choice;
+      if (link !== undefined) {
+        this.#side.state.router.onLinkBytes(link, bytes);
+      }
+    }
+    this.#recordLevels(answer.levels);
+    this.#budget.refusals.record(false);
+    const counters = this.details.plan.counters[this.details.classIndex];
+    if (counters !== undefined) {
+      counters.completed++;
+    }
+  }
+
+  #finishAttempt(current: CurrentAttempt, outcome: AttemptOutcome): void {
+    this.#current = undefined;
+    this.#side.state.router.onFinish(current.choice.targetId, outcome);
+  }
+
+  #cancelAttempt(kind: "failed" | "cancelled"): "not-run" | "unknown" {
+    const current = this.#current;
+    if (current === undefined) {
+      return "not-run";
+    }
+    const disposition = current.attempt?.cancel() ?? "not-run";
+    this.#finishAttempt(current, { kind });
+    return disposition === "not-run" ? "not-run" : "unknown";
+  }
+
+  #recordLevels(levels: readonly ServiceLevel[]): void {
+    for (const { service, level } of levels) {
+      this.#side.state.levels.record(service, level);
+    }
+  }
+
+  #refuse(
+    reason: CallFailure["reason"],
+    message = getRefusalMessage(reason),
+  ): void {
+    this.fail({ disposition: "not-run", reason, message });
+  }
+
+  #tellFailure(failure: CallFailure): void {
+    this.#end();
+    const { plan, classIndex, requestId } = this.details;
+    const counters = plan.counters[classIndex];
+    counters && countReason(counters.refused, failure.reason);
+    if (this.#callers.hasOutside) {
+      this.#side.logRefusal(failure, this.details);
+    }
+    this.#callers.writeFailure(failure, requestId);
+  }
+
+  #onAllLeft(): void {
+    if (!this.#isEnded) {
+      this.#collector?.stop();
+      this.#cancelAttempt("cancelled");
+      const counters = this.details.plan.counters[this.details.classIndex];
+      counters && countReason(counters.refused, "cancelled");
+      this.#end();
+    }
+  }
+
+  #stopTimers(): void {
+    clearTimeout(this.#backOff);
+    this.#side.state.timers.remove(this.details.deadlineMilliseconds, this);
+  }
+
+  #end(): void {
+    this.#isEnded = true;
+    this.#stopTimers();
+    this.#options.parent?.removeOutgoing(this);
+    const held = this.#body?.body?.length ?? 0;
+    this.#body = undefined;
+    this.#side.state.memory.release(held);
+    this.#side.onEnded(this);
+  }
+}
+
+const noTargets: ReadonlySet<string> = new Set();
+
+function getOutcomeKind(failure: AttemptFailure): AttemptOutcome["kind"] {
+  if (isAbsenceReason(failure.reason)) {
+    return "unreachable";
+  }
+  if (isCapacityReason(failure.reason)) {
+    return "refused";
+  }
+  return failure.disposition === "unknown" ? "failed" : "completed";
+}
--- /dev/null
+++ b/src/node/origin_side.ts
@@ -0,0 +1,318 @@
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { getImportance } from "../admission/mod.ts";
+import { getStableHash } from "../common/mod.ts";
+import {
+  type CallFailure,
+  fieldLimits,
+  getBoundedCaller,
+  type RefusalReason,
+} from "../request/mod.ts";
+import { AllowanceAccount } from "../retries/mod.ts";
+import type { RouteChoice } from "../routing/mod.ts";
+import { type Attempt, createFailure } from "./attempt.ts";
+import type { CallDetails } from "./call_details.ts";
+import { writeFailure } from "./caller_response.ts";
+import type { DocumentView, RoutePlan } from "./document_view.ts";
+import { copyHeaders } from "./forwarded_headers.ts";
+import { KeyedCalls } from "./keyed_calls.ts";
+import { NodePools } from "./node_pools.ts";
+import type { NodeState } from "./node_state.ts";
+import { OriginCall } from "./origin_call.ts";
+import { RefusalLog } from "./refusal_log.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+import { RemoteAttempt } from "./remote_attempt.ts";
+import { readRequestTarget } from "./request_target.ts";
+import { RetryBudgets } from "./retry_budget.ts";
+import { TargetCall, type TargetCallOptions } from "./target_call.ts";
+import type { TargetSide } from "./target_side.ts";
+
+/** Takes the calls of outside callers and of the target beside this node. */
+export class OriginSide {
+  readonly state: NodeState;
+  readonly budgets = new RetryBudgets();
+  readonly #targetSide: TargetSide;
+  readonly #pools = new NodePools();
+  readonly #keyed = new KeyedCalls();
+  readonly #calls = new Set<OriginCall>();
+  readonly #refusals: RefusalLog;
+
+  /**
+   * @param state What the parts of the node share.
+   * @param targetSide The target's side of the same node.
+   */
+  constructor(state: NodeState, targetSide: TargetSide) {
+    this.state = state;
+    this.#targetSide = targetSide;
+    this.#refusals = new RefusalLog(state.log, state.clock);
+  }
+
+  /** Gets the number of calls under way. */
+  get callCount(): number {
+    return this.#calls.size;
+  }
+
+  /**
+   * Takes a call.
+   * @param request The request.
+   * @param response Its response.
+   * @param options Which listener it came by.
+   */
+  accept(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: { isOutside: boolean },
+  ): void {
+    const { isOutside } = options;
+    const { view } = this.state;
+    const target = readRequestTarget(request);
+    if (target === undefined) {
+      const message = "The request target is malformed";
+      this.#refuseEarly(response, "malformed-request", { isOutside, message });
+      return;
+    }
+    if (view === undefined) {
+      const message = "This node has no document yet";
+      this.#refuseEarly(response, "no-target", { isOutside, message });
+      return;
+    }
+    const plan = this.#getPlan(view, target, { request, isOutside });
+    if (plan === undefined) {
+      this.#refuseEarly(response, "unknown-route", { isOutside });
+      return;
+    }
+    const key = request.headers["idempotency-key"] as string | undefined;
+    if (key !== undefined && key.length > fieldLimits.keyLength) {
+      const message =
+        `The key is longer than ${fieldLimits.keyLength} characters`;
+      this.#refuseEarly(response, "malformed-request", { isOutside, message });
+      return;
+    }
+    const token = isOutside
+      ? undefined
+      : request.headers["dogwoodwalk-request"];
+    const parent = token === undefined
+      ? undefined
+      : this.#targetSide.getCall(String(token));
+    if (token !== undefined && parent === undefined) {
+      const message = "The request that made this call ended";
+      this.#refuseEarly(response, "cancelled", { isOutside, message });
+      return;
+    }
+    const framing = copyHeaders(request.rawHeaders);
+    const details = this.#createDetails(plan, {
+      request,
+      parent,
+      key,
+      path: target.path,
+      headers: framing.headers,
+      isOutside,
+    });
+    const call = new OriginCall(this, {
+      details,
+      framing,
+      request,
+      caller: { response, isOutside },
+      account: parent?.account ??
+        new AllowanceAccount(plan.route.attemptAllowance),
+      parent,
+    });
+    this.#calls.add(call);
+    const refusal = this.#getRefusal(view, details, parent);
+    if (refusal === undefined) {
+      call.begin();
+    } else {
+      const message = getRefusalMessage(refusal);
+      call.fail({ disposition: "not-run", reason: refusal, message });
+    }
+  }
+
+  /** Starts an attempt at the target that was chosen. */
+  startAttempt(
+    choice: Extract<RouteChoice, { kind: "target" }>,
+    options: TargetCallOptions,
+  ): Attempt | undefined {
+    const { details, body, allowance, sink } = options;
+    if (choice.targetId === this.state.settings.nodeId) {
+      const call = new TargetCall(this.#targetSide, this.state, options);
+      this.#targetSide.take(call);
+      return call;
+    }
+    const pool = this.#pools.get(
+      choice.nodeAddress,
+      details.plan.service.connections,
+    );
+    if (pool === undefined) {
+      sink.onFailure(createFailure({
+        disposition: "not-run",
+        reason: "node-unreachable",
+        message: "The address of the node is malformed",
+      }, allowance));
+      return undefined;
+    }
+    return new RemoteAttempt({
+      details,
+      body,
+      allowance,
+      remainingMilliseconds: details.deadlineMilliseconds -
+        this.state.clock.monotonicMilliseconds(),
+      pool,
+      memory: this.state.memory,
+      sink,
+    });
+  }
+
+  /**
+   * Lets a send with a key join an earlier one that is under way here.
+   * @param call The send; its body is known.
+   * @returns Whether the send ended by joining or by a conflict.
+   */
+  joinEarlier(call: OriginCall): boolean {
+    const service = call.details.plan.route.service;
+    const key = call.details.key as string;
+    const earlier = this.#keyed.get(service, key);
+    if (earlier === undefined) {
+      this.#keyed.add(service, key, call);
+      return false;
+    }
+    if (earlier.getClaimFingerprint() === call.getClaimFingerprint()) {
+      earlier.join(call.takeCaller());
+    } else {
+      const reason = "key-conflict";
+      const message = getRefusalMessage(reason);
+      call.fail({ disposition: "not-run", reason, message });
+    }
+    return true;
+  }
+
+  /** Forgets a call that ended. */
+  onEnded(call: OriginCall): void {
+    this.#calls.delete(call);
+    const { needsClaim, plan, key } = call.details;
+    if (needsClaim && key !== undefined) {
+      this.#keyed.remove(plan.route.service, key, call);
+    }
+  }
+
+  /** Writes a refusal that an outside caller sees to the log. */
+  logRefusal(failure: CallFailure, details: CallDetails): void {
+    this.#refusals.add({
+      failure,
+      service: details.plan.route.service,
+      className: this.state.view?.getClassName(details.classIndex) ?? "",
+      requestId: details.requestId,
+    });
+  }
+
+  /** Closes idle connections to other nodes. */
+  stop(): void {
+    this.#pools.stop();
+  }
+
+  #getPlan(
+    view: DocumentView,
+    target: { host: string; routePath: string },
+    options: { request: IncomingMessage; isOutside: boolean },
+  ): RoutePlan | undefined {
+    let service = target.host;
+    if (!view.hasService(service)) {
+      if (!options.isOutside) {
+        return undefined;
+      }
+      service = this.state.settings.service;
+    }
+    const method = options.request.method ?? "";
+    return view.getPlan({ service, method, path: target.routePath });
+  }
+
+  #createDetails(
+    plan: RoutePlan,
+    options: {
+      request: IncomingMessage;
+      parent: TargetCall | undefined;
+      key: string | undefined;
+      path: string;
+      headers: string[];
+      isOutside: boolean;
+    },
+  ): CallDetails {
+    const { request, parent, key } = options;
+    const { route } = plan;
+    const inherited = parent?.details;
+    const requestId = inherited?.requestId ?? randomUUID();
+    return {
+      plan,
+      requestId,
+      caller: inherited?.caller ?? this.#getCaller(request, options.isOutside),
+      classIndex: inherited?.classIndex ?? route.classIndex,
+      depth: (inherited?.depth ?? 0) + 1,
+      hash: inherited?.hash ?? getStableHash(requestId),
+      // Each send enters here, also one that a target makes.
+      entryIndex: this.state.ledger.knownIndex,
+      deadlineMilliseconds: inherited?.deadlineMilliseconds ??
+        this.state.clock.monotonicMilliseconds() + route.deadlineMilliseconds,
+      method: request.method ?? "",
+      path: options.path,
+      headers: options.headers,
+      key,
+      needsClaim: key !== undefined && !route.idempotent &&
+        route.key !== "none",
+    };
+  }
+
+  #getCaller(request: IncomingMessage, isOutside: boolean): string {
+    if (!isOutside) {
+      return this.state.settings.service;
+    }
+    const header = this.state.view?.document.callerHeader;
+    const named = header === undefined ? undefined : request.headers[header];
+    return getBoundedCaller(
+      typeof named === "string" ? named : request.socket.remoteAddress ?? "",
+    );
+  }
+
+  #getRefusal(
+    view: DocumentView,
+    details: CallDetails,
+    parent: TargetCall | undefined,
+  ): RefusalReason | undefined {
+    const { plan, classIndex, hash } = details;
+    if (plan.route.key === "required" && details.key === undefined) {
+      return "key-required";
+    }
+    if (details.depth > view.document.maximumDepth) {
+      return "depth-exceeded";
+    }
+    if (parent !== undefined) {
+      return undefined;
+    }
+    if (this.state.isStopping) {
+      return "stopping";
+    }
+    const importance = getImportance(classIndex, hash);
+    return this.state.levels.shouldShed(plan.reached, importance)
+      ? "shed-early"
+      : undefined;
+  }
+
+  #refuseEarly(
+    response: ServerResponse,
+    reason: RefusalReason,
+    options: { isOutside: boolean; message?: string },
+  ): void {
+    const message = options.message ?? getRefusalMessage(reason);
+    const failure: CallFailure = { disposition: "not-run", reason, message };
+    const { service } = this.state.settings;
+    const counters = this.state.counters.get(service, "none");
+    counters.refused.set(reason, (counters.refused.get(reason) ?? 0) + 1);
+    if (options.isOutside) {
+      this.#refusals.add({
+        failure,
+        service,
+        className: "none",
+        requestId: "",
+      });
+    }
+    writeFailure(response, failure, { requestId: "" });
+  }
+}
--- /dev/null
+++ b/src/node/outcome_query.ts
@@ -0,0 +1,85 @@
+import type { ServerResponse } from "node:http";
+import { fieldLimits } from "../request/mod.ts";
+import { writeFailure, writeJson } from "./caller_response.ts";
+import type { FenceOutcome } from "./ledger_port.ts";
+import type { NodeState } from "./node_state.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+
+/** Path of the outcome query on the outside listener. */
+export const outcomePath = "/dogwoodwalk/outcome";
+
+/**
+ * Tells what became of a request with a key. It fences the key, because a
+ * plain read could report `not-run` while an earlier send still waits in a
+ * queue.
+ * @param state What the parts of the node share.
+ * @param url URL of the query, with `service` and `key`.
+ * @param response Where the JSON document is written.
+ */
+export function handleOutcomeQuery(
+  state: NodeState,
+  url: string,
+  response: ServerResponse,
+): void {
+  const query = new URLSearchParams(url.slice(url.indexOf("?") + 1));
+  const service = query.get("service") ?? "";
+  const key = query.get("key") ?? "";
+  const fault = getFault(state, service, key);
+  if (fault !== undefined) {
+    writeFailure(response, {
+      disposition: "not-run",
+      reason: "malformed-request",
+      message: fault,
+    }, { requestId: "" });
+    return;
+  }
+  state.ledger.fence({ service, key }).then((outcome) => {
+    if (outcome.kind === "unavailable") {
+      const reason = "ledger-unavailable";
+      writeFailure(response, {
+        disposition: "unknown",
+        reason,
+        message: getRefusalMessage(reason),
+      }, { requestId: "" });
+      return;
+    }
+    writeJson(response, 200, { service, key, ...describe(outcome) });
+  });
+}
+
+function getFault(
+  state: NodeState,
+  service: string,
+  key: string,
+): string | undefined {
+  if (key === "" || key.length > fieldLimits.keyLength) {
+    return `Expected "key" with 1 to ${fieldLimits.keyLength} characters`;
+  }
+  return state.view?.hasService(service)
+    ? undefined
+    : 'Expected "service" to name a service of the document';
+}
+
+function describe(
+  outcome: Exclude<FenceOutcome, { kind: "unavailable" }>,
+): Record<string, unknown> {
+  switch (outcome.kind) {
+    case "absent":
+      return { outcome: "not-run" };
+    case "in-progress":
+      return { outcome: "in-progress" };
+    case "unknown":
+      return { outcome: "unknown" };
+    case "ran": {
+      const { answer } = outcome;
+      return {
+        outcome: "ran",
+        response: answer && {
+          status: answer.status,
+          headers: answer.headers,
+          bodyBase64: Buffer.from(answer.body).toString("base64"),
+        },
+      };
+    }
+  }
+}
--- /dev/null
+++ b/src/node/remote_attempt.ts
@@ -0,0 +1,152 @@
+import type { IncomingMessage } from "node:http";
+import {
+  type Answer,
+  decodeAnswer,
+  type Disposition,
+  encodeContext,
+  type RefusalReason,
+} from "../request/mod.ts";
+import { type Attempt, type AttemptSink, createFailure } from "./attempt.ts";
+import type { BodyMemory } from "./body_memory.ts";
+import {
+  type CallBody,
+  type CallDetails,
+  isResponseHeld,
+} from "./call_details.ts";
+import type { ConnectionPool } from "./connection_pool.ts";
+import {
+  Exchange,
+  type ExchangeEvents,
+  type ExchangeFault,
+  type ResponseHead,
+} from "./exchange.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+
+/** An attempt at the target of another node. */
+export interface RemoteAttemptOptions {
+  readonly details: CallDetails;
+  readonly body: CallBody;
+  /** Attempts handed down. */
+  readonly allowance: number;
+  readonly remainingMilliseconds: number;
+  readonly pool: ConnectionPool;
+  readonly memory: BodyMemory;
+  readonly sink: AttemptSink;
+}
+
+const faults: Readonly<
+  Record<ExchangeFault, { disposition: Disposition; reason: RefusalReason }>
+> = {
+  "not-sent": { disposition: "not-run", reason: "node-unreachable" },
+  "reset": { disposition: "unknown", reason: "node-unreachable" },
+  "incomplete": { disposition: "unknown", reason: "answer-incomplete" },
+  "body-broken": { disposition: "unknown", reason: "malformed-request" },
+};
+
+/** Sends a call to the node of another target. */
+export class RemoteAttempt implements Attempt, ExchangeEvents {
+  readonly #options: RemoteAttemptOptions;
+  readonly #exchange: Exchange;
+
+  /** @param options The call, its connection and who receives the outcome. */
+  constructor(options: RemoteAttemptOptions) {
+    this.#options = options;
+    const { details, body } = options;
+    const { headers } = details;
+    const { length } = headers;
+    headers.push(
+      "dogwoodwalk-context",
+      encodeContext({
+        requestId: details.requestId,
+        caller: details.caller,
+        classIndex: details.classIndex,
+        remainingMilliseconds: options.remainingMilliseconds,
+        allowance: options.allowance,
+        depth: details.depth,
+        entryIndex: details.entryIndex,
+      }),
+    );
+    this.#exchange = new Exchange({
+      method: details.method,
+      path: details.path,
+      headers,
+      body: body.body,
+      source: body.source,
+    }, {
+      pool: options.pool,
+      memory: options.memory,
+      isHeld: isResponseHeld(details),
+      events: this,
+    });
+    headers.length = length;
+  }
+
+  cancel(): Disposition {
+    const mayHaveRun = this.#exchange.mayBeSent;
+    this.#exchange.cancel();
+    return mayHaveRun ? "unknown" : "not-run";
+  }
+
+  onHeld(head: ResponseHead, body: Buffer): void {
+    const answer = this.#readAnswer(head);
+    if (answer === undefined || answer.reason !== undefined) {
+      this.#options.memory.release(body.length);
+      this.#failWith(answer);
+    } else {
+      this.#options.sink.onHeld(answer, head, body);
+    }
+  }
+
+  onStream(
+    head: ResponseHead,
+    response: IncomingMessage,
+    chunks: readonly Buffer[],
+  ): void {
+    const answer = this.#readAnswer(head);
+    if (answer === undefined || answer.reason !== undefined) {
+      response.resume();
+      this.#failWith(answer);
+      return;
+    }
+    const onEnd = (isWhole: boolean): void => {
+      if (!isWhole) {
+        this.#exchange.cancel();
+      }
+    };
+    this.#options.sink.onStream(answer, { head, response, chunks, onEnd });
+  }
+
+  onFault(fault: ExchangeFault, message: string): void {
+    const { disposition, reason } = faults[fault];
+    const unused = fault === "not-sent" ? this.#options.allowance : 0;
+    this.#options.sink.onFailure(
+      createFailure({ disposition, reason, message }, unused),
+    );
+  }
+
+  #readAnswer(head: ResponseHead): Answer | undefined {
+    const decoded = head.answer === undefined
+      ? undefined
+      : decodeAnswer(head.answer);
+    return decoded?.kind === "ok" ? decoded.value : undefined;
+  }
+
+  #failWith(answer: Answer | undefined): void {
+    if (answer?.reason === undefined) {
+      this.#options.sink.onFailure(createFailure({
+        disposition: "unknown",
+        reason: "answer-incomplete",
+        message: "The response has no valid dogwoodwalk-answer header",
+      }, 0));
+      return;
+    }
+    this.#options.sink.onFailure({
+      disposition: answer.disposition,
+      reason: answer.reason,
+      message: getRefusalMessage(answer.reason),
+      unused: answer.unused,
+      levels: answer.levels,
+      load: answer.load,
+    });
+  }
+}
--- /dev/null
+++ b/src/node/request_body.ts
@@ -0,0 +1,68 @@
+import type { IncomingMessage } from "node:http";
+import { BodyCollector } from "./body_collector.ts";
+import { type BodyMemory, heldBodyBytes } from "./body_memory.ts";
+import { type CallBody, emptyBody } from "./call_details.ts";
+import { streamedBodyBytes } from "./exchange.ts";
+import type { ForwardedHeaders } from "./forwarded_headers.ts";
+
+/** Receives the body of a request. */
+export interface RequestBodyEvents {
+  /** A held body's bytes stay reserved until released. */
+  onBody(body: CallBody): void;
+  /** The body is larger than allowed, or must be held and cannot be. */
+  onTooLarge(message: string): void;
+  onBroken(message: string): void;
+}
+
+/** Settings of {@link readRequestBody}. */
+export interface RequestBodyOptions {
+  readonly framing: Pick<ForwardedHeaders, "contentLength" | "isChunked">;
+  readonly memory: BodyMemory;
+  /** Whether the call cannot go on with a streamed body. */
+  readonly mustHold: boolean;
+  readonly events: RequestBodyEvents;
+}
+
+/**
+ * Reads the body of a request: a small one is held, a larger one is streamed.
+ * @param message The request.
+ * @param options Framing, memory and who receives the body.
+ * @returns A collector to stop when the call ends earlier; `undefined` when
+ * the events have been called already.
+ */
+export function readRequestBody(
+  message: IncomingMessage,
+  options: RequestBodyOptions,
+): BodyCollector | undefined {
+  const { framing, events, mustHold } = options;
+  if (framing.contentLength <= 0 && !framing.isChunked) {
+    events.onBody(emptyBody);
+    return undefined;
+  }
+  if (framing.contentLength > streamedBodyBytes) {
+    events.onTooLarge(`the body is larger than ${streamedBodyBytes} bytes`);
+    return undefined;
+  }
+  const streamedLength = framing.isChunked ? -1 : framing.contentLength;
+  const overflow = (chunks: readonly Buffer[]): void => {
+    if (mustHold) {
+      events.onTooLarge(
+        `the body of a call with a key exceeds ${heldBodyBytes} bytes, ` +
+          "or the node holds too many",
+      );
+      return;
+    }
+    const source = { message, chunks };
+    events.onBody({ body: undefined, source, streamedLength });
+  };
+  if (framing.contentLength > heldBodyBytes) {
+    overflow([]);
+    return undefined;
+  }
+  return new BodyCollector(message, options.memory, {
+    onBody: (body) =>
+      events.onBody({ body, source: undefined, streamedLength: 0 }),
+    onOverflow: overflow,
+    onBroken: (text) => events.onBroken(text),
+  });
+}
--- /dev/null
+++ b/src/node/request_target.ts
@@ -0,0 +1,48 @@
+import type { IncomingMessage } from "node:http";
+
+/** What the request line and the Host header say. */
+export interface RequestTarget {
+  /** Host name in lower case without its port; empty when absent. */
+  readonly host: string;
+  /** Path with its query, as it is sent on. */
+  readonly path: string;
+  /** Path without its query, for the route. */
+  readonly routePath: string;
+}
+
+/** Dot segments, also escaped ones, could select another route at the target. */
+const dotSegment = /\/(?:\.|%2e){1,2}(?:\/|$)/i;
+
+/**
+ * Reads the target of a request, in origin form or absolute form.
+ * @param request The request.
+ * @returns The target, or `undefined` when it is malformed.
+ */
+export function readRequestTarget(
+  request: IncomingMessage,
+): RequestTarget | undefined {
+  const url = request.url ?? "";
+  let path = url;
+  let host = request.headers.host ?? "";
+  if (url.charCodeAt(0) !== 0x2f) {
+    if (!/^http:\/\//i.test(url)) {
+      return undefined;
+    }
+    const start = url.indexOf("/", 7);
+    host = start < 0 ? url.slice(7) : url.slice(7, start);
+    path = start < 0 ? "/" : url.slice(start);
+  }
+  const query = path.indexOf("?");
+  const routePath = query < 0 ? path : path.slice(0, query);
+  if (routePath.includes("/.") || routePath.includes("%")) {
+    if (dotSegment.test(routePath)) {
+      return undefined;
+    }
+  }
+  return { host: getHostName(host), path, routePath };
+}
+
+function getHostName(host: string): string {
+  const colon = host.indexOf(":");
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+}
--- /dev/null
+++ b/src/node/status_page.ts
@@ -0,0 +1,54 @@
+import type { NodeState } from "./node_state.ts";
+import type { OriginSide } from "./origin_side.ts";
+import type { TargetSide } from "./target_side.ts";
+
+/** State of the session with control. */
+export interface ControlStatus {
+  readonly connected: boolean;
+  readonly controlAddress?: string | undefined;
+}
+
+/** What the status page shows. */
+export interface StatusSource {
+  readonly state: NodeState;
+  readonly targetSide: TargetSide;
+  readonly originSide: OriginSide;
+  getControlStatus(): ControlStatus | undefined;
+}
+
+/**
+ * Creates the document of `GET /dogwoodwalk/status`.
+ * @param source The parts of the node.
+ * @returns A value to write as JSON.
+ */
+export function createStatus(source: StatusSource): Record<string, unknown> {
+  const { state, targetSide, originSide } = source;
+  const { settings, view, router } = state;
+  const { target } = targetSide;
+  return {
+    nodeId: settings.nodeId,
+    environment: settings.environment,
+    service: settings.service,
+    region: settings.region,
+    availabilityZone: settings.availabilityZone,
+    revision: view?.revision ?? 0,
+    control: source.getControlStatus(),
+    stopping: state.isStopping,
+    target: {
+      state: target.state,
+      address: target.announcement &&
+        `${target.announcement.endpoint.host}:${target.announcement.endpoint.port}`,
+      incarnation: target.announcement?.incarnation,
+    },
+    admission: targetSide.getStatus(),
+    levels: state.levels.getEntries(),
+    services: [...view?.document.services.keys() ?? []].map((service) => ({
+      service,
+      ...router.getStatus(service),
+    })),
+    calls: { origin: originSide.callCount, target: targetSide.callCount },
+    heldBodyBytes: state.memory.held,
+    ledgerIndex: state.ledger.knownIndex,
+    counters: state.counters.getStatus(),
+  };
+}
--- /dev/null
+++ b/src/node/target_call.ts
@@ -0,0 +1,346 @@
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import type { FinishSample } from "../admission/mod.ts";
+import {
+  type Answer,
+  type Disposition,
+  getClaimFingerprint,
+  getRequestFingerprint,
+  type RefusalReason,
+} from "../request/mod.ts";
+import { AllowanceAccount } from "../retries/mod.ts";
+import type { Attempt, AttemptSink } from "./attempt.ts";
+import { countReason } from "./call_counters.ts";
+import {
+  type CallBody,
+  type CallDetails,
+  isResponseHeld,
+} from "./call_details.ts";
+import { Claim } from "./claim.ts";
+import {
+  Exchange,
+  type ExchangeEvents,
+  type ExchangeFault,
+  type ResponseHead,
+} from "./exchange.ts";
+import type { NodeState } from "./node_state.ts";
+import { getRefusalMessage } from "./refusal_messages.ts";
+import { ServiceTime } from "./service_time.ts";
+import { isShedSignal } from "./shed_signal.ts";
+import type { TargetSide } from "./target_side.ts";
+
+/** A call to the target beside this node. */
+export interface TargetCallOptions {
+  readonly details: CallDetails;
+  readonly body: CallBody;
+  /** Attempts that the target's own calls may make. */
+  readonly allowance: number;
+  readonly sink: AttemptSink;
+}
+
+/** An outgoing call of the target that ends with the call it belongs to. */
+export interface OutgoingCall {
+  cancelByParent(): void;
+}
+
+type Phase = "queued" | "claiming" | "running" | "streaming" | "ended";
+
+/** Runs one call at the target beside this node. */
+export class TargetCall implements Attempt, ExchangeEvents {
+  /** Names the call to the target; also its identity at admission. */
+  readonly token = randomUUID();
+  readonly details: CallDetails;
+  readonly account: AllowanceAccount;
+  readonly serviceTime = new ServiceTime();
+  /** Attempts that declared calls of the route still need. */
+  declaredNeed: number;
+  isSuspect = false;
+  readonly #side: TargetSide;
+  readonly #state: NodeState;
+  readonly #body: CallBody;
+  readonly #sink: AttemptSink;
+  #phase: Phase = "queued";
+  #claim: Claim | undefined;
+  #exchange: Exchange | undefined;
+  #outgoing: Set<OutgoingCall> | undefined;
+  #fingerprint: string | undefined;
+
+  /**
+   * @param side The target's side of this node.
+   * @param state What the parts of the node share.
+   * @param options The call and who receives its outcome.
+   */
+  constructor(side: TargetSide, state: NodeState, options: TargetCallOptions) {
+    this.#side = side;
+    this.#state = state;
+    this.details = options.details;
+    this.#body = options.body;
+    this.#sink = options.sink;
+    this.account = new AllowanceAccount(options.allowance);
+    this.declaredNeed = options.details.plan.need - 1;
+  }
+
+  /** Gets the fingerprint by which crashes are recognized. */
+  getFingerprint(): string {
+    return this.#fingerprint ??= getRequestFingerprint({
+      ...this.#getFingerprintSource(),
+      streamedLength: this.#body.streamedLength,
+    });
+  }
+
+  /** Starts the call; called when it was admitted. */
+  start(): void {
+    if (!this.details.needsClaim) {
+      this.#dispatch();
+      return;
+    }
+    this.#phase = "claiming";
+    const { plan, key, entryIndex, deadlineMilliseconds } = this.details;
+    this.#claim = new Claim(this.#state.ledger, {
+      service: plan.route.service,
+      key: key ?? "",
+      fingerprint: getClaimFingerprint(this.#getFingerprintSource()),
+      entryIndex,
+      deadlineMilliseconds: Math.max(
+        1,
+        Math.ceil(deadlineMilliseconds - this.#now()),
+      ),
+      events: {
+        onGranted: () => this.#onGranted(),
+        onRefused: (disposition, reason) => {
+          this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
+          this.#fail(disposition, reason);
+        },
+        onEarlier: (head, body) => {
+          this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
+          this.#state.memory.take(body.length);
+          this.#sink.onHeld(this.#createAnswer(), head, body);
+        },
+      },
+    });
+  }
+
+  /** Refuses a call that was not admitted, or not any more. */
+  refuse(reason: RefusalReason): void {
+    this.#phase = "ended";
+    this.#fail("not-run", reason);
+  }
+
+  /** Refuses the call when it still waits. */
+  refuseIfQueued(reason: RefusalReason): void {
+    if (this.#phase === "queued") {
+      this.#side.onCancelled(this);
+      this.refuse(reason);
+    }
+  }
+
+  cancel(): Disposition {
+    const phase = this.#phase;
+    if (phase === "ended") {
+      return "unknown";
+    }
+    if (phase === "queued") {
+      this.#phase = "ended";
+      this.#side.onCancelled(this);
+      return "not-run";
+    }
+    const mayHaveRun = this.#exchange !== undefined &&
+      this.#exchange.mayBeSent;
+    this.#exchange?.cancel();
+    if (!mayHaveRun) {
+      this.#claim?.abandon();
+    }
+    this.#end({
+      kind: "cancelled",
+      serviceMilliseconds: this.serviceTime.get(this.#now()),
+    });
+    return mayHaveRun ? "unknown" : "not-run";
+  }
+
+  /** Adds an outgoing call of the target. */
+  addOutgoing(call: OutgoingCall): void {
+    (this.#outgoing ??= new Set()).add(call);
+    this.serviceTime.onOutgoingStart(this.#now());
+  }
+
+  /** Removes an outgoing call that ended. */
+  removeOutgoing(call: OutgoingCall): void {
+    if (this.#outgoing?.delete(call)) {
+      this.serviceTime.onOutgoingEnd(this.#now());
+    }
+  }
+
+  onHeld(head: ResponseHead, body: Buffer): void {
+    if (isShedSignal(this.details.plan.service.shedSignal, head)) {
+      this.#state.memory.release(body.length);
+      this.#failNotRun("shed", "target-shed");
+      return;
+    }
+    this.#claim?.complete(head, body);
+    this.#onCompleted();
+    this.#sink.onHeld(this.#createAnswer(), head, body);
+  }
+
+  onStream(
+    head: ResponseHead,
+    response: IncomingMessage,
+    chunks: readonly Buffer[],
+  ): void {
+    if (isShedSignal(this.details.plan.service.shedSignal, head)) {
+      this.#exchange?.cancel();
+      this.#failNotRun("shed", "target-shed");
+      return;
+    }
+    this.#phase = "streaming";
+    const onEnd = (isWhole: boolean): void => {
+      if (this.#phase !== "streaming") {
+        return;
+      }
+      if (isWhole) {
+        this.#claim?.complete(head, undefined);
+        this.#onCompleted();
+      } else {
+        this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
+        this.#exchange?.cancel();
+      }
+    };
+    // The target may still make calls, so nothing is given back yet.
+    const answer = this.#createAnswer(0);
+    this.#sink.onStream(answer, { head, response, chunks, onEnd });
+  }
+
+  onFault(fault: ExchangeFault, message: string): void {
+    if (fault === "not-sent") {
+      this.#failNotRun("unreachable", "target-unreachable");
+      return;
+    }
+    if (fault === "body-broken") {
+      this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
+      this.#fail("unknown", "malformed-request", message);
+      return;
+    }
+    const reason = fault === "reset" ? "target-reset" : "answer-incomplete";
+    const ranAlone = this.isSuspect;
+    this.#side.crashes.examine({
+      fingerprint: this.getFingerprint(),
+      ranAlone,
+      onVerdict: (hasCrashed) => {
+        if (this.#phase === "ended") {
+          return;
+        }
+        this.#end({ kind: "unreachable", serviceMilliseconds: 0 });
+        this.#fail("unknown", hasCrashed ? "suspect" : reason, message);
+      },
+    });
+  }
+
+  #onGranted(): void {
+    const refusal = this.#side.getDispatchRefusal();
+    if (refusal !== undefined) {
+      this.#failNotRun("cancelled", refusal);
+    } else {
+      this.#dispatch();
+    }
+  }
+
+  #dispatch(): void {
+    this.#phase = "running";
+    this.serviceTime.start(this.#now());
+    const { details } = this;
+    const counters = details.plan.counters[details.classIndex];
+    if (counters !== undefined) {
+      counters.dispatched++;
+    }
+    // The request line and headers are written by the constructor, so the
+    // token can be taken off the shared list again.
+    const { headers } = details;
+    const { length } = headers;
+    headers.push("dogwoodwalk-request", this.token);
+    this.#exchange = new Exchange({
+      method: details.method,
+      path: details.path,
+      headers,
+      body: this.#body.body,
+      source: this.#body.source,
+    }, {
+      pool: this.#side.getPool(),
+      memory: this.#state.memory,
+      isHeld: isResponseHeld(details),
+      events: this,
+    });
+    headers.length = length;
+  }
+
+  #onCompleted(): void {
+    this.#end({
+      kind: "completed",
+      serviceMilliseconds: this.serviceTime.get(this.#now()),
+    });
+    if (this.isSuspect) {
+      this.#side.onSuspectCompleted(this.getFingerprint());
+    }
+  }
+
+  /** Releases the claim first, because the caller may send again. */
+  #failNotRun(kind: FinishSample["kind"], reason: RefusalReason): void {
+    this.#end({ kind, serviceMilliseconds: 0 });
+    if (this.#claim === undefined) {
+      this.#fail("not-run", reason);
+      return;
+    }
+    this.#claim.release().then(() => this.#fail("not-run", reason));
+  }
+
+  #end(sample: FinishSample): void {
+    this.#phase = "ended";
+    if (this.#outgoing !== undefined) {
+      for (const call of [...this.#outgoing]) {
+        call.cancelByParent();
+      }
+    }
+    this.#side.onFinished(this, sample);
+  }
+
+  #fail(
+    disposition: Disposition,
+    reason: RefusalReason,
+    message = getRefusalMessage(reason),
+  ): void {
+    const { plan, classIndex } = this.details;
+    const counters = plan.counters[classIndex];
+    if (counters !== undefined) {
+      countReason(counters.failedAttempts, reason);
+    }
+    this.#sink.onFailure({
+      disposition,
+      reason,
+      message,
+      unused: this.account.remaining,
+      levels: this.#side.getLevels(),
+      load: this.#side.getLoad(),
+    });
+  }
+
+  #createAnswer(unused = this.account.remaining): Answer {
+    return {
+      disposition: "ran",
+      reason: undefined,
+      unused,
+      levels: this.#side.getLevels(),
+      load: this.#side.getLoad(),
+    };
+  }
+
+  #getFingerprintSource(): {
+    method: string;
+    path: string;
+    body: Buffer | undefined;
+  } {
+    const { method, path } = this.details;
+    return { method, path, body: this.#body.body };
+  }
+
+  #now(): number {
+    return this.#state.clock.monotonicMilliseconds();
+  }
+}
--- a/src/request/answer_codec.ts
+++ b/src/request/answer_codec.ts
@@ -12,6 +12,14 @@
   readonly level: number;
 }
 
+/** Load of a target as its own node sees it. */
+export interface LoadHint {
+  readonly running: number;
+  readonly queued: number;
+  /** Calls that the target's node runs at once. */
+  readonly limit: number;
+}
+
 /** What the target's node tells the origin's node about an attempt. */
 export interface Answer {
   readonly disposition: Disposition;
@@ -20,15 +28,17 @@
   /** Attempts that were handed down and not used. */
   readonly unused: number;
   readonly levels: readonly ServiceLevel[];
+  readonly load?: LoadHint | undefined;
 }
 
 const formatVersion = "1";
-const fieldCount = 5;
+const fieldCount = 6;
 const servicePattern = /^[a-z0-9][a-z0-9-]*$/;
 const reasons: ReadonlySet<string> = new Set(refusalReasons);
 
 /**
- * Encodes an answer as `1;disposition;reason;unused;service=level,...`.
+ * Encodes an answer as
+ * `1;disposition;reason;unused;service=level,...;running,queued,limit`.
  * @param answer The answer; its values must be within the limits.
  * @returns The value of the header.
  */
@@ -40,7 +50,13 @@
   }
   return `${formatVersion};${answer.disposition};${
     answer.reason ?? ""
-  };${answer.unused};${levels}`;
+  };${answer.unused};${levels};${
+    answer.load === undefined ? "" : encodeLoad(answer.load)
+  }`;
+}
+
+function encodeLoad(load: LoadHint): string {
+  return `${load.running},${load.queued},${load.limit}`;
 }
 
 /**
@@ -78,14 +94,32 @@
   if (levels === undefined) {
     return failed("admission levels are malformed");
   }
+  const load = decodeLoad(fields[5] as string);
+  if (load === "malformed") {
+    return failed("load is malformed");
+  }
   return ok({
     disposition,
     reason: reason === "" ? undefined : reason as RefusalReason,
     unused,
     levels,
+    load,
   });
 }
 
+function decodeLoad(text: string): LoadHint | undefined | "malformed" {
+  if (text === "") {
+    return undefined;
+  }
+  const numbers = text.split(",");
+  const running = readWholeNumber(numbers[0], fieldLimits.load);
+  const queued = readWholeNumber(numbers[1], fieldLimits.load);
+  const limit = readWholeNumber(numbers[2], fieldLimits.load);
+  return numbers.length !== 3 || running < 0 || queued < 0 || limit < 0
+    ? "malformed"
+    : { running, queued, limit };
+}
+
 const noLevels: readonly ServiceLevel[] = [];
 
 function decodeLevels(text: string): readonly ServiceLevel[] | undefined {
--- a/src/request/codec_test.ts
+++ b/src/request/codec_test.ts
@@ -43,6 +43,14 @@
     }, { noNullPrototype: true }),
     { maxLength: 20 },
   ),
+  load: fc.option(
+    fc.record({
+      running: fc.nat(fieldLimits.load),
+      queued: fc.nat(fieldLimits.load),
+      limit: fc.nat(fieldLimits.load),
+    }, { noNullPrototype: true }),
+    { nil: undefined },
+  ),
 }, { noNullPrototype: true });
 
 test("an answer survives its header", () => {
--- a/src/request/field_limits.ts
+++ b/src/request/field_limits.ts
@@ -11,7 +11,10 @@
   /** 16 classes of 128 buckets. */
   level: 16 * 128,
   levelEntries: 64,
+  /** Calls that run or wait at one target. */
+  load: 1_000_000,
   serviceLength: 64,
+  keyLength: 256,
   headerLength: 4096,
 } as const;
 
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -12,6 +12,7 @@
   answerHeader,
   decodeAnswer,
   encodeAnswer,
+  type LoadHint,
   type ServiceLevel,
 } from "./answer_codec.ts";
 export {
@@ -20,3 +21,4 @@
   getReasonStatus,
 } from "./error_body.ts";
 export { fieldLimits } from "./field_limits.ts";
+export { getClaimFingerprint, getRequestFingerprint } from "./fingerprint.ts";
--- a/src/retries/resend_counter.ts
+++ b/src/retries/resend_counter.ts
@@ -50,11 +50,6 @@
     return this.#current.get(caller) ?? this.#previous.get(caller) ?? 0;
   }
 
-  /** Number of entries in memory. */
-  get size(): number {
-    return this.#current.size + this.#previous.size;
-  }
-
   #add(key: string): number {
     const count = this.#current.get(key) ?? this.#previous.get(key) ?? 0;
     this.#current.set(key, count + 1);
--- a/src/routing/link_budget.ts
+++ b/src/routing/link_budget.ts
@@ -21,8 +21,6 @@
   #isSafePart = true;
   #meanCallBytes = initialCallBytes;
   #callsInFlight = 0;
-  /** Bytes that calls in flight may still send. */
-  #promisedBytes = 0;
   #bytesOfFinishedCalls = 0;
   #finishedCalls = 0;
   #unreportedBytes = 0;
@@ -50,37 +48,22 @@
   ): boolean {
     const now = options.nowMilliseconds;
     this.#returnToSafePart(now);
-    const needed = this.getReservation(bytes);
-    const general = this.#general.get(now) - this.#promisedBytes;
+    // Calls in flight have not been counted yet.
+    const promised = this.#callsInFlight * this.#meanCallBytes;
+    const needed = Math.max(bytes, this.#meanCallBytes);
+    const general = this.#general.get(now) - promised;
     return general >= needed || (options.isMostImportant &&
       Math.min(general, 0) + this.#reserved.get(now) >= needed);
   }
 
-  /** Gets the bytes to reserve for a call that says it will send `bytes`. */
-  getReservation(bytes: number): number {
-    return Math.max(bytes, this.#meanCallBytes);
-  }
-
   /** Records that a call was sent over the link. */
-  onStart(reservedBytes: number): void {
+  onStart(): void {
     this.#callsInFlight++;
-    this.#promisedBytes += reservedBytes;
   }
 
-  /**
-   * Records that a call over the link ended.
-   * @param reservedBytes What was reserved for it; the mean of the calls in
-   * flight when not known.
-   */
-  onFinish(reservedBytes?: number): void {
-    if (this.#callsInFlight === 0) {
-      return;
-    }
-    const released = reservedBytes ?? this.#promisedBytes / this.#callsInFlight;
-    this.#callsInFlight--;
-    this.#promisedBytes = this.#callsInFlight === 0
-      ? 0
-      : Math.max(0, this.#promisedBytes - released);
+  /** Records that a call over the link ended. */
+  onFinish(): void {
+    this.#callsInFlight = Math.max(0, this.#callsInFlight - 1);
     this.#finishedCalls++;
     if (this.#finishedCalls >= 8) {
       const mean = this.#bytesOfFinishedCalls / this.#finishedCalls;
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -34,8 +34,6 @@
     readonly nodeAddress: string;
     /** The link that the call crosses; absent inside a region. */
     readonly link?: LinkKey;
-    /** Bytes of the link set aside for the call until `onFinish`. */
-    readonly reservedBytes?: number;
   }
   | { readonly kind: "refused"; readonly reason: "no-target" | "link-budget" };
 
@@ -83,16 +81,10 @@
     const view = this.#getView(service);
     const now = this.#clock.monotonicMilliseconds();
     const { added, removed } = view.update(targets, now);
-    for (const state of removed) {
-      if (state.inFlight === 0) {
-        this.#targets.delete(state.target.targetId);
-      }
+    for (const { target } of removed) {
+      this.#targets.delete(target.targetId);
     }
     for (const state of added) {
-      const previous = this.#targets.get(state.target.targetId);
-      if (previous !== undefined) {
-        state.takeOver(previous.state);
-      }
       this.#targets.set(state.target.targetId, { state, view });
     }
   }
@@ -152,20 +144,13 @@
   onFinish(targetId: string, outcome: AttemptOutcome): void {
     const known = this.#targets.get(targetId);
     if (known === undefined) {
-      return;
+      return; // the target left the view meanwhile
     }
     const { state, view } = known;
     const now = this.#clock.monotonicMilliseconds();
     state.inFlight = Math.max(0, state.inFlight - 1);
     if (state.target.region !== this.#region) {
-      this.#links.get(this.#region, state.target.region)
-        ?.onFinish(outcome.reservedBytes);
-    }
-    if (view.get(targetId) !== state) {
-      if (state.inFlight === 0) {
-        this.#targets.delete(targetId); // it left the view meanwhile
-      }
-      return;
+      this.#links.get(this.#region, state.target.region)?.onFinish();
     }
     if (outcome.hint !== undefined) {
       state.onHint(outcome.hint, now);
@@ -173,7 +158,7 @@
     if (outcome.kind === "completed" || outcome.kind === "refused") {
       state.onSuccess(now);
     } else if (outcome.kind !== "cancelled") {
-      if (state.onFailure(outcome.kind === "unreachable", now)) {
+      if (state.onFailure(outcome.kind === "unreachable")) {
         view.eject(state, now);
       }
     }
@@ -263,29 +248,30 @@
       if (hasNear && load > farRoomLoad) {
         continue;
       }
-      const bytes = request.expectedBytes ?? 0;
-      const budget = this.#links.get(this.#region, other.region);
-      const hasBudget = budget === undefined || budget.hasRoom(bytes, {
-        isMostImportant: request.classIndex === 0,
-        nowMilliseconds: options.nowMilliseconds,
-      });
+      const hasBudget = this.#links.get(this.#region, other.region)?.hasRoom(
+        request.expectedBytes ?? 0,
+        {
+          isMostImportant: request.classIndex === 0,
+          nowMilliseconds: options.nowMilliseconds,
+        },
+      ) ?? true;
       if (hasBudget) {
-        return this.#start(state, budget?.getReservation(bytes));
+        return this.#start(state);
       }
       isOverBudget = true;
     }
     return isOverBudget ? "link-budget" : undefined;
   }
 
-  #start(state: TargetState, reservedBytes = 0): RouteChoice {
+  #start(state: TargetState): RouteChoice {
     state.inFlight++;
     const { targetId, nodeAddress, region } = state.target;
     if (region === this.#region) {
       return { kind: "target", targetId, nodeAddress };
     }
-    this.#links.get(this.#region, region)?.onStart(reservedBytes);
+    this.#links.get(this.#region, region)?.onStart();
     const link = { from: this.#region, to: region };
-    return { kind: "target", targetId, nodeAddress, link, reservedBytes };
+    return { kind: "target", targetId, nodeAddress, link };
   }
 }
 
--- a/src/routing/routing_types.ts
+++ b/src/routing/routing_types.ts
@@ -65,8 +65,6 @@
     /** The caller left; says nothing about the target. */
     | "cancelled";
   readonly hint?: LoadHint | undefined;
-  /** `reservedBytes` of the choice, when the call crossed a link. */
-  readonly reservedBytes?: number | undefined;
 }
 
 /** A call that needs a target. */
--- a/src/routing/service_view.ts
+++ b/src/routing/service_view.ts
@@ -23,7 +23,6 @@
   /** Ejected targets, in no order; at most a part of the view. */
   readonly #ejected = new Set<TargetState>();
   #nextReturnMilliseconds = Infinity;
-  #drainingCount = 0;
 
   /**
    * @param rule Capacity of the targets.
@@ -80,7 +79,6 @@
         removed.push(state);
       }
     }
-    this.#returnAboveCap();
     return { added, removed };
   }
 
@@ -94,10 +92,8 @@
 
   /** Ejects a target unless too large a part of the view is ejected. */
   eject(state: TargetState, nowMilliseconds: number): void {
-    if (
-      state.phase !== "usable" ||
-      this.#ejected.size >= this.#getEjectionLimit()
-    ) {
+    const limit = Math.floor(this.#states.size * maximumEjectedPart);
+    if (state.phase !== "usable" || this.#ejected.size >= limit) {
       return;
     }
     this.#getTier(state.target).remove(state);
@@ -120,40 +116,18 @@
         next = Math.min(next, state.ejectedUntilMilliseconds);
         continue;
       }
-      this.#return(state);
+      this.#ejected.delete(state);
+      state.returnOnProbation();
+      this.#getTier(state.target).add(state);
     }
     this.#nextReturnMilliseconds = next;
   }
 
-  #return(state: TargetState): void {
-    this.#ejected.delete(state);
-    state.returnOnProbation();
-    this.#getTier(state.target).add(state);
-  }
-
-  /** Returns ejected targets, the earliest first, when the view shrinks. */
-  #returnAboveCap(): void {
-    for (const state of this.#ejected) {
-      if (this.#ejected.size <= this.#getEjectionLimit()) {
-        return;
-      }
-      this.#return(state);
-    }
-  }
-
-  /** Draining targets take no calls, so they do not count towards the cap. */
-  #getEjectionLimit(): number {
-    return Math.floor(
-      (this.#states.size - this.#drainingCount) * maximumEjectedPart,
-    );
-  }
-
   #add(target: RoutingTarget, nowMilliseconds: number): TargetState {
     const state = new TargetState(target, nowMilliseconds);
     this.#states.set(target.targetId, state);
     if (target.isDraining) {
       state.phase = "draining";
-      this.#drainingCount++;
     } else {
       this.#getTier(target).add(state);
     }
@@ -162,9 +136,6 @@
 
   #remove(state: TargetState): void {
     this.#states.delete(state.target.targetId);
-    if (state.phase === "draining") {
-      this.#drainingCount--;
-    }
     this.#ejected.delete(state);
     this.#getTier(state.target).remove(state);
   }
@@ -176,11 +147,8 @@
       this.#getTier(target).remove(state);
       this.#ejected.delete(state);
       state.phase = "draining";
-      this.#drainingCount++;
-      this.#returnAboveCap();
     } else if (!target.isDraining && wasDraining) {
       state.phase = "usable";
-      this.#drainingCount--;
       this.#getTier(target).add(state);
     }
   }
--- a/src/routing/target_state.ts
+++ b/src/routing/target_state.ts
@@ -6,12 +6,6 @@
 const coldWeight = 0.1;
 /** Consecutive broken calls after which a target is an outlier. */
 const failuresToEject = 3;
-/**
- * Load added per recent failure. Without it, a broken target that may not be
- * ejected looks idle and draws all calls.
- */
-const loadPerFailure = 0.5;
-const failureHalfLifeMilliseconds = 1000;
 const firstEjectionMilliseconds = 1000;
 const longestEjectionMilliseconds = 30_000;
 
@@ -31,9 +25,6 @@
   /** Monotonic time at which the ejection ends. */
   ejectedUntilMilliseconds = 0;
   #ejections = 0;
-  #failedMilliseconds = -Infinity;
-  /** Calls of an earlier incarnation, whose failures say nothing. */
-  #earlierCalls = 0;
   #readyMilliseconds: number;
   #hintedLoad = 0;
   #hintLimit = 0;
@@ -61,16 +52,9 @@
    */
   getLoad(rule: ServiceRule, nowMilliseconds: number): number {
     const limit = this.#hintLimit > 0 ? this.#hintLimit : rule.slots;
-    const calls = 1 +
+    const calls = 1 + this.consecutiveFailures +
       Math.max(this.inFlight, this.#getHintedCalls(nowMilliseconds));
-    return calls / (limit * this.#getWeight(rule, nowMilliseconds)) +
-      this.#getFailureLoad(nowMilliseconds);
-  }
-
-  /** Takes over the calls in flight at an earlier incarnation. */
-  takeOver(previous: TargetState): void {
-    this.inFlight = previous.inFlight;
-    this.#earlierCalls = previous.inFlight;
+    return calls / (limit * this.#getWeight(rule, nowMilliseconds));
   }
 
   /** Records the load that the target's node stated. */
@@ -94,16 +78,10 @@
   /**
    * Records a failed call.
    * @param isUnreachable Whether no connection could be made.
-   * @param nowMilliseconds Monotonic time.
    * @returns Whether the target is an outlier now.
    */
-  onFailure(isUnreachable: boolean, nowMilliseconds: number): boolean {
-    if (this.#earlierCalls > 0) {
-      this.#earlierCalls--;
-      return false;
-    }
+  onFailure(isUnreachable: boolean): boolean {
     this.consecutiveFailures++;
-    this.#failedMilliseconds = nowMilliseconds;
     return isUnreachable || this.isOnProbation ||
       this.consecutiveFailures >= failuresToEject;
   }
@@ -136,15 +114,6 @@
     return this.#hintedLoad * 0.5 ** (age / hintHalfLifeMilliseconds) + since;
   }
 
-  #getFailureLoad(nowMilliseconds: number): number {
-    if (this.consecutiveFailures === 0) {
-      return 0;
-    }
-    const age = nowMilliseconds - this.#failedMilliseconds;
-    return loadPerFailure * this.consecutiveFailures *
-      0.5 ** (age / failureHalfLifeMilliseconds);
-  }
-
   #getWeight(rule: ServiceRule, nowMilliseconds: number): number {
     const age = nowMilliseconds - this.#readyMilliseconds;
     return age >= rule.warmUpMilliseconds
--- a/src/suspects/crash_correlator.ts
+++ b/src/suspects/crash_correlator.ts
@@ -62,11 +62,6 @@
     return this.#reports.size;
   }
 
-  /** Number of fingerprints that are remembered. */
-  get fingerprintCount(): number {
-    return this.#index.size;
-  }
-
   /**
    * Receives a crash report.
    * @param report The report.
--- a/src/suspects/suspect_list.ts
+++ b/src/suspects/suspect_list.ts
@@ -58,9 +58,8 @@
     return this.#quarantined.has(fingerprint);
   }
 
-  /** Checks whether no fingerprint is a suspect or quarantined. */
+  /** Checks whether fingerprints matter at all now, so that most nodes need not compute them twice. */
   get isEmpty(): boolean {
-    this.#forgetExpired();
     return this.#suspects.size === 0 && this.#quarantined.size === 0;
   }
 
@@ -94,16 +93,6 @@
     }
   }
 
-  #forgetExpired(): void {
-    const now = this.#clock.monotonicMilliseconds();
-    for (const [fingerprint, end] of this.#suspects) {
-      if (end > now) {
-        return;
-      }
-      this.#suspects.delete(fingerprint);
-    }
-  }
-
   #addSuspect(fingerprint: string): void {
     this.#suspects.delete(fingerprint);
     this.#suspects.set(
--- /dev/null
+++ b/tests/support/http_call.ts
@@ -0,0 +1,70 @@
+import { request } from "node:http";
+
+/** A response that was read whole. */
+export interface HttpResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+}
+
+/** A call that a test makes. */
+export interface HttpCall {
+  readonly port: number;
+  readonly method?: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Buffer;
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Sends one request to a loopback port on a connection of its own.
+ * @param call The request.
+ * @returns The whole response; rejected when the connection breaks.
+ */
+export function sendCall(call: HttpCall): Promise<HttpResponse> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      host: "127.0.0.1",
+      port: call.port,
+      method: call.method ?? "GET",
+      path: call.path,
+      headers: call.headers,
+      agent: false,
+      signal: call.signal,
+    }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk) => chunks.push(chunk));
+      response.on("error", reject);
+      response.on("end", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString(),
+        }));
+    });
+    outgoing.on("error", reject);
+    outgoing.end(call.body);
+  });
+}
+
+/**
+ * Waits until a condition holds.
+ * @param condition What to wait for.
+ * @param limitMilliseconds How long at most.
+ */
+export async function waitFor(
+  condition: () => boolean | Promise<boolean>,
+  limitMilliseconds = 10_000,
+): Promise<void> {
+  const end = performance.now() + limitMilliseconds;
+  while (!await condition()) {
+    if (performance.now() > end) {
+      throw new Error(
+        `The condition did not hold within ${limitMilliseconds} ms: ` +
+          condition.toString(),
+      );
+    }
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
--- /dev/null
+++ b/tests/support/stand_in_process.ts
@@ -0,0 +1,25 @@
+import { type StandInOptions, StandInTarget } from "./stand_in_target.ts";
+
+/**
+ * Runs a stand-in target as a process. Its options are a JSON argument; it
+ * writes its port to standard output. SIGUSR2 makes it drain.
+ */
+const options = JSON.parse(process.argv[2] ?? "{}") as StandInOptions & {
+  port?: number;
+};
+const target = new StandInTarget({
+  ...options,
+  onCrash: () => process.exit(70),
+});
+await target.listen(options.port ?? 0);
+if (options.nodePort) {
+  await target.announce();
+}
+process.on("SIGUSR2", () => {
+  target.tellNode("drain").catch(() => {});
+});
+process.on("SIGTERM", () => {
+  target.stopRenewing();
+  target.tellNode("leave").catch(() => {}).finally(() => process.exit(0));
+});
+process.stdout.write(`port=${target.port}\n`);
