Test the request path and connect it to the control session

Cause: claims, fences, joins, cancellation, crashes and stops had no tests, and the node knew no control. Change: tests against in-process targets check what the target itself recorded. A target that drains or left stays so until a new incarnation announces itself, because an operator may have asked for the drain. The control link feeds documents, views, link shares and suspects into the node, and the ledger adapter gives claims to the control group.

--- a/src/node/announced_target.ts
+++ b/src/node/announced_target.ts
@@ -61,7 +61,8 @@
   }
 
   /**
-   * Records an announcement. An older incarnation is ignored.
+   * Records an announcement. An older incarnation is ignored, and one that
+   * drains or left stays so, because an operator may have asked for it.
    * @param announcement What the target says.
    * @param options Whether the target must renew; settings announce without.
    * @returns Whether it was accepted.
@@ -78,7 +79,8 @@
     this.#announcement = announcement;
     this.#hasLease = options.hasLease;
     this.#renewLease();
-    if (isNew || this.#state !== "ready") {
+    const hasLeft = this.#state === "draining" || this.#state === "left";
+    if (isNew || (this.#state !== "ready" && !hasLeft)) {
       this.#readySince = this.#options.clock.monotonicMilliseconds();
       this.#change("ready");
     }
--- a/src/node/claim.ts
+++ b/src/node/claim.ts
@@ -104,8 +104,6 @@
         }
         return;
       case "unavailable":
-        // The claim may have been recorded; the call is never dispatched.
-        this.release();
         if (!this.#isAbandoned) {
           events.onRefused("not-run", "ledger-unavailable");
         }
--- /dev/null
+++ b/src/node/control_link.ts
@@ -0,0 +1,166 @@
+import type { Interceptor } from "@grpc/grpc-js";
+import { ControlSession, LedgerClient } from "../control_client/mod.ts";
+import { decodeDocumentPart } from "../document/mod.ts";
+import type { TargetRecord } from "../membership/mod.ts";
+import { createLedgerPort } from "./ledger_adapter.ts";
+import type { NodeProcess } from "./node_process.ts";
+import type { TargetState } from "./announced_target.ts";
+
+/** What connects a node to its control group. */
+export interface ControlLinkOptions {
+  /** Adds the token to each call; empty without a token. */
+  readonly interceptors: readonly Interceptor[];
+  /** Address under which other nodes reach the node listener. */
+  readonly nodeAddress: string;
+}
+
+const recordStates: Readonly<Record<TargetState, TargetRecord["state"]>> = {
+  absent: "left",
+  ready: "ready",
+  draining: "draining",
+  left: "left",
+  expired: "expired",
+  crashed: "expired",
+};
+
+/** Connects a node to control: documents, views, suspects and the ledger. */
+export class ControlLink {
+  readonly #node: NodeProcess;
+  readonly #options: ControlLinkOptions;
+  readonly #session: ControlSession;
+  readonly #ledger: LedgerClient;
+  #crashes = 0;
+
+  /**
+   * Opens the session.
+   * @param node The node; its listeners must be open.
+   * @param options Token and address.
+   */
+  constructor(node: NodeProcess, options: ControlLinkOptions) {
+    this.#node = node;
+    this.#options = options;
+    const { state } = node;
+    const { settings } = state;
+    const incarnation = Date.now();
+    this.#session = new ControlSession({
+      controlAddresses: settings.controlAddresses,
+      interceptors: options.interceptors,
+      log: state.log,
+      hello: {
+        environment: settings.environment,
+        nodeId: settings.nodeId,
+        incarnation,
+        region: settings.region,
+        availabilityZone: settings.availabilityZone,
+        service: settings.service,
+        nodeAddress: options.nodeAddress,
+      },
+      getReport: () => ({
+        admissionLevel: node.targetSide.getStatus()?.level ?? 0,
+        ledgerIndex: state.ledger.knownIndex,
+        linkBytes: state.router.takeLinkBytes().map(({ from, to, bytes }) => ({
+          fromRegion: from,
+          toRegion: to,
+          bytes,
+        })),
+      }),
+      onDocument: (revision, part) =>
+        node.applyDocument(decodeDocumentPart(part), revision),
+      onView: (service, targets) =>
+        node.updateView(service, targets.map(toRoutingTarget)),
+      onLinkShares: (shares) =>
+        state.router.updateLinkShares(shares.map((each) => ({
+          from: each.fromRegion,
+          to: each.toRegion,
+          bytesPerSecond: each.bytesPerSecond,
+        }))),
+      onSuspects: (update) =>
+        state.suspects.applyUpdate({
+          suspects: update.suspects,
+          cleared: update.cleared,
+          quarantined: update.hasQuarantined ? update.quarantined : undefined,
+        }),
+      onDrainRequest: (targetId) => {
+        if (targetId === settings.nodeId) {
+          node.targetSide.target.drain();
+        }
+      },
+      onLedgerIndex: (index) => this.#ledger.learnIndex(index),
+    });
+    this.#ledger = new LedgerClient({
+      environment: settings.environment,
+      nodeId: settings.nodeId,
+      incarnation,
+      interceptors: options.interceptors,
+      log: state.log,
+      getControlAddresses: () => this.#session.getControlAddresses(),
+    });
+    state.ledger = createLedgerPort(this.#ledger);
+    node.getControlStatus = () => this.#session.getStatus();
+    node.events = {
+      onTargetChange: () => this.#announce(),
+      onCrash: (report) =>
+        this.#session.reportCrash({
+          reportId: `${settings.nodeId}-${incarnation}-${++this.#crashes}`,
+          targetId: settings.nodeId,
+          fingerprints: [...report.fingerprints],
+          wasAlone: report.wasAlone,
+        }),
+      onSuspectCleared: (each) => this.#session.clearSuspect(each),
+    };
+    if (node.targetSide.target.state !== "absent") {
+      this.#announce();
+    }
+  }
+
+  /** Announces that the target leaves, before the node stops. */
+  announceLeave(): void {
+    const { target } = this.#node.targetSide;
+    if (target.state !== "absent") {
+      this.#session.announce(this.#createRecord("left"));
+    }
+  }
+
+  /** Ends the session and the ledger client. */
+  async stop(): Promise<void> {
+    await this.#session.stop();
+    this.#ledger.stop();
+  }
+
+  #announce(): void {
+    const { state } = this.#node.targetSide.target;
+    this.#session.announce(this.#createRecord(recordStates[state]));
+  }
+
+  #createRecord(recordState: TargetRecord["state"]): TargetRecord {
+    const { settings } = this.#node.state;
+    const { target } = this.#node.targetSide;
+    return {
+      targetId: settings.nodeId,
+      environment: settings.environment,
+      service: settings.service,
+      region: settings.region,
+      availabilityZone: settings.availabilityZone,
+      nodeAddress: this.#options.nodeAddress,
+      incarnation: target.announcement?.incarnation ?? 0,
+      sequence: 0,
+      state: recordState,
+      ageMilliseconds: Math.floor(target.getAgeMilliseconds()),
+      nodeId: settings.nodeId,
+    };
+  }
+}
+
+function toRoutingTarget(
+  record: TargetRecord,
+): Parameters<NodeProcess["updateView"]>[1][number] {
+  return {
+    targetId: record.targetId,
+    nodeAddress: record.nodeAddress,
+    region: record.region,
+    availabilityZone: record.availabilityZone,
+    incarnation: record.incarnation,
+    isDraining: record.state !== "ready",
+    ageMilliseconds: record.ageMilliseconds,
+  };
+}
--- /dev/null
+++ b/src/node/failures_test.ts
@@ -0,0 +1,226 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
+import { sendCall, waitFor } from "../../tests/support/http_call.ts";
+import {
+  connectPairs,
+  type PairOptions,
+  startPair,
+  type TestPair,
+} from "../../tests/support/test_pair.ts";
+import { getRequestFingerprint } from "../request/mod.ts";
+
+function getFingerprint(path: string): string {
+  return getRequestFingerprint({ method: "GET", path, body: Buffer.alloc(0) });
+}
+
+async function start(
+  context: TestContext,
+  nodeId: string,
+  options: PairOptions = {},
+): Promise<TestPair> {
+  const pair = await startPair(nodeId, options);
+  context.after(() => pair.close());
+  return pair;
+}
+
+/** Replaces the target by a server that sends bytes and closes. */
+async function replaceTarget(
+  context: TestContext,
+  pair: TestPair,
+  text: string,
+): Promise<Server> {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => socket.end(text));
+  });
+  await new Promise<void>((resolve) => server.listen(0, resolve));
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  pair.node.targetSide.target.announce({
+    endpoint: { host: "127.0.0.1", port },
+    incarnation: Date.now() + 1000,
+  }, { hasLease: false });
+  return server;
+}
+
+const broken = [
+  {
+    name: "ends before its length",
+    text: "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+  },
+  {
+    name: "ends inside a chunk",
+    text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n64\r\nhalf",
+  },
+  { name: "has no length", text: "HTTP/1.1 200 OK\r\n\r\nwhole?" },
+  {
+    name: "has status 99",
+    text: "HTTP/1.1 099 No\r\nContent-Length: 0\r\n\r\n",
+  },
+];
+for (const { name, text } of broken) {
+  test(`a response that ${name} is never passed on as complete`, async (context) => {
+    const front = await start(context, "front-1");
+    await replaceTarget(context, front, text);
+    const response = await sendCall({ port: front.outside, path: "/short" });
+    assert.equal(response.headers["dogwoodwalk-disposition"], "unknown");
+    assert.ok(response.status >= 500);
+  });
+}
+
+test("a streamed response that breaks off ends the caller's connection with an error", async (context) => {
+  const front = await start(context, "front-1");
+  await replaceTarget(
+    context,
+    front,
+    `HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n${"x".repeat(100_000)}`,
+  );
+  await assert.rejects(sendCall({ port: front.outside, path: "/short" }));
+  assert.equal(front.node.callCount, 0);
+});
+
+test("a target cannot forge a disposition or an answer", async (context) => {
+  const front = await start(context, "front-1");
+  await replaceTarget(
+    context,
+    front,
+    "HTTP/1.1 500 Error\r\nContent-Length: 0\r\nDogwoodwalk-Disposition: not-run\r\n" +
+      "dogwoodwalk-answer: 1;not-run;;9;;\r\nX-Own: 1\r\n\r\n",
+  );
+  const response = await sendCall({ port: front.outside, path: "/short" });
+  assert.equal(response.status, 500);
+  assert.equal(response.headers["x-own"], "1");
+  assert.equal(response.headers["dogwoodwalk-disposition"], undefined);
+  assert.equal(response.headers["dogwoodwalk-answer"], undefined);
+});
+
+test("a target that accepts no connection means not-run, and another one is tried", async (context) => {
+  const first = await start(context, "front-1");
+  const second = await start(context, "front-2");
+  connectPairs([first, second]);
+  await first.target.close();
+  const response = await sendCall({
+    port: first.outside,
+    method: "POST",
+    path: "/plain",
+  });
+  assert.equal(response.status, 200);
+  assert.equal(second.target.runs.length, 1);
+});
+
+test("a caller that disconnects ends the work at each level", async (context) => {
+  const front = await start(context, "front-1", {
+    calls: { "/views/": [{ service: "back", method: "GET", path: "/x" }] },
+  });
+  const back = await start(context, "back-1", {
+    service: "back",
+    serviceMilliseconds: 60_000,
+  });
+  connectPairs([front, back]);
+  const abort = new AbortController();
+  const call = sendCall({
+    port: front.outside,
+    path: "/views/1",
+    signal: abort.signal,
+  });
+  await waitFor(() => back.target.runs.length === 1);
+  abort.abort();
+  await assert.rejects(call);
+  await waitFor(() => back.target.runs[0]?.end === "cancelled");
+  // It may see the end of its own call before that of its connection.
+  await waitFor(() => front.target.runs[0]?.end !== "running");
+  assert.notEqual(front.target.runs[0]?.end, "completed");
+  await waitFor(() => front.node.callCount + back.node.callCount === 0);
+});
+
+test("a deadline ends the work at the target, and the caller is told unknown", async (context) => {
+  const front = await start(context, "front-1", {
+    serviceMilliseconds: 60_000,
+  });
+  const response = await sendCall({ port: front.outside, path: "/short" });
+  assert.equal(response.headers["dogwoodwalk-disposition"], "unknown");
+  assert.equal(response.headers["dogwoodwalk-reason"], "target-timeout");
+  await waitFor(() => front.target.runs[0]?.end === "cancelled");
+});
+
+test("a queued call whose deadline passes did not run", async (context) => {
+  const front = await start(context, "front-1", {
+    serviceMilliseconds: 60_000,
+  });
+  const held = Array.from({ length: 4 }, () => {
+    const abort = new AbortController();
+    const call = sendCall({
+      port: front.outside,
+      path: "/views/1",
+      signal: abort.signal,
+    }).catch(() => undefined);
+    return { abort, call };
+  });
+  await waitFor(() => front.target.running === 4);
+  const response = await sendCall({ port: front.outside, path: "/short" });
+  assert.equal(response.headers["dogwoodwalk-disposition"], "not-run");
+  held.forEach(({ abort }) => abort.abort());
+  await Promise.all(held.map(({ call }) => call));
+  assert.equal(front.target.runs.length, 4);
+});
+
+test("a request that crashes its target is not tried at another one", async (context) => {
+  const first = await start(context, "front-1");
+  const second = await start(context, "front-2");
+  connectPairs([first, second]);
+  const crash = {
+    port: first.outside,
+    path: "/views/9",
+    headers: { "x-crash": "1" },
+  };
+  const response = await sendCall(crash);
+  assert.equal(response.headers["dogwoodwalk-reason"], "suspect");
+  assert.equal(response.headers["dogwoodwalk-disposition"], "unknown");
+  assert.equal(second.target.runs.length, 0);
+  assert.equal(first.node.targetSide.target.state, "crashed");
+  // What control would tell the other node.
+  const fingerprint = getFingerprint("/views/9");
+  second.node.state.suspects.applyUpdate({
+    suspects: [],
+    cleared: [],
+    quarantined: [fingerprint],
+  });
+  const again = await sendCall({ ...crash, port: second.outside });
+  assert.equal(again.headers["dogwoodwalk-reason"], "quarantined");
+  assert.equal(again.headers["dogwoodwalk-disposition"], "not-run");
+  assert.equal(second.target.runs.length, 0);
+});
+
+test("a suspect runs alone, and is cleared when it completes", async (context) => {
+  const front = await start(context, "front-1", { serviceMilliseconds: 30 });
+  const { suspects } = front.node.state;
+  const probe = await sendCall({ port: front.outside, path: "/views/7" });
+  assert.equal(probe.status, 200);
+  const cleared: string[] = [];
+  front.node.events = {
+    onTargetChange: () => {},
+    onCrash: () => {},
+    onSuspectCleared: (each) => cleared.push(each),
+  };
+  const fingerprint = getFingerprint("/views/7");
+  suspects.applyUpdate({ suspects: [fingerprint], cleared: [] });
+  let most = 0;
+  const watch = setInterval(() => {
+    const isSuspectRunning = front.target.runs.some((each) =>
+      each.path === "/views/7" && each.end === "running"
+    );
+    most = Math.max(most, isSuspectRunning ? front.target.running : 0);
+  }, 1);
+  const responses = await Promise.all(
+    ["/views/1", "/views/7", "/views/2"].map((path) =>
+      sendCall({ port: front.outside, path })
+    ),
+  );
+  clearInterval(watch);
+  assert.deepEqual(responses.map((each) => each.status), [200, 200, 200]);
+  assert.ok(most <= 1, `${most} calls ran beside the suspect`);
+  assert.deepEqual(cleared, [fingerprint]);
+  assert.equal(suspects.isSuspect(fingerprint), false);
+});
--- a/src/node/ledger_port.ts
+++ b/src/node/ledger_port.ts
@@ -44,6 +44,7 @@
     readonly reason: ClaimDenial;
     readonly answer?: LedgerAnswer | undefined;
   }
+  /** Not granted; what was recorded nevertheless is released by the ledger. */
   | { readonly kind: "unavailable" };
 
 /** What the ledger says about a fenced key. */
--- /dev/null
+++ b/src/node/lifecycle_test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { sendCall, waitFor } from "../../tests/support/http_call.ts";
+import {
+  type PairOptions,
+  startPair,
+  type TestPair,
+} from "../../tests/support/test_pair.ts";
+import { parseTestDocument } from "../../tests/support/test_node.ts";
+
+async function start(
+  context: TestContext,
+  options: PairOptions = {},
+): Promise<TestPair> {
+  const pair = await startPair("front-1", options);
+  context.after(() => pair.close());
+  return pair;
+}
+
+async function getReason(pair: TestPair): Promise<string> {
+  const { headers } = await sendCall({ port: pair.outside, path: "/views/1" });
+  return `${headers["dogwoodwalk-disposition"]} ${
+    headers["dogwoodwalk-reason"]
+  }`;
+}
+
+const departures = [
+  { action: "drain", reason: "not-run target-draining" },
+  { action: "leave", reason: "not-run no-target" },
+] as const;
+for (const { action, reason } of departures) {
+  test(`a target that says ${action} gets no new call, and finishes those in flight`, async (context) => {
+    const front = await start(context, { serviceMilliseconds: 100 });
+    const inFlight = sendCall({ port: front.outside, path: "/views/1" });
+    await waitFor(() => front.target.running === 1);
+    assert.equal(await front.target.tellNode(action), 200);
+    assert.equal(await getReason(front), reason);
+    assert.equal((await inFlight).status, 200);
+    assert.equal(front.target.runs.length, 1);
+    await front.target.tellNode("announce");
+    assert.equal(await getReason(front), reason, "the same incarnation");
+  });
+}
+
+test("a target that stops renewing is gone, and returns with an announcement", async (context) => {
+  const front = await start(context, { extra: "target_lease_ms = 200" });
+  front.target.stopRenewing();
+  await waitFor(() => front.node.targetSide.target.state === "expired");
+  assert.equal(await getReason(front), "not-run no-target");
+  assert.equal(await front.target.tellNode("renew"), 409);
+  assert.equal(await front.target.tellNode("announce"), 200);
+  const response = await sendCall({ port: front.outside, path: "/views/1" });
+  assert.equal(response.status, 200);
+});
+
+test("a target that settings announce needs no renewal", async (context) => {
+  const front = await start(context);
+  const { port } = front.target;
+  const other = await start(context, { extra: `target = "127.0.0.1:${port}"` });
+  other.target.stopRenewing();
+  const response = await sendCall({ port: other.outside, path: "/views/1" });
+  assert.equal(response.status, 200);
+});
+
+test("a graceful stop refuses new calls and cuts none in flight", async (context) => {
+  const front = await start(context, { serviceMilliseconds: 200 });
+  const inFlight = sendCall({ port: front.outside, path: "/views/1" });
+  await waitFor(() => front.target.running === 1);
+  const stopped = front.node.stop(20_000);
+  assert.equal(await getReason(front), "not-run stopping");
+  assert.equal((await inFlight).status, 200);
+  assert.deepEqual(await stopped, { cutOff: 0 });
+});
+
+test("a stop at its limit says how many calls it cut off", async (context) => {
+  const front = await start(context, { serviceMilliseconds: 60_000 });
+  const inFlight = sendCall({ port: front.outside, path: "/views/1" });
+  inFlight.catch(() => {});
+  await waitFor(() => front.target.running === 1);
+  assert.ok((await front.node.stop(0)).cutOff > 0);
+  await assert.rejects(inFlight);
+  assert.ok(
+    front.lines.some((line) => line.includes("cut off at the stop limit")),
+  );
+});
+
+test("refusals are logged once a second with a count, successful calls never", async (context) => {
+  const front = await start(context);
+  for (let index = 0; index < 5; index++) {
+    await sendCall({ port: front.outside, path: "/nowhere" });
+    await sendCall({ port: front.outside, path: "/views/1" });
+  }
+  const refusals = front.lines.filter((line) => line.includes("refused"));
+  assert.ok(refusals.length >= 1 && refusals.length < 5);
+  assert.match(refusals[0] ?? "", /reason=unknown-route/);
+  assert.equal(front.lines.some((line) => line.includes("/views/1")), false);
+});
+
+test("a new document is in force for the next call", async (context) => {
+  const front = await start(context);
+  const document = parseTestDocument();
+  front.node.applyDocument({
+    ...document,
+    routes: document.routes.filter((route) => route.path !== "/views/*"),
+  }, 2);
+  assert.equal(await getReason(front), "not-run unknown-route");
+  const page = await sendCall({
+    port: front.loopback,
+    path: "/dogwoodwalk/status",
+  });
+  assert.equal(JSON.parse(page.body).revision, 2);
+});
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -236,7 +236,7 @@
     }
     const choice = this.#choose();
     if (choice.kind === "refused") {
-      this.#refuse(choice.reason);
+      this.#refuse(this.#side.getRefusalReason(choice, this.details.plan));
       return;
     }
     const { details } = this;
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -162,6 +162,18 @@
     });
   }
 
+  /** Gets why a call was given no target. */
+  getRefusalReason(
+    choice: Extract<RouteChoice, { kind: "refused" }>,
+    plan: RoutePlan,
+  ): RefusalReason {
+    const isOwn = plan.route.service === this.state.settings.service;
+    return choice.reason === "no-target" && isOwn &&
+        this.#targetSide.target.state === "draining"
+      ? "target-draining"
+      : choice.reason;
+  }
+
   /**
    * Lets a send with a key join an earlier one that is under way here.
    * @param call The send; its body is known.
--- /dev/null
+++ b/tests/support/fake_ledger.ts
@@ -0,0 +1,99 @@
+import type {
+  ClaimOptions,
+  ClaimOutcome,
+  FenceOutcome,
+  LedgerAnswer,
+  LedgerKey,
+  LedgerPort,
+} from "../../src/node/mod.ts";
+
+interface Entry {
+  readonly claimId: string;
+  readonly fingerprint: string;
+  state: "claimed" | "completed";
+  answer: LedgerAnswer | undefined;
+}
+
+/** A ledger in memory, with the rules of the real one that nodes depend on. */
+export class FakeLedger implements LedgerPort {
+  knownIndex = 0;
+  /** Whether each operation fails, as without a majority of control. */
+  isUnavailable = false;
+  readonly claims: ClaimOptions[] = [];
+  readonly releases: string[] = [];
+  readonly #entries = new Map<string, Entry>();
+  readonly #fences = new Map<string, number>();
+  /** Resolves before each claim is granted; a test can hold it back. */
+  beforeClaim: () => Promise<void> = () => Promise.resolve();
+
+  async claim(options: ClaimOptions): Promise<ClaimOutcome> {
+    this.claims.push(options);
+    await this.beforeClaim();
+    if (this.isUnavailable) {
+      return { kind: "unavailable" };
+    }
+    this.knownIndex++;
+    const mapKey = getMapKey(options);
+    const entry = this.#entries.get(mapKey);
+    if (entry !== undefined) {
+      if (entry.fingerprint !== options.fingerprint) {
+        return { kind: "denied", reason: "key-conflict" };
+      }
+      return entry.state === "claimed"
+        ? { kind: "denied", reason: "claim-in-progress" }
+        : { kind: "denied", reason: "claim-ran", answer: entry.answer };
+    }
+    if (options.entryIndex < (this.#fences.get(mapKey) ?? 0)) {
+      return { kind: "denied", reason: "claim-superseded" };
+    }
+    this.#entries.set(mapKey, {
+      claimId: options.claimId,
+      fingerprint: options.fingerprint,
+      state: "claimed",
+      answer: undefined,
+    });
+    return { kind: "granted" };
+  }
+
+  complete(
+    options: LedgerKey & { claimId: string; answer?: LedgerAnswer },
+  ): Promise<void> {
+    const entry = this.#entries.get(getMapKey(options));
+    if (entry?.claimId === options.claimId) {
+      entry.state = "completed";
+      entry.answer = options.answer;
+    }
+    return Promise.resolve();
+  }
+
+  release(options: LedgerKey & { claimId: string }): Promise<void> {
+    this.releases.push(options.claimId);
+    const mapKey = getMapKey(options);
+    if (this.#entries.get(mapKey)?.claimId === options.claimId) {
+      this.#entries.delete(mapKey);
+    }
+    return Promise.resolve();
+  }
+
+  fence(options: LedgerKey): Promise<FenceOutcome> {
+    if (this.isUnavailable) {
+      return Promise.resolve({ kind: "unavailable" });
+    }
+    const mapKey = getMapKey(options);
+    const entry = this.#entries.get(mapKey);
+    this.knownIndex++;
+    if (entry === undefined) {
+      this.#fences.set(mapKey, this.knownIndex);
+      return Promise.resolve({ kind: "absent" });
+    }
+    return Promise.resolve(
+      entry.state === "claimed"
+        ? { kind: "in-progress" }
+        : { kind: "ran", answer: entry.answer },
+    );
+  }
+}
+
+function getMapKey(key: LedgerKey): string {
+  return `${key.service} ${key.key}`;
+}
--- a/tests/support/http_call.ts
+++ b/tests/support/http_call.ts
@@ -4,6 +4,8 @@
 export interface HttpResponse {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly bytes: Buffer;
+  /** The body as text. */
   readonly body: string;
 }
 
@@ -36,12 +38,15 @@
       const chunks: Buffer[] = [];
       response.on("data", (chunk) => chunks.push(chunk));
       response.on("error", reject);
-      response.on("end", () =>
+      response.on("end", () => {
+        const bytes = Buffer.concat(chunks);
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
-          body: Buffer.concat(chunks).toString(),
-        }));
+          bytes,
+          body: bytes.toString(),
+        });
+      });
     });
     outgoing.on("error", reject);
     outgoing.end(call.body);
--- a/tests/support/stand_in_target.ts
+++ b/tests/support/stand_in_target.ts
@@ -226,7 +226,7 @@
           }).end(text);
         }
       });
-    }, this.behavior.serviceMilliseconds);
+    }, this.behavior.serviceMilliseconds).unref();
   }
 
   #record(request: IncomingMessage, body: Buffer): StandInRun {
