--- /dev/null
+++ b/src/control/mod.ts
@@ -0,0 +1,11 @@
+export {
+  type ControlOptions,
+  createInterceptors,
+  type OpenLog,
+  type RunningControl,
+  startControl,
+} from "./control_process.ts";
+export { ControlStateMachine, formatVersion } from "./control_state_machine.ts";
+export type { FleetView } from "./fleet_view.ts";
+export { type ControlRefusalReason, createRefusal } from "./refusal.ts";
+export { SingleInstanceLog } from "./single_instance_log.ts";
