Run the node against control as processes

Cause: the control link and the ledger adapter had not met a control group. Change: dogwoodwalk-node opens its session, and on SIGTERM announces that its target leaves before it waits for calls in flight. tests/support starts control instances, nodes and stand-in targets as processes and stops them by id.

--- a/src/bin/dogwoodwalk_node.ts
+++ b/src/bin/dogwoodwalk_node.ts
@@ -1,9 +1,13 @@
 #!/usr/bin/env node
 import { readFileSync } from "node:fs";
 import { Command } from "commander";
+import {
+  createClientInterceptor,
+  readTokenFile,
+} from "../authentication/mod.ts";
 import { createLog, createMetrics, formatFinding } from "../common/mod.ts";
 import { parseDocument } from "../document/mod.ts";
-import { NodeProcess } from "../node/mod.ts";
+import { ControlLink, NodeProcess } from "../node/mod.ts";
 import { type NodeSettings, parseNodeSettings } from "../settings/mod.ts";
 
 const program = new Command("dogwoodwalk-node")
@@ -41,17 +45,42 @@
   } catch (error) {
     fail(`Cannot listen: ${(error as Error).message}`, 1);
   }
+  const link = connectControl(node, settings);
   let isStopping = false;
-  const stop = (): void => {
-    if (!isStopping) {
-      isStopping = true;
-      node.stop().then(({ cutOff }) => process.exit(cutOff > 0 ? 1 : 0));
+  const stop = async (): Promise<void> => {
+    if (isStopping) {
+      return;
     }
+    isStopping = true;
+    link?.announceLeave();
+    const { cutOff } = await node.stop();
+    await link?.stop();
+    process.exit(cutOff > 0 ? 1 : 0);
   };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
 }
 
+function connectControl(
+  node: NodeProcess,
+  settings: NodeSettings,
+): ControlLink | undefined {
+  if (settings.controlAddresses.length === 0) {
+    return undefined;
+  }
+  const token = readTokenFile(settings.tokenFile);
+  if (token.kind === "error") {
+    fail(token.error, 2);
+  }
+  return new ControlLink(node, {
+    interceptors: token.value === undefined
+      ? []
+      : [createClientInterceptor(token.value)],
+    nodeAddress: settings.nodeAddress ??
+      `${settings.node.host}:${node.node.port}`,
+  });
+}
+
 function applyFile(node: NodeProcess, documentFile: string): void {
   const document = parseDocument(readText(documentFile), documentFile);
   if (document.kind === "error") {
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -13,3 +13,4 @@
   LedgerKey,
   LedgerPort,
 } from "./ledger_port.ts";
+export { ControlLink, type ControlLinkOptions } from "./control_link.ts";
--- /dev/null
+++ b/tests/whole_path_test.ts
@@ -0,0 +1,131 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { after, before, test } from "node:test";
+import { Cluster } from "./support/cluster.ts";
+import { sendCall, waitFor } from "./support/http_call.ts";
+
+const document = fileURLToPath(
+  new URL("../../examples/strike-fund.toml", import.meta.url),
+);
+const place = { region: "Muntenia", availabilityZone: "muntenia-a" };
+const toTreasury = { service: "treasury" };
+const toRoster = {
+  service: "roster-registry",
+  method: "GET",
+  path: "/rosters/1",
+};
+
+let cluster: Cluster;
+
+before(async () => {
+  cluster = await Cluster.start({
+    controls: 3,
+    environment: "trial",
+    members: [
+      {
+        ...place,
+        name: "portal-1",
+        service: "member-portal",
+        target: {
+          calls: {
+            "/transfers": [{
+              ...toTreasury,
+              method: "POST",
+              path: "/transfers",
+            }],
+            "/balances/": [{
+              ...toTreasury,
+              method: "GET",
+              path: "/balances/1",
+            }],
+          },
+        },
+      },
+      {
+        ...place,
+        name: "treasury-1",
+        service: "treasury",
+        target: { calls: { "/": [toRoster] } },
+      },
+      { ...place, name: "roster-1", service: "roster-registry", target: {} },
+    ],
+  });
+  const applied = await cluster.command(
+    "apply",
+    "trial",
+    document,
+    "--base",
+    "0",
+    "--wait",
+  );
+  assert.equal(applied.code, 0, applied.output);
+  const [portal] = cluster.members;
+  await waitFor(async () => {
+    const response = await sendCall({
+      port: portal?.outside ?? 0,
+      path: "/balances/1",
+    });
+    return response.status === 200;
+  }, 20_000);
+});
+
+after(() => cluster.stop());
+
+function getRuns(name: string): { path: string; key: string }[] {
+  const member = cluster.members.find((each) => each.name === name);
+  return readFileSync(member?.recordFile ?? "", "utf8").trim().split("\n")
+    .map((line) => JSON.parse(line));
+}
+
+test("a transfer passes three services with claims and runs once at each", async () => {
+  const call = {
+    port: cluster.members[0]?.outside ?? 0,
+    method: "POST",
+    path: "/transfers",
+    headers: { "idempotency-key": "pay-1", "x-member": "m1" },
+    body: "amount=5",
+  };
+  const first = await sendCall(call);
+  assert.equal(first.status, 200, first.body);
+  const second = await sendCall(call);
+  assert.equal(second.body, first.body);
+  for (const name of ["portal-1", "treasury-1"]) {
+    const transfers = getRuns(name).filter((each) => each.key === "pay-1");
+    assert.equal(transfers.length, 1, name);
+  }
+});
+
+test("the outcome query tells what ran and what did not", async () => {
+  const port = cluster.members[0]?.outside ?? 0;
+  const query = "/dogwoodwalk/outcome?service=member-portal&key=";
+  const ran = await sendCall({ port, path: `${query}pay-1` });
+  assert.equal(JSON.parse(ran.body).outcome, "ran", ran.body);
+  const absent = await sendCall({ port, path: `${query}pay-2` });
+  assert.equal(JSON.parse(absent.body).outcome, "not-run", absent.body);
+});
+
+test("claims wait for a new leader and calls without a claim do not", async () => {
+  const status = await cluster.command("status", "--json");
+  const leader = cluster.controls.findIndex((address) =>
+    new RegExp(`"leaderAddress":\\s*"${address}"`).test(status.output)
+  );
+  cluster.group.getOrThrow(`control-${Math.max(leader, 0)}`).child.kill(
+    "SIGKILL",
+  );
+  const port = cluster.members[0]?.outside ?? 0;
+  const view = await sendCall({ port, path: "/balances/1" });
+  assert.equal(view.status, 200);
+  await waitFor(async () => {
+    const response = await sendCall({
+      port,
+      method: "POST",
+      path: "/transfers",
+      headers: { "idempotency-key": "pay-3" },
+      body: "amount=5",
+    });
+    return response.status === 200;
+  }, 30_000);
+  const runs = getRuns("portal-1").filter((each) => each.key === "pay-3");
+  assert.equal(runs.length, 1);
+});
