Test the replicated log on loopback under isolation and disk loss

A relay that stops forwarding without closing stands for a silent partition: a cut off leader or follower reports itself isolated, refuses proposals and reads, and takes over what the others committed.

--- a/src/consensus/grpc_transport.ts
+++ b/src/consensus/grpc_transport.ts
@@ -26,8 +26,10 @@
 
 /** Settings of the gRPC transport. */
 export interface GrpcTransportOptions {
-  /** Address of this instance, on which it listens. */
+  /** Address of this instance. */
   readonly address: string;
+  /** Where it listens when that differs from `address`. */
+  readonly listenAddress?: string | undefined;
   /** Authenticates instances to each other; needed beyond loopback. */
   readonly token?: string | undefined;
   /** A server of the process that listens by itself; else one is created. */
@@ -115,7 +117,7 @@
 }
 
 function listen(server: Server, options: GrpcTransportOptions): Promise<void> {
-  const { address, token } = options;
+  const { token, listenAddress: address = options.address } = options;
   if (token === undefined && !isLoopback(address)) {
     return Promise.reject(
       new Error(`Listening on ${address} beyond loopback needs a token`),
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -76,8 +76,10 @@
 /** Settings of a replicated log. */
 export interface ReplicatedLogOptions {
   readonly dataFolder: string;
-  /** IP address and port of this instance, the same for all others. */
+  /** IP address and port under which the others reach this instance. */
   readonly address: string;
+  /** Where it listens when that differs from `address`. */
+  readonly listenAddress?: string | undefined;
   /**
    * Addresses of the members of a new group, in the same order on each. Used
    * only while the data folder is empty; empty for an instance that is added
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -1,6 +1,20 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { LogGroup } from "../../tests/support/log_group.ts";
+import {
+  getFreeAddress,
+  LogGroup,
+  type LogInstance,
+  waitFor,
+} from "../../tests/support/log_group.ts";
+import { createGrpcTransport } from "./grpc_transport.ts";
+import { createNodeFileSystem } from "./node_file_system.ts";
+
+async function getFollower(group: LogGroup): Promise<LogInstance> {
+  const leader = await group.getLeader();
+  const follower = group.instances.find((each) => each !== leader);
+  assert.ok(follower);
+  return follower;
+}
 
 for (const size of [1, 3]) {
   test(`a group of ${size} commits, restarts and keeps every entry`, async () => {
@@ -39,3 +53,165 @@
     }
   });
 }
+
+for (const role of ["leader", "follower"]) {
+  test(`a ${role} in a silent partition is isolated and overwrites nothing`, async () => {
+    const group = await LogGroup.start(3);
+    try {
+      await group.propose("before");
+      const cutOff =
+        await (role === "leader" ? group.getLeader() : getFollower(group));
+      group.setFrozen(cutOff, true);
+      await waitFor(
+        () => cutOff.log.getStatus().isolated || undefined,
+        "the isolation",
+      );
+      for (
+        const request of [
+          cutOff.log.propose(Buffer.from("refused")),
+          cutOff.log.confirmRead(),
+        ]
+      ) {
+        assert.deepEqual(await request, {
+          kind: "error",
+          error: { kind: "isolated" },
+        });
+      }
+      await group.propose("during");
+      group.setFrozen(cutOff, false);
+      await group.waitForEqualState();
+      assert.deepEqual(cutOff.machine.texts, ["before", "during"]);
+    } finally {
+      await group.stop();
+    }
+  });
+}
+
+test("a lost disk is replaced, and a second loss right after loses nothing", async () => {
+  // Snapshots of several chunks have to travel to the new instance.
+  const group = await LogGroup.start(3, { snapshotEntries: 10 });
+  try {
+    const large = "x".repeat(60_000);
+    for (let index = 0; index < 35; index++) {
+      await group.propose(large);
+    }
+    const lost = await getFollower(group);
+    const { address } = lost;
+    const { id } = lost.log.getStatus();
+    await group.stopInstance(lost);
+    const addresses = [address, ...group.instances.map((e) => e.address)];
+    const empty = await group.startInstance({
+      address,
+      initialMembers: addresses,
+    });
+    await group.propose("while it is empty");
+    assert.equal(empty.log.getStatus().role, "unformed");
+    const leader = await group.getLeader();
+    assert.deepEqual(
+      await leader.log.changeMembers({ kind: "replace", oldId: id, address }),
+      { kind: "ok", value: undefined },
+    );
+    const second = group.instances.find((each) =>
+      each !== leader && each !== empty
+    );
+    assert.ok(second);
+    await group.stopInstance(second);
+    await group.propose("after the second loss");
+    await group.waitForEqualState();
+    assert.equal(empty.machine.texts.length, 37);
+    assert.deepEqual(
+      empty.log.getStatus().members.map((each) => each.isVoter),
+      [true, true, true],
+    );
+  } finally {
+    await group.stop();
+  }
+});
+
+test("a follower names the leader and confirms reads", async () => {
+  const group = await LogGroup.start(3);
+  try {
+    const leader = await group.getLeader();
+    const follower = await getFollower(group);
+    await waitFor(
+      () => follower.log.getStatus().leader,
+      "the follower to hear the leader",
+    );
+    assert.deepEqual(await follower.log.propose(Buffer.from("x")), {
+      kind: "error",
+      error: { kind: "not-leader", leaderAddress: leader.address },
+    });
+    await leader.log.propose(Buffer.from("seen"));
+    assert.equal((await follower.log.confirmRead()).kind, "ok");
+    assert.deepEqual(follower.machine.texts, ["seen"]);
+  } finally {
+    await group.stop();
+  }
+});
+
+test("a full disk stops acknowledging and says why", async () => {
+  const group = await LogGroup.start(1);
+  try {
+    const [first] = group.instances;
+    assert.ok(first);
+    const { address, dataFolder } = first;
+    await group.stopInstance(first);
+    const files = createNodeFileSystem(dataFolder);
+    let isFull = false;
+    const { log } = await group.startInstance({
+      address,
+      dataFolder,
+      files: {
+        ...files,
+        open: async (name) => {
+          const file = await files.open(name);
+          return {
+            ...file,
+            append: (bytes) =>
+              isFull
+                ? Promise.reject(new Error("ENOSPC: no space left"))
+                : file.append(bytes),
+          };
+        },
+      },
+    });
+    await group.propose("fits");
+    isFull = true;
+    const unknown = await log.propose(Buffer.from("does not fit"));
+    assert.deepEqual(unknown, {
+      kind: "error",
+      error: { kind: "outcome-unknown" },
+    });
+    const refused = await log.propose(Buffer.from("refused"));
+    assert.equal(
+      refused.kind === "error" && refused.error.kind,
+      "storage-failed",
+    );
+    assert.match(log.getStatus().failure ?? "", /ENOSPC: no space left/);
+  } finally {
+    await group.stop();
+  }
+});
+
+test("an instance with another token is not heard", async () => {
+  const create = async (token: string | undefined, address: string) =>
+    await createGrpcTransport({
+      address,
+      token,
+      log: { info: () => {}, warn: () => {}, error: () => {} },
+      receiver: {
+        receive: () => assert.fail("delivered"),
+        getIdentity: () => ({ id: "a", groupId: "" }),
+      },
+    });
+  const address = await getFreeAddress();
+  const listening = await create("right", address);
+  for (const token of ["right", "wrong", "longer than right", undefined]) {
+    const asking = await create(token, await getFreeAddress());
+    const identity = await asking.identify(address);
+    assert.equal(identity?.id, token === "right" ? "a" : undefined);
+    await asking.stop();
+  }
+  await listening.stop();
+  await assert.rejects(create(undefined, "0.0.0.0:1"), /needs a token/);
+});
--- a/tests/support/log_group.ts
+++ b/tests/support/log_group.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import { mkdtemp, rm } from "node:fs/promises";
-import { createServer } from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createLog, type Log } from "../../src/common/mod.ts";
@@ -51,6 +51,7 @@
   readonly instances: LogInstance[] = [];
   readonly #root: string;
   readonly #overrides: Partial<ReplicatedLogOptions>;
+  readonly #relays = new Map<string, Relay>();
   #folders = 0;
 
   private constructor(root: string, overrides: Partial<ReplicatedLogOptions>) {
@@ -70,7 +71,7 @@
     const root = await mkdtemp(join(tmpdir(), "dogwoodwalk-log-"));
     const group = new LogGroup(root, overrides);
     const addresses = await Promise.all(
-      Array.from({ length: size }, () => getFreeAddress()),
+      Array.from({ length: size }, () => group.#createRelay()),
     );
     for (const address of addresses) {
       await group.startInstance({ address, initialMembers: addresses });
@@ -81,25 +82,22 @@
 
   /**
    * Starts one instance.
-   * @param options Address, folder of an earlier instance, initial members.
+   * @param options Address, folder of an earlier instance, other settings.
    */
   async startInstance(
-    options: {
-      address: string;
-      dataFolder?: string;
-      initialMembers?: readonly string[];
-    },
+    options: Partial<ReplicatedLogOptions> & { address: string },
   ): Promise<LogInstance> {
     const dataFolder = options.dataFolder ??
       join(this.#root, String(++this.#folders));
     const machine = new TextMachine();
     const log = await createReplicatedLog({
-      dataFolder,
-      address: options.address,
-      initialMembers: options.initialMembers ?? [],
+      initialMembers: [],
       stateMachine: machine,
       log: silentLog,
+      listenAddress: this.#relays.get(options.address)?.targetAddress,
       ...this.#overrides,
+      ...options,
+      dataFolder,
     });
     const instance = { address: options.address, dataFolder, machine, log };
     this.instances.push(instance);
@@ -112,6 +110,18 @@
     await instance.log.stop();
   }
 
+  async #createRelay(): Promise<string> {
+    const relay = new Relay(await getFreeAddress());
+    const address = await relay.start();
+    this.#relays.set(address, relay);
+    return address;
+  }
+
+  /** Freezes or thaws all connections to an instance. */
+  setFrozen(instance: LogInstance, isFrozen: boolean): void {
+    this.#relays.get(instance.address)?.setFrozen(isFrozen);
+  }
+
   /** Waits until an instance leads and is not isolated. */
   async getLeader(): Promise<LogInstance> {
     return await waitFor(() =>
@@ -148,10 +158,61 @@
   /** Stops all instances and removes their folders. */
   async stop(): Promise<void> {
     await Promise.all(this.instances.map(({ log }) => log.stop()));
+    this.#relays.forEach((relay) => relay.stop());
     await rm(this.#root, { recursive: true, force: true });
   }
 }
 
+/** Forwards connections, and can stop doing so without closing them. */
+class Relay {
+  readonly #server = createServer((socket) => this.#accept(socket));
+  readonly #sockets = new Set<Socket>();
+  #isFrozen = false;
+
+  constructor(readonly targetAddress: string) {}
+
+  async start(): Promise<string> {
+    return await listenOnLoopback(this.#server);
+  }
+
+  setFrozen(isFrozen: boolean): void {
+    this.#isFrozen = isFrozen;
+    for (const socket of this.#sockets) {
+      isFrozen ? socket.pause() : socket.resume();
+    }
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  #accept(incoming: Socket): void {
+    const [host, port] = this.targetAddress.split(":");
+    const outgoing = connect({ host: host ?? "", port: Number(port) });
+    for (const [from, to] of [[incoming, outgoing], [outgoing, incoming]]) {
+      if (from !== undefined && to !== undefined) {
+        this.#sockets.add(from);
+        from.on("data", (bytes) => to.write(bytes));
+        from.on("error", () => to.destroy());
+        from.on("close", () => {
+          this.#sockets.delete(from);
+          to.destroy();
+        });
+        this.#isFrozen && from.pause();
+      }
+    }
+  }
+}
+
+async function listenOnLoopback(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  return typeof address === "object" && address !== null
+    ? `127.0.0.1:${address.port}`
+    : "";
+}
+
 const silentLog: Log = process.env["LOG"]
   ? createLog()
   : { info: () => {}, warn: () => {}, error: () => {} };
@@ -159,12 +220,9 @@
 /** Gets an address on loopback on which nothing listens. */
 export async function getFreeAddress(): Promise<string> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = server.address();
+  const address = await listenOnLoopback(server);
   await new Promise((resolve) => server.close(resolve));
-  return typeof address === "object" && address !== null
-    ? `127.0.0.1:${address.port}`
-    : "";
+  return address;
 }
 
 /**
