--- /dev/null
+++ b/bench/consensus_restart.ts
@@ -0,0 +1,115 @@
+/**
+ * Measures how long a stopped instance takes until it has applied all of its
+ * log again, and checks that its state is the same by digest.
+ *
+ * Run with `node dist/bench/consensus_restart.js`.
+ */
+import assert from "node:assert/strict";
+import { stat } from "node:fs/promises";
+import { join } from "node:path";
+import {
+  LogGroup,
+  type LogInstance,
+  waitFor,
+} from "../tests/support/log_group.ts";
+
+const repetitions = 5;
+const commandBytes = 1024;
+
+interface Row {
+  instances: number;
+  entries: number;
+  snapshot: string;
+  "log KiB": number;
+  "median ms": number;
+  "max ms": number;
+  digest: string;
+}
+
+async function fill(group: LogGroup, count: number): Promise<void> {
+  const { log } = await group.getLeader();
+  const padding = "x".repeat(commandBytes - 16);
+  for (let done = 0; done < count; done += 500) {
+    const results = await Promise.all(
+      Array.from(
+        { length: Math.min(500, count - done) },
+        (_, index) => log.propose(Buffer.from(`${done + index} ${padding}`)),
+      ),
+    );
+    assert.ok(results.every((each) => each.kind === "ok"));
+  }
+}
+
+/** Restarts all instances; gets the time until all have all entries. */
+async function restart(group: LogGroup, lastIndex: number): Promise<number> {
+  const stopped: LogInstance[] = [...group.instances];
+  for (const instance of stopped) {
+    await group.stopInstance(instance);
+  }
+  const start = performance.now();
+  await Promise.all(
+    stopped.map(({ address, dataFolder }) =>
+      group.startInstance({ address, dataFolder })
+    ),
+  );
+  await waitFor(
+    () =>
+      group.instances.every(({ log }) =>
+        log.getStatus().appliedIndex >= lastIndex
+      ) || undefined,
+    "all entries",
+  );
+  return performance.now() - start;
+}
+
+async function measure(
+  instances: number,
+  options: { entries: number; hasSnapshot: boolean },
+): Promise<Row> {
+  const { entries, hasSnapshot } = options;
+  const group = await LogGroup.start(instances, {
+    snapshotEntries: hasSnapshot ? entries : Infinity,
+  });
+  try {
+    await fill(group, entries);
+    await group.waitForEqualState();
+    const [first] = group.instances;
+    assert.ok(first);
+    const { lastIndex, digest, snapshotIndex } = first.log.getStatus();
+    assert.equal(snapshotIndex > 0, hasSnapshot);
+    const times: number[] = [];
+    let isSame = true;
+    for (let repetition = 0; repetition < repetitions; repetition++) {
+      times.push(await restart(group, lastIndex));
+      isSame &&= group.instances.every(({ log }) =>
+        log.getStatus().digest === digest
+      );
+    }
+    times.sort((a, b) => a - b);
+    const { size } = await stat(join(first.dataFolder, "log"));
+    return {
+      instances,
+      entries,
+      snapshot: hasSnapshot ? "yes" : "no",
+      "log KiB": Math.round(size / 1024),
+      "median ms": Math.round(times[repetitions >> 1] ?? NaN),
+      "max ms": Math.round(times.at(-1) ?? NaN),
+      digest: isSame ? "same" : "DIFFERS",
+    };
+  } finally {
+    await group.stop();
+  }
+}
+
+const rows: Row[] = [];
+for (const instances of [1, 3]) {
+  for (const entries of [100, 1000, 10_000]) {
+    for (const hasSnapshot of [false, true]) {
+      rows.push(await measure(instances, { entries, hasSnapshot }));
+    }
+  }
+}
+console.log(
+  `${repetitions} restarts each, commands of ${commandBytes} bytes; all instances stop and start together`,
+);
+console.table(rows);
