Measure membership, spread nodes again after a restart, stagger attempts

Cause: bench/membership.ts showed that 300 nodes that start at once opened 502 sessions, because a second instance was tried after 300 ms; and an instance that comes back got no nodes until the next failure.

Change: the next instance is tried after 700 ms, and an attempt lasts 3 s. An instance with 1.2 times the mean of connected nodes asks 5% of them to move. bench/membership.ts measures bytes, processor time, memory, and the time of drains and revisions.

--- /dev/null
+++ b/bench/membership_control.ts
@@ -0,0 +1,17 @@
+// Runs one control instance in its own process and tells its processor time.
+import { ControlInstance } from "../tests/support/control_instance.ts";
+import { createLargeDocument } from "./membership_document.ts";
+
+const instance = new ControlInstance({ instanceId: "control-0" });
+const document = createLargeDocument();
+instance.documents.set("trial", { revision: 1, digest: "1", document });
+await instance.listen();
+process.send?.({ address: instance.address });
+process.on("message", () => {
+  const { user, system } = process.cpuUsage();
+  process.send?.({
+    cpuMicroseconds: user + system,
+    residentBytes: process.memoryUsage.rss(),
+  });
+});
+process.on("disconnect", () => process.exit());
--- /dev/null
+++ b/bench/membership_sessions.ts
@@ -0,0 +1,120 @@
+// Holds many sessions in one process and tells the parent what they got.
+import { SessionNode } from "../tests/support/session_node.ts";
+
+/** What the parent asks for. */
+export interface SessionsRequest {
+  readonly controlAddresses: readonly string[];
+  readonly count: number;
+  readonly prefix: string;
+  readonly service: string;
+  /** Service whose view is watched. */
+  readonly watched: string;
+  readonly hasTargets: boolean;
+}
+
+/** What the parent is told. */
+export type SessionsNews =
+  | { readonly kind: "connected"; readonly at: number }
+  | {
+    readonly kind: "draining";
+    readonly targetId: string;
+    readonly at: number;
+  }
+  | {
+    readonly kind: "revision";
+    readonly revision: number;
+    readonly at: number;
+  }
+  | {
+    readonly kind: "usage";
+    readonly cpuMicroseconds: number;
+    readonly residentBytes: number;
+    readonly connected: number;
+    /** Smallest watched view at any time since the last answer. */
+    readonly fewest: number;
+  };
+
+const request = JSON.parse(process.argv[2] ?? "{}") as SessionsRequest;
+const places = [
+  ["Puget", "puget-a"],
+  ["Puget", "puget-b"],
+  ["Willamette", "willamette-a"],
+  ["Willamette", "willamette-b"],
+  ["Inland", "inland-a"],
+  ["Inland", "inland-b"],
+] as const;
+const told = new Set<string>();
+
+function send(news: SessionsNews): void {
+  process.send?.(news);
+}
+
+function tellOnce(key: string, news: SessionsNews): void {
+  if (!told.has(key)) {
+    told.add(key);
+    send(news);
+  }
+}
+
+function check(): void {
+  const at = Date.now();
+  if (nodes.every(({ session }) => session.getStatus().connected)) {
+    tellOnce("connected", { kind: "connected", at });
+  }
+  const lowest = Math.min(...nodes.map((each) => each.revisions.at(-1) ?? 0));
+  if (lowest > 0) {
+    tellOnce(`revision ${lowest}`, { kind: "revision", revision: lowest, at });
+  }
+  for (const target of nodes[0]?.views.get(request.watched) ?? []) {
+    const { targetId } = target;
+    if (
+      target.state === "draining" &&
+      nodes.every((node) =>
+        node.getStates(request.watched)[targetId] === "draining"
+      )
+    ) {
+      tellOnce(`draining ${targetId}`, { kind: "draining", targetId, at });
+    }
+  }
+}
+
+const nodes = Array.from({ length: request.count }, (_, index) => {
+  const [region, availabilityZone] = places[index % places.length] ?? places[0];
+  return new SessionNode({
+    controlAddresses: request.controlAddresses,
+    identity: {
+      nodeId: `${request.prefix}${index}`,
+      service: request.service,
+      region,
+      availabilityZone,
+    },
+  });
+});
+if (request.hasTargets) {
+  nodes.forEach((node) => node.announce("ready"));
+}
+if (process.argv[3] !== "no-checks") {
+  setInterval(check, 10);
+}
+process.on("message", (message: string) => {
+  if (message === "usage") {
+    const { user, system } = process.cpuUsage();
+    send({
+      kind: "usage",
+      cpuMicroseconds: user + system,
+      residentBytes: process.memoryUsage.rss(),
+      connected: nodes.filter(({ session }) => session.getStatus().connected)
+        .length,
+      fewest: Math.min(
+        ...nodes.map((node) => node.fewest.get(request.watched) ?? Infinity),
+      ),
+    });
+    nodes.forEach((node) => node.fewest.clear());
+  } else if (message.startsWith("drain ")) {
+    nodes[Number(message.slice(6))]?.announce("draining");
+  } else if (message === "restart") {
+    nodes[0]?.announce("left");
+    nodes[0]?.announce("ready", 2);
+  }
+});
+process.on("disconnect", () => process.exit());
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -95,15 +95,16 @@
   // Spreads the nodes of a lost instance; renewals, silence and jitter together
   // stay below the lease of 6 s.
   jitterMilliseconds: 1000,
-  attemptMilliseconds: 1000,
+  attemptMilliseconds: 3000,
   isolatedRetryMilliseconds: 10_000,
 };
 
 // Control counts the lease from the renewal, the node from its answer.
 const leaseMarginMilliseconds = 500;
 // An instance that does not answer within this time does not keep the next one
-// from being tried beside it.
-const staggerMilliseconds = 300;
+// from being tried beside it. 300 ms led 300 nodes that start at once to open
+// 502 sessions on busy instances.
+const staggerMilliseconds = 700;
 const standstillMilliseconds = 250;
 // Each is at most some hundred bytes.
 const maximumUnconfirmed = 1000;
--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -150,6 +150,22 @@
   assert.ok(node.session.getStatus().connected);
 });
 
+test("nodes move to an instance that comes back", async () => {
+  const instances = await startControl(2, {
+    graceMilliseconds: 1000,
+    rebalanceMilliseconds: 100,
+  });
+  const [first, second] = instances;
+  assert.ok(first !== undefined && second !== undefined);
+  second.setAvailability("stopping");
+  const nodes = await startNodes(instances, 12);
+  assert.equal(first.host.sessionCount, 12);
+  nodes.forEach((node) => node.fewest.clear());
+  second.setAvailability("available");
+  await waitUntil(() => second.host.sessionCount >= 4, "the load is spread");
+  assert.ok(nodes.every((node) => (node.fewest.get("balances") ?? 12) >= 12));
+});
+
 test("crash news reach all instances, suspects and quarantine all nodes", async () => {
   const instances = await startControl(2, { graceMilliseconds: 1000 });
   const node = startNode(getAddresses(instances), "n1");
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -88,6 +88,8 @@
 // A longer gap between two calls of `expire` means that this process stood
 // still and could not read the renewals that were waiting for it.
 const pauseMilliseconds = 1000;
+// The check visits all items.
+const tombstoneCheckMilliseconds = 10_000;
 
 /**
  * The targets and nodes that a control instance knows: those that it owns
@@ -117,6 +119,7 @@
   }, (change) => this.#onNodeChange(change));
   #counter = 0;
   #checkedAt: number;
+  #tombstonesCheckedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: DirectoryOptions) {
     this.#options = {
@@ -293,8 +296,11 @@
       this.#targets.drop(owner);
       this.#nodes.drop(owner);
     }
-    this.#targets.dropTombstones(now - this.#options.tombstoneMilliseconds);
-    this.#nodes.dropTombstones(now - this.#options.tombstoneMilliseconds);
+    if (now - this.#tombstonesCheckedAt > tombstoneCheckMilliseconds) {
+      this.#tombstonesCheckedAt = now;
+      this.#targets.dropTombstones(now - this.#options.tombstoneMilliseconds);
+      this.#nodes.dropTombstones(now - this.#options.tombstoneMilliseconds);
+    }
     return ended;
   }
 
@@ -322,7 +328,8 @@
   getTargetOwner(
     name: { environment: string; targetId: string },
   ): string | undefined {
-    return this.#targets.getOwner(getTargetKey(name))?.replace(/#[0-9]+$/, "");
+    const owner = this.#targets.getOwner(getTargetKey(name));
+    return owner === undefined ? undefined : getInstanceId(owner);
   }
 
   /** Gets the live nodes of an environment. */
@@ -332,6 +339,21 @@
     );
   }
 
+  /** Gets the number of connected nodes of each instance. */
+  getNodeCounts(): ReadonlyMap<string, number> {
+    const instances = [this.#options.instanceId, ...this.#options.getPeers()];
+    const counts = new Map(instances.map((instance) => [instance, 0]));
+    for (const node of this.#nodes.values()) {
+      const owner = this.#nodes.getOwner(getNodeKey(node));
+      const instance = owner === undefined ? "" : getInstanceId(owner);
+      const count = counts.get(instance);
+      if (node.state === "connected" && count !== undefined) {
+        counts.set(instance, count + 1);
+      }
+    }
+    return counts;
+  }
+
   /** Gets the live services of an environment. */
   getServices(environment: string): string[] {
     const prefix = `${environment}\0`;
@@ -634,6 +656,10 @@
   return `${name.environment}\0${name.service}`;
 }
 
+function getInstanceId(owner: string): string {
+  return owner.slice(0, owner.lastIndexOf("#"));
+}
+
 function getItems<Item>(
   table: ReplicatedTable<Item>,
   keys: ReadonlySet<string>,
--- a/src/session_server/instance_exchange.ts
+++ b/src/session_server/instance_exchange.ts
@@ -85,7 +85,7 @@
   receive(batch: ExchangeBatch): ExchangeAnswer {
     const now = this.#options.clock.monotonicMilliseconds();
     const wanted = this.#options.directory.mergeBatch(
-      parseBatch(batch, now),
+      parseWireBatch(batch, now),
       now,
     );
     return {
@@ -96,15 +96,15 @@
     };
   }
 
-  /** Gets the addresses of the instances that answered lately. */
-  getReachableAddresses(): string[] {
+  /** Gets the instances that answered lately. */
+  getReachablePeers(): PeerInstance[] {
     const now = this.#options.clock.monotonicMilliseconds();
     return [...this.#peers.values()]
       .filter((peer) =>
         now - peer.answeredAt <
           digestIntervalMilliseconds + deadlineMilliseconds
       )
-      .map((peer) => peer.instance.address);
+      .map((peer) => peer.instance);
   }
 
   stop(): void {
@@ -290,7 +290,11 @@
   };
 }
 
-function parseBatch(batch: ExchangeBatch, now: number): DirectoryBatch {
+/** Converts a batch that arrived. */
+export function parseWireBatch(
+  batch: ExchangeBatch,
+  now: number,
+): DirectoryBatch {
   return {
     instanceId: batch.instanceId,
     boot: batch.boot,
--- a/src/session_server/mod.ts
+++ b/src/session_server/mod.ts
@@ -17,3 +17,4 @@
   SessionHost,
   type SessionHostOptions,
 } from "./session_host.ts";
+export { createWireBatch, parseWireBatch } from "./instance_exchange.ts";
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -58,6 +58,7 @@
   readonly interceptors?: readonly Interceptor[];
   readonly leaseMilliseconds?: number;
   readonly graceMilliseconds?: number;
+  readonly rebalanceMilliseconds?: number;
 }
 
 /** A node whose lease runs, on whichever instance. */
@@ -84,6 +85,11 @@
 // Targets that change together go out in one message. Adds to the time in
 // which a drain reaches all nodes (limit 3 s).
 const flushDelayMilliseconds = 50;
+const defaultRebalanceMilliseconds = 10_000;
+// Random choices of 886 nodes differ by some percent; that is no reason to move.
+const unevenRatio = 1.2;
+// Few at once, so that their targets' records do not change all together.
+const movedRatio = 0.05;
 
 /**
  * Serves the sessions of nodes and the exchange with other instances. Everything
@@ -104,6 +110,7 @@
   /** Last sent quarantine lists by environment. */
   readonly #quarantined = new Map<string, string>();
   readonly #expireTimer: NodeJS.Timeout;
+  readonly #rebalanceTimer: NodeJS.Timeout;
   #flushTimer: NodeJS.Timeout | undefined;
   #isCollecting = true;
 
@@ -141,6 +148,10 @@
       () => this.#expire(),
       expireIntervalMilliseconds,
     );
+    this.#rebalanceTimer = setInterval(
+      () => this.#rebalance(),
+      options.rebalanceMilliseconds ?? defaultRebalanceMilliseconds,
+    );
   }
 
   /** Adds the Session and Exchange services to a server. */
@@ -225,7 +236,7 @@
       environments.forEach((each) => this.onDocumentAccepted(each));
       return;
     }
-    const addresses = this.#exchange.getReachableAddresses();
+    const addresses = this.#getReachableAddresses();
     for (const session of this.#sessions.values()) {
       session.redirect(availability, addresses);
     }
@@ -302,6 +313,7 @@
   /** Ends all sessions and the exchange. */
   stop(): void {
     clearInterval(this.#expireTimer);
+    clearInterval(this.#rebalanceTimer);
     clearTimeout(this.#flushTimer);
     this.#exchange.stop();
     for (const session of this.#sessions.values()) {
@@ -313,6 +325,39 @@
     return this.#options.clock.monotonicMilliseconds();
   }
 
+  #getReachableAddresses(): string[] {
+    return this.#exchange.getReachablePeers().map(({ address }) => address);
+  }
+
+  /**
+   * Asks some nodes to move when this instance has many more than others, as
+   * after the restart of another one.
+   */
+  #rebalance(): void {
+    if (!this.#isAvailable() || this.#isCollecting) {
+      return;
+    }
+    const counts = this.#directory.getNodeCounts();
+    const reachable = this.#exchange.getReachablePeers();
+    const peers = reachable.map((peer) => ({
+      ...peer,
+      count: counts.get(peer.instanceId) ?? 0,
+    }));
+    const own = this.#sessions.size;
+    const mean = peers.reduce((sum, { count }) => sum + count, own) /
+      (peers.length + 1);
+    if (own <= mean * unevenRatio + 1) {
+      return;
+    }
+    const addresses = peers.filter(({ count }) => count < mean)
+      .map(({ address }) => address);
+    const moving = Math.ceil(Math.min(own - mean, own * movedRatio));
+    for (const session of [...this.#sessions.values()].slice(0, moving)) {
+      session.resetRedirect();
+      session.redirect("uneven", addresses);
+    }
+  }
+
   #isAvailable(): boolean {
     return this.#options.state.getAvailability() === "available";
   }
@@ -404,7 +449,7 @@
         formatVersion,
         message: createRedirect(
           availability,
-          this.#exchange.getReachableAddresses(),
+          this.#getReachableAddresses(),
         ),
       });
       stream.end();
--- a/tests/support/tcp_proxy.ts
+++ b/tests/support/tcp_proxy.ts
@@ -14,6 +14,8 @@
   /** Bytes that passed in each direction. */
   received = 0;
   sent = 0;
+  /** Pieces in which the bytes came, about the number of segments. */
+  segments = 0;
 
   /**
    * @param target Address to pass connections on to.
@@ -54,6 +56,7 @@
     from.on("data", (data) => {
       if (!this.#isSilent) {
         count(data.length);
+        this.segments++;
         to.write(data);
       }
     });
