Count only calls below the admission level as pressure on it

Cause: with the short queue of the recovery objective the level rose again and again for calls that it refused already (probes, and calls sent before the entry nodes knew), up to refusing transfers at 4x. Change: offered and turned-away calls count only when the level does not refuse them.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -217,7 +217,7 @@
       this.#holdTime.isFresh(now) &&
       remainingMilliseconds < this.#getExpectedWait(entry) + this.#holdTime.mean
     ) {
-      this.#level.onTurnedAway();
+      this.#onTurnedAway(entry);
       return "deadline-too-short";
     }
     if (this.#queue.length >= this.#getQueueLimit()) {
@@ -231,8 +231,20 @@
     if (this.#queue.length === 0 && this.#hasRoomFor(entry)) {
       return undefined;
     }
-    this.#level.onTurnedAway();
     const victim = this.#getVictim(entry);
+    const reason = this.#getPrecedence(victim, entry);
+    this.#onTurnedAway(reason === undefined && victim ? victim : entry);
+    if (reason === undefined && victim !== undefined) {
+      this.#refuse(victim, "evicted");
+    }
+    return reason;
+  }
+
+  /** Gets why a new call does not take the place of a queued one. */
+  #getPrecedence(
+    victim: AdmissionEntry | undefined,
+    entry: AdmissionEntry,
+  ): RefusalReason | undefined {
     if (victim === undefined || victim.classIndex < entry.classIndex) {
       return "queue-full";
     }
@@ -242,11 +254,13 @@
       return "caller-share";
     }
     const isForced = isShared && this.#isOverQueueShare(victim.use, entry.use);
-    if (!isForced && compareEntries(victim, entry) < 0) {
-      return "queue-full";
-    }
-    this.#refuse(victim, "evicted");
-    return undefined;
+    return !isForced && compareEntries(victim, entry) < 0
+      ? "queue-full"
+      : undefined;
+  }
+
+  #onTurnedAway(entry: AdmissionEntry): void {
+    this.#level.onTurnedAway(getImportance(entry.classIndex, entry.hash));
   }
 
   /**
@@ -367,7 +381,7 @@
       }
       const remaining = entry.deadlineMilliseconds - now;
       if (this.#holdTime.isFresh(now) && remaining < this.#holdTime.mean) {
-        this.#level.onTurnedAway();
+        this.#onTurnedAway(entry);
         this.#refuse(entry, "deadline-too-short");
         continue;
       }
@@ -404,7 +418,7 @@
     let earliest = Infinity;
     for (const entry of [...this.#queue.getEntries()]) {
       if (entry.deadlineMilliseconds <= now) {
-        this.#level.onTurnedAway();
+        this.#onTurnedAway(entry);
         this.#refuse(entry, "deadline-exceeded");
       } else {
         earliest = Math.min(earliest, entry.deadlineMilliseconds);
--- a/src/admission/admission_level.ts
+++ b/src/admission/admission_level.ts
@@ -34,17 +34,25 @@
     this.#maximumDecrease = steps;
   }
 
-  /** Records an offered call. */
+  /**
+   * Records an offered call. Calls that the level refuses already, but that
+   * entry nodes sent as probes or before they knew, do not count.
+   */
   onOffered(importance: number): void {
     const last = this.#offered.length - 1;
+    if (importance > last - this.#level) {
+      return;
+    }
     const step = importance < last ? importance : last;
     this.#offered[step] = (this.#offered[step] ?? 0) + 1;
     this.#offeredTotal++;
   }
 
   /** Records a call that was refused or evicted for lack of capacity. */
-  onTurnedAway(): void {
-    this.#turnedAway++;
+  onTurnedAway(importance: number): void {
+    if (importance <= this.#offered.length - 1 - this.#level) {
+      this.#turnedAway++;
+    }
   }
 
   /** Gets the level; 0 is open. */
