Test a group of control processes under races, kills and a replacement

Cause: the promise that an accepted document is never lost or reverted holds over real processes and disks or not at all.

--- a/src/settings/control_settings.ts
+++ b/src/settings/control_settings.ts
@@ -14,8 +14,8 @@
   /** Address (host:port) under which others reach this instance. */
   readonly address: string;
   /**
-   * Addresses of the members of a new group, in the same order on each; empty
-   * for an instance that is added to a group that exists.
+   * Addresses of the members of a new group, in the same order on each; the
+   * key is left out for an instance that is added to a group that exists.
    */
   readonly members: readonly string[];
   readonly region: string;
--- /dev/null
+++ b/tests/control_group_test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { ControlGroup } from "./support/control_group.ts";
+
+const folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-"));
+const groups: ControlGroup[] = [];
+after(async () => {
+  await Promise.all(groups.map((each) => each.stop()));
+  rmSync(folder, { recursive: true });
+});
+
+const document = readFileSync("examples/strike-fund.toml", "utf8");
+
+/** Writes a document that differs from the others. */
+function writeDocument(number: number): string {
+  const file = join(folder, `${number}.toml`);
+  writeFileSync(file, `${document}# ${number}\n`);
+  return file;
+}
+
+async function getRevisions(group: ControlGroup, addresses?: string[]) {
+  const { text } = await group.run(
+    "history trial --json --limit 100",
+    addresses === undefined ? {} : { addresses },
+  );
+  return JSON.parse(text).revisions as { revision: number; digest: string }[];
+}
+
+test("operators race while the leader is killed; each base has one winner", async () => {
+  const group = await ControlGroup.start(3);
+  groups.push(group);
+  const accepted = new Map<number, string>();
+  for (let base = 0; base < 6; base++) {
+    const leader = base === 3 ? await group.waitForLeader() : undefined;
+    const racers = [1, 2, 3].map((operator) =>
+      group.run(
+        `apply trial ${
+          writeDocument(base * 10 + operator)
+        } --base ${base} --operator o${operator} --json`,
+      )
+    );
+    await leader?.end("SIGKILL");
+    const results = await Promise.all(racers);
+    const winners = results.filter((each) => each.code === 0);
+    assert.equal(winners.length, 1, JSON.stringify(results));
+    assert.equal(results.filter((each) => each.code === 3).length, 2);
+    accepted.set(base + 1, JSON.parse(winners[0]?.text ?? "{}").digest);
+  }
+  for (const { revision, digest } of await getRevisions(group)) {
+    assert.equal(digest, accepted.get(revision), `revision ${revision}`);
+  }
+});
+
+test("a replaced instance keeps every revision when a second one is lost", async () => {
+  const group = await ControlGroup.start(3);
+  groups.push(group);
+  for (let base = 0; base < 3; base++) {
+    const file = writeDocument(100 + base);
+    const { code, text } = await group.run(
+      `apply trial ${file} --base ${base}`,
+    );
+    assert.equal(code, 0, text);
+  }
+  const leader = await group.waitForLeader();
+  const [lost, kept] = group.instances.filter((each) => each !== leader);
+  await lost?.end("SIGKILL");
+  const spare = await group.startSpare();
+  const replaced = await group.run(
+    `control replace ${lost?.address} ${spare.address}`,
+  );
+  assert.equal(replaced.code, 0, replaced.text);
+  assert.ok(replaced.text.includes(spare.address));
+  assert.ok(!replaced.text.includes(`${lost?.address}`));
+  await leader.end("SIGKILL");
+  const addresses = [spare.address, `${kept?.address}`];
+  const file = writeDocument(103);
+  const applied = await group.run(`apply trial ${file} --base 3`, {
+    addresses,
+  });
+  assert.equal(applied.code, 0, applied.text);
+  const revisions = await getRevisions(group, addresses);
+  assert.deepEqual(revisions.map((each) => each.revision), [4, 3, 2, 1]);
+});
+
+test("SIGTERM ends an instance with 0, and a restart has what was accepted", async () => {
+  const group = await ControlGroup.start(1);
+  groups.push(group);
+  const file = writeDocument(200);
+  assert.equal((await group.run(`apply trial ${file} --base 0`)).code, 0);
+  const [instance] = group.instances;
+  assert.equal(await instance?.end("SIGTERM"), 0);
+  instance?.start();
+  assert.equal((await getRevisions(group)).length, 1);
+});
