--- /dev/null
+++ b/tests/module_boundaries_test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { posix } from "node:path";
+import { test } from "node:test";
+
+/** Slices that decide without sockets, files, clocks or randomness. */
+const decisionSlices = [
+  "admission",
+  "configuration",
+  "document",
+  "ledger",
+  "membership",
+  "request",
+  "retries",
+  "routing",
+  "suspects",
+];
+
+const forbiddenModules =
+  /^(node:(fs|net|http|https|http2|tls|dgram|dns|child_process|worker_threads|timers|perf_hooks|process)|@grpc\/)/;
+const forbiddenGlobals =
+  /\b(Date\.now\(|performance\.now\(|Math\.random\(|setTimeout\(|setInterval\(|setImmediate\(|process\.[a-z])|new Date\(\)/;
+
+const files = readdirSync("src", { recursive: true, encoding: "utf8" })
+  .map((file) => file.replaceAll("\\", "/"))
+  .filter((file) => file.endsWith(".ts"));
+
+function getSlice(file: string): string {
+  return file.split("/")[0] ?? "";
+}
+
+function getImports(text: string): string[] {
+  return [...text.matchAll(/(?:from|import)\s*\(?\s*"([^"]+)"/g)].map((match) =>
+    match[1] ?? ""
+  );
+}
+
+function readSource(file: string): string {
+  return readFileSync(`src/${file}`, "utf8");
+}
+
+test("a slice imports another one only through its mod.ts", () => {
+  const violations: string[] = [];
+  for (const file of files) {
+    const slice = getSlice(file);
+    for (const specifier of getImports(readSource(file))) {
+      if (!specifier.startsWith(".")) {
+        continue;
+      }
+      const path = posix.normalize(posix.join(posix.dirname(file), specifier));
+      const isSupport = file.endsWith("_test.ts") &&
+        path.startsWith("../tests/support/");
+      const isOther = getSlice(path) !== slice && !isSupport;
+      const isDoor = path === `${getSlice(path)}/mod.ts` ||
+        getSlice(path) === "protocol";
+      if (isOther && !isDoor) {
+        violations.push(`${file} imports ${path}`);
+      }
+    }
+  }
+  assert.deepEqual(violations, []);
+});
+
+for (const slice of decisionSlices) {
+  test(`${slice} uses no socket, file, clock or randomness of its own`, () => {
+    const violations: string[] = [];
+    for (const file of files) {
+      if (getSlice(file) !== slice || file.endsWith("_test.ts")) {
+        continue;
+      }
+      const text = readSource(file);
+      violations.push(
+        ...getImports(text)
+          .filter((specifier) => forbiddenModules.test(specifier))
+          .map((specifier) => `${file} imports ${specifier}`),
+      );
+      const match = forbiddenGlobals.exec(text);
+      if (match !== null) {
+        violations.push(`${file} uses ${match[0]}`);
+      }
+    }
+    assert.deepEqual(violations, []);
+  });
+}
