--- a/demo/fleet_counters.ts
+++ b/demo/fleet_counters.ts
@@ -1,6 +1,6 @@
-import { existsSync, readFileSync } from "node:fs";
 import type { Member } from "../tests/support/cluster.ts";
 import { sendCall } from "../tests/support/http_call.ts";
+import { readRuns } from "../tests/support/run_record.ts";
 
 /** What the nodes counted and the targets recorded, by class. */
 export interface FleetCounters {
@@ -43,22 +43,12 @@
 }
 
 function countRepeated(members: readonly Member[]): number {
-  const runs = new Map<string, number>();
-  for (const member of members) {
-    const lines = existsSync(member.recordFile)
-      ? readFileSync(member.recordFile, "utf8").split("\n")
-      : [];
-    for (const line of lines.filter((each) => each !== "")) {
-      const run = JSON.parse(line) as {
-        service: string;
-        path: string;
-        key: string;
-      };
-      if (run.key !== "" && run.path === "/transfers") {
-        const name = `${run.service} ${run.key}`;
-        runs.set(name, (runs.get(name) ?? 0) + 1);
-      }
+  const counts = new Map<string, number>();
+  for (const run of readRuns(members.map((each) => each.recordFile))) {
+    if (run.key !== "" && run.path === "/transfers") {
+      const name = `${run.service} ${run.key}`;
+      counts.set(name, (counts.get(name) ?? 0) + 1);
     }
   }
-  return [...runs.values()].filter((count) => count > 1).length;
+  return [...counts.values()].filter((count) => count > 1).length;
 }
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -400,6 +400,10 @@
 
   #tellFailure(failure: CallFailure): void {
     this.#end();
+    const { parent } = this.#options;
+    if (parent !== undefined && failure.disposition === "not-run") {
+      parent.hasRefusedCall = true;
+    }
     const { plan, classIndex, requestId } = this.details;
     const counters = plan.counters[classIndex];
     counters && countReason(counters.refused, failure.reason);
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -55,6 +55,8 @@
   /** Attempts that declared calls of the route still need. */
   declaredNeed: number;
   isSuspect = false;
+  /** Whether an outgoing call of the target was refused. */
+  hasRefusedCall = false;
   readonly #side: TargetSide;
   readonly #state: NodeState;
   readonly #body: CallBody;
@@ -173,7 +175,7 @@
   onHeld(head: ResponseHead, body: Buffer): void {
     if (isShedSignal(this.details.plan.service.shedSignal, head)) {
       this.#state.memory.release(body.length);
-      this.#failNotRun("shed", "target-shed");
+      this.#onShed();
       return;
     }
     this.#claim?.complete(head, body);
@@ -188,7 +190,7 @@
   ): void {
     if (isShedSignal(this.details.plan.service.shedSignal, head)) {
       this.#exchange?.cancel();
-      this.#failNotRun("shed", "target-shed");
+      this.#onShed();
       return;
     }
     this.#phase = "streaming";
@@ -271,6 +273,14 @@
     headers.length = length;
   }
 
+  /**
+   * A target that sheds a call because another service refused it is not
+   * overloaded itself, so its concurrency limit stays.
+   */
+  #onShed(): void {
+    this.#failNotRun(this.hasRefusedCall ? "cancelled" : "shed", "target-shed");
+  }
+
   #onCompleted(): void {
     this.#end({
       kind: "completed",
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -73,6 +73,13 @@
     });
   }
 
+  /** Starts a control instance, such as after it was killed. */
+  startControl(index: number): void {
+    this.group.start(`control-${index}`, "src/bin/dogwoodwalk_control.js", {
+      arguments: [join(this.folder, `control-${index}.toml`)],
+    });
+  }
+
   /** Starts the node of a member, such as after it was killed. */
   startNode(member: Member): void {
     const settings = join(this.folder, `${member.name}.toml`);
@@ -120,9 +127,7 @@
 availability_zone = "muntenia-a"
 `,
       );
-      this.group.start(`control-${index}`, "src/bin/dogwoodwalk_control.js", {
-        arguments: [file],
-      });
+      this.startControl(index);
     });
   }
 
--- a/tests/support/process_group.ts
+++ b/tests/support/process_group.ts
@@ -84,6 +84,11 @@
     return { code, output: lines.join("\n") };
   }
 
+  /** Reports whether a process runs. */
+  isRunning(name: string): boolean {
+    return this.#processes.has(name);
+  }
+
   /** Gets a running process. */
   getOrThrow(name: string): GroupProcess {
     const found = this.#processes.get(name);
--- a/tests/support/stand_in_target.ts
+++ b/tests/support/stand_in_target.ts
@@ -51,7 +51,7 @@
   /** Value of x-call, by which a test names its call. */
   readonly call: string;
   readonly bytes: number;
-  end: "running" | "completed" | "cancelled" | "crashed" | "failed";
+  end: "running" | "completed" | "cancelled" | "crashed" | "failed" | "shed";
 }
 
 interface WaitingCall {
@@ -218,6 +218,13 @@
       }
       this.#callOthers(run, request.headers).then((status) => {
         if (run.end === "running") {
+          if (status === "not-run") {
+            // Nothing has taken effect, so the call can be sent again.
+            finish("shed");
+            this.#writeRecord(run);
+            response.writeHead(503, { "x-shed": "1" }).end("shed");
+            return;
+          }
           finish(status < 400 ? "completed" : "failed");
           const text = JSON.stringify({ call: run.call, path: run.path });
           response.writeHead(status, {
@@ -242,21 +249,29 @@
       end: "running",
     };
     this.runs.push(run);
+    this.#writeRecord(run);
+    return run;
+  }
+
+  /** Appends a run at its start, and again when it was shed without effect. */
+  #writeRecord(run: StandInRun): void {
     if (this.#options.recordFile !== undefined) {
       appendFileSync(this.#options.recordFile, JSON.stringify(run) + "\n");
     }
-    return run;
   }
 
   async #callOthers(
     run: StandInRun,
     headers: IncomingMessage["headers"],
-  ): Promise<number> {
+  ): Promise<number | "not-run"> {
     const { calls } = this.behavior;
     const prefix = Object.keys(calls).find((each) => run.path.startsWith(each));
-    for (const call of calls[prefix ?? ""] ?? []) {
+    for (const [index, call] of (calls[prefix ?? ""] ?? []).entries()) {
       const status = await this.#callOther(call, headers);
-      if (status >= 400) {
+      if (status === "not-run" && index === 0) {
+        return status;
+      }
+      if (status === "not-run" || status >= 400) {
         return 502;
       }
     }
@@ -266,7 +281,7 @@
   #callOther(
     call: StandInCall,
     headers: IncomingMessage["headers"],
-  ): Promise<number> {
+  ): Promise<number | "not-run"> {
     const copied: Record<string, string> = { host: call.service };
     for (
       const name of ["dogwoodwalk-request", "idempotency-key", "x-call"]
@@ -285,7 +300,12 @@
         headers: copied,
       }, (response) => {
         response.resume();
-        response.on("end", () => resolve(response.statusCode ?? 502));
+        response.on("end", () =>
+          resolve(
+            response.headers["dogwoodwalk-disposition"] === "not-run"
+              ? "not-run"
+              : response.statusCode ?? 502,
+          ));
         response.on("error", () => resolve(502));
       });
       outgoing.on("error", () => resolve(502));
