Let a copied data folder vote only after all voters confirmed it

Only the leader that counted an acknowledgement remembers it. The identity file now keeps a mark of the lock file, which a copy does not have; a copied folder waits for every voter.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -1411,11 +1411,17 @@
       others.filter((each) => this.#confirmations.has(each.id)).length;
     const hasWaited = this.#now - this.#startedAt >=
       this.#timing.confirmationMilliseconds;
+    // Only the leader that counted an acknowledgement remembers it. A copied
+    // folder may be older than that, so it needs the word of every voter.
+    const { isMoved } = this.#hardState;
     if (
       confirmed + self >= getMajority(this.members) &&
-      (confirmed === others.length || hasWaited)
+      (confirmed === others.length || (hasWaited && !isMoved))
     ) {
       this.#isConfirmed = true;
+      if (isMoved) {
+        this.#setHardState({ isMoved: false });
+      }
       this.#events.push({
         kind: "notice",
         text: "start confirmed",
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -33,7 +33,7 @@
 
   constructor(id: string) {
     this.state = {
-      identity: { id, bootCount: 0, bootId: "" },
+      identity: { id, bootCount: 0, bootId: "", folderMark: "" },
       hardState: emptyHardState,
       snapshot: emptySnapshotInfo,
       entries: [],
@@ -148,7 +148,7 @@
     disk.state = {
       ...disk.state,
       identity: {
-        id: identity.id,
+        ...identity,
         bootCount: identity.bootCount + 1,
         bootId: String(++this.#starts),
       },
@@ -516,10 +516,10 @@
   group.finish();
 });
 
-test("an instance on an older disk neither votes nor stands", () => {
+/** Instance 2 goes back to before entries that only 0 saw it acknowledge. */
+function createGroupWithOlderDisk(isMoved: boolean): SimulatedGroup {
   const group = new SimulatedGroup(3);
   const image = group.at(2).disk.copy();
-  // Instance 1 misses what 0 and 2 commit; only 0 can tell that 2 is behind.
   group.sides = 0b010;
   group.run(2000, { seed: 1 });
   const before = group.committedCount;
@@ -527,7 +527,14 @@
   group.run(1000, { seed: 2 });
   assert.equal(group.committedCount, before + 5);
   group.crash(2, true);
+  const { state } = image;
+  image.state = { ...state, hardState: { ...state.hardState, isMoved } };
   group.at(2).disk = image;
+  return group;
+}
+
+test("an instance on an older disk neither votes nor stands", () => {
+  const group = createGroupWithOlderDisk(false);
   group.start(2);
   group.run(1000, { seed: 3 });
   assert.equal(group.at(2).core?.getRole(), "denied");
@@ -542,3 +549,27 @@
   group.loseDisk(2);
   group.finish();
 });
+
+test("a restored copy waits for the voter that remembers more", () => {
+  const group = createGroupWithOlderDisk(true);
+  group.sides = 0b001;
+  group.start(2);
+  group.run(3000, { seed: 3 });
+  assert.equal(group.at(2).core?.getRole(), "recovering");
+  assert.equal(group.leader, undefined, "1 and 2 lack committed entries");
+  group.sides = 0;
+  group.run(3000, { seed: 4 });
+  assert.equal(group.at(2).core?.getRole(), "denied");
+  group.loseDisk(2);
+  group.finish();
+});
+
+test("a moved folder takes part again once all voters confirmed it", () => {
+  const group = new SimulatedGroup(3);
+  group.crash(2, true);
+  const { disk } = group.at(2);
+  const { hardState } = disk.state;
+  disk.state = { ...disk.state, hardState: { ...hardState, isMoved: true } };
+  group.finish();
+  assert.equal(disk.state.hardState.isMoved, false);
+});
--- a/src/consensus/durable_storage.ts
+++ b/src/consensus/durable_storage.ts
@@ -10,7 +10,7 @@
   encodeLogRecord,
   encodeSnapshotInfo,
 } from "./codec.ts";
-import type { FileSystem, OpenFile } from "./file_system.ts";
+import type { FileSystem, FolderLock, OpenFile } from "./file_system.ts";
 import {
   emptySnapshotInfo,
   type LogEntry,
@@ -46,7 +46,7 @@
   /** State of the state machine in the snapshot; empty without one. */
   readonly snapshotData: Uint8Array;
   readonly #files: FileSystem;
-  readonly #unlock: () => void;
+  readonly #lock: FolderLock;
   #logFile: OpenFile;
   #snapshot: { index: number; data: Uint8Array };
   #failure: StorageError | undefined;
@@ -57,14 +57,14 @@
       state: PersistedState;
       snapshotData: Uint8Array;
       logFile: OpenFile;
-      unlock: () => void;
+      lock: FolderLock;
     },
   ) {
     this.#files = files;
     this.state = parts.state;
     this.snapshotData = parts.snapshotData;
     this.#logFile = parts.logFile;
-    this.#unlock = parts.unlock;
+    this.#lock = parts.lock;
     this.#snapshot = {
       index: parts.state.snapshot.index,
       data: parts.snapshotData,
@@ -82,8 +82,8 @@
     options: DurableStorageOptions,
   ): Promise<DurableStorage> {
     await files.prepare();
-    const unlock = await files.lock("lock");
-    if (unlock === undefined) {
+    const lock = await files.lock("lock");
+    if (lock === undefined) {
       throw new StorageError("locked", "Another process uses the data folder");
     }
     try {
@@ -94,8 +94,9 @@
         id: stored?.id ?? createId(),
         bootCount: (stored?.bootCount ?? 0) + 1,
         bootId: createId(),
+        folderMark: lock.folderMark,
       };
-      const hardState = await readHardState(files);
+      let hardState = await readHardState(files);
       const snapshot = await readSnapshot(files);
       if (
         stored === undefined && (hardState !== undefined || snapshot.info.index)
@@ -112,6 +113,11 @@
       ) {
         throwCorrupt("hard_state", "it is missing beside other files");
       }
+      if (hardState && stored?.folderMark !== lock.folderMark) {
+        options.log.warn("data folder was moved or copied");
+        hardState = { ...hardState, isMoved: true };
+        await replaceFile(files, "hard_state", [encodeHardState(hardState)]);
+      }
       await replaceFile(files, "identity", [encodeIdentity(identity)]);
       return new DurableStorage(files, {
         state: {
@@ -123,10 +129,10 @@
         },
         snapshotData: snapshot.data,
         logFile: log.file,
-        unlock,
+        lock,
       });
     } catch (error) {
-      unlock();
+      lock.release();
       throw error;
     }
   }
@@ -175,7 +181,7 @@
   /** Closes the files and releases the lock. */
   async close(): Promise<void> {
     await this.#logFile.close();
-    this.#unlock();
+    this.#lock.release();
   }
 
   async #write(request: StorageRequest): Promise<void> {
--- a/src/consensus/durable_storage_test.ts
+++ b/src/consensus/durable_storage_test.ts
@@ -28,6 +28,7 @@
   steps = 0;
   /** The step that fails, and all after it. */
   failsAt = Infinity;
+  mark = "1";
   #names = new Map<string, FakeFile>();
   #syncedNames = new Map<string, FakeFile>();
 
@@ -103,7 +104,7 @@
   }
 
   lock() {
-    return Promise.resolve(() => {});
+    return Promise.resolve({ folderMark: this.mark, release: () => {} });
   }
 
   #step(change: () => void): Promise<void> {
@@ -338,6 +339,15 @@
   });
 }
 
+test("a copied folder is known until all voters confirmed it", async () => {
+  const files = new FakeFiles(await createFolder());
+  for (const [mark, isMoved] of [["1", false], ["2", true], ["2", true]]) {
+    files.mark = String(mark);
+    const { state } = await DurableStorage.open(files, { log });
+    assert.equal(state.hardState.isMoved, isMoved);
+  }
+});
+
 test("a full disk fails every later write", async () => {
   const files = new FakeFiles();
   const storage = await DurableStorage.open(files, { log });
--- a/src/consensus/file_system.ts
+++ b/src/consensus/file_system.ts
@@ -10,6 +10,13 @@
   close(): Promise<void>;
 }
 
+/** An exclusive lock on a folder. */
+export interface FolderLock {
+  /** Tells this folder from copies of it: the lock file is made only once. */
+  readonly folderMark: string;
+  release(): void;
+}
+
 /**
  * The part of a file system that the storage uses, inside one folder. Tests
  * replace it by one that forgets what was not synced.
@@ -29,7 +36,7 @@
   syncFolder(): Promise<void>;
   /**
    * Takes an exclusive lock that ends with the process.
-   * @returns A function that releases it; `undefined` when it is taken.
+   * @returns `undefined` when it is taken.
    */
-  lock(name: string): Promise<(() => void) | undefined>;
+  lock(name: string): Promise<FolderLock | undefined>;
 }
--- a/src/consensus/node_file_system.ts
+++ b/src/consensus/node_file_system.ts
@@ -1,8 +1,8 @@
-import { closeSync, openSync } from "node:fs";
+import { closeSync, fstatSync, openSync } from "node:fs";
 import { mkdir, open, readFile, rename, rm } from "node:fs/promises";
 import { dirname, join } from "node:path";
 import fsExt from "fs-ext";
-import type { FileSystem, OpenFile } from "./file_system.ts";
+import type { FileSystem, FolderLock, OpenFile } from "./file_system.ts";
 
 /**
  * Creates access to the files of one folder.
@@ -63,7 +63,7 @@
   };
 }
 
-function lockFile(path: string): (() => void) | undefined {
+function lockFile(path: string): FolderLock | undefined {
   const descriptor = openSync(path, "a");
   try {
     fsExt.flockSync(descriptor, "exnb");
@@ -75,5 +75,9 @@
     }
     throw error;
   }
-  return () => closeSync(descriptor);
+  const { ino, birthtimeNs } = fstatSync(descriptor, { bigint: true });
+  return {
+    folderMark: `${ino}:${birthtimeNs}`,
+    release: () => closeSync(descriptor),
+  };
 }
--- a/src/consensus/persisted_state.ts
+++ b/src/consensus/persisted_state.ts
@@ -9,6 +9,8 @@
   readonly bootCount: number;
   /** Random number of this start. */
   readonly bootId: string;
+  /** Mark of the folder, which a copy of it does not have. */
+  readonly folderMark: string;
 }
 
 /** State that must be durable before a message depends on it. */
@@ -20,6 +22,11 @@
   readonly groupId: string;
   /** True after a voter found this instance behind its own past. */
   readonly isRegressed: boolean;
+  /**
+   * True while the folder may be a copy, such as a restored backup, that not
+   * all voters have confirmed.
+   */
+  readonly isMoved: boolean;
 }
 
 /** The hard state of an empty folder. */
@@ -28,6 +35,7 @@
   votedFor: "",
   groupId: "",
   isRegressed: false,
+  isMoved: false,
 };
 
 /** Everything that an instance finds in its data folder. */
