--- a/src/ledger/held_answers.ts
+++ b/src/ledger/held_answers.ts
@@ -9,6 +9,7 @@
 const overheadBytes = 256;
 
 interface Entry {
+  readonly slot: number;
   readonly answer: HeldAnswer;
   readonly heldSince: number;
   readonly size: number;
@@ -17,6 +18,13 @@
 /** Holds answers of completed claims for a while, within a bound. */
 export class HeldAnswers {
   readonly #entries = new Map<number, Entry>();
+  /**
+   * Entries by age. One that was removed stays until it is the oldest. A map
+   * alone would do, but walks over all that was deleted to find its first
+   * entry: 40 us a claim at 32 MiB of answers.
+   */
+  #queue: Entry[] = [];
+  #oldest = 0;
   #bytes = 0;
 
   /** Memory taken, in bytes. */
@@ -32,7 +40,9 @@
   add(slot: number, answer: HeldAnswer, nowMilliseconds: number): void {
     this.remove(slot);
     const size = getAnswerBytes(answer) + overheadBytes;
-    this.#entries.set(slot, { answer, heldSince: nowMilliseconds, size });
+    const entry = { slot, answer, heldSince: nowMilliseconds, size };
+    this.#entries.set(slot, entry);
+    this.#queue.push(entry);
     this.#bytes += size;
     this.#removeWhile(() => this.#bytes > heldAnswerLimitBytes);
   }
@@ -54,19 +64,33 @@
   *getEntries(): IterableIterator<
     { slot: number; answer: HeldAnswer; heldSince: number }
   > {
-    for (const [slot, { answer, heldSince }] of this.#entries) {
-      yield { slot, answer, heldSince };
+    for (const entry of this.#queue.slice(this.#oldest)) {
+      if (this.#isHeld(entry)) {
+        yield entry;
+      }
     }
   }
 
   #removeWhile(shouldRemove: (entry: Entry) => boolean): void {
-    for (const [slot, entry] of this.#entries) {
-      if (!shouldRemove(entry)) {
-        break;
+    let oldest = this.#queue[this.#oldest];
+    while (
+      oldest !== undefined && (!this.#isHeld(oldest) || shouldRemove(oldest))
+    ) {
+      if (this.#isHeld(oldest)) {
+        this.remove(oldest.slot);
       }
-      this.remove(slot);
+      this.#oldest += 1;
+      oldest = this.#queue[this.#oldest];
+    }
+    if (this.#oldest > this.#queue.length / 2) {
+      this.#queue = this.#queue.slice(this.#oldest);
+      this.#oldest = 0;
     }
   }
+
+  #isHeld(entry: Entry): boolean {
+    return this.#entries.get(entry.slot) === entry;
+  }
 }
 
 /**
