--- /dev/null
+++ b/src/node/mod.ts
@@ -0,0 +1,16 @@
+export {
+  type NodeEvents,
+  NodeProcess,
+  type NodeProcessOptions,
+  type StopResult,
+} from "./node_process.ts";
+export type {
+  ClaimDenial,
+  ClaimOptions,
+  ClaimOutcome,
+  FenceOutcome,
+  LedgerAnswer,
+  LedgerKey,
+  LedgerPort,
+} from "./ledger_port.ts";
+export { ControlLink, type ControlLinkOptions } from "./control_link.ts";
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -10,6 +10,8 @@
 import {
   Directory,
   getNodeKey,
+  LinkRounds,
+  LinkShareBook,
   parseTargetRecord,
   type ServiceName,
   type TargetRecord,
@@ -92,8 +94,15 @@
   readonly #directory: Directory;
   readonly #planner: ViewPlanner;
   readonly #exchange: InstanceExchange;
+  readonly #linkRounds: LinkRounds;
+  readonly #linkShares = new LinkShareBook({
+    getPortion: (linkKey) => this.#linkRounds.getPortion(linkKey),
+    getInstanceCount: () => this.#options.state.getPeers().length + 1,
+  });
   readonly #sessions = new SessionRegistry();
   readonly #parts = new Map<string, DocumentParts>();
+  /** Last sent quarantine lists by environment. */
+  readonly #quarantined = new Map<string, string>();
   readonly #expireTimer: NodeJS.Timeout;
   #flushTimer: NodeJS.Timeout | undefined;
   #isCollecting = true;
@@ -115,6 +124,10 @@
       this.#directory,
       (name) => this.#getCallers(name),
     );
+    this.#linkRounds = new LinkRounds({
+      boot: options.boot,
+      now: options.clock.monotonicMilliseconds(),
+    });
     this.#exchange = new InstanceExchange({
       boot: options.boot,
       directory: this.#directory,
@@ -122,6 +135,7 @@
       log: options.log,
       interceptors: options.interceptors ?? [],
       getPeers: () => options.state.getPeers(),
+      getLinkDemand: () => this.#linkRounds.createNews(),
     });
     this.#expireTimer = setInterval(
       () => this.#expire(),
@@ -147,20 +161,33 @@
    * @param environment The environment.
    */
   onDocumentAccepted(environment: string): void {
+    const previous = this.#parts.get(environment);
     const parts = this.#getParts(environment);
     if (parts === undefined || !this.#isAvailable()) {
       return;
     }
     const encode = createDocumentEncoder();
+    const hasNewCalls = parts.callText !== previous?.callText;
+    if (hasNewCalls) {
+      this.#planner.clear();
+    }
     for (const session of this.#sessions.getByEnvironment(environment)) {
       session.sendDocument(parts, encode);
-      this.#updateViewedServices(session);
+      if (hasNewCalls) {
+        this.#updateViewedServices(session);
+        session.viewedServices.forEach((each) => this.#sendView(session, each));
+      }
     }
   }
 
-  /** Sends the list of quarantined fingerprints after a change. */
+  /** Sends the list of quarantined fingerprints if it changed. */
   onQuarantineChanged(environment: string): void {
     const quarantined = [...this.#options.state.getQuarantined(environment)];
+    const text = quarantined.join(" ");
+    if (this.#quarantined.get(environment) === text) {
+      return;
+    }
+    this.#quarantined.set(environment, text);
     this.#broadcast(environment, {
       suspects: [],
       cleared: [],
@@ -253,6 +280,20 @@
     ]).map((target) => toWireTarget(target, now));
   }
 
+  /** Gets the environments of the open sessions. */
+  getEnvironments(): string[] {
+    return [
+      ...new Set(
+        [...this.#sessions.values()].map(({ hello }) => hello.environment),
+      ),
+    ];
+  }
+
+  /** Number of open sessions. */
+  get sessionCount(): number {
+    return this.#sessions.size;
+  }
+
   /** Gets whether targets may be missing because this process just started. */
   isCollecting(): boolean {
     return this.#directory.isCollecting(this.#now());
@@ -324,7 +365,7 @@
           this.#onAnnouncement(session, announcement.record),
       )
       .with({ $case: "crashReport" }, ({ crashReport }) => {
-        this.#options.state.onCrashReport(environment, crashReport);
+        this.#options.state.onCrashReport(environment, crashReport, true);
         this.#exchange.addCrashNews({
           environment,
           news: { $case: "report", report: crashReport },
@@ -345,6 +386,7 @@
       })
       .with({ $case: "leave" }, () => {
         this.#directory.leave(session, this.#now());
+        this.#linkShares.removeNode(session.nodeKey);
         this.#sessions.remove(session);
         session.end();
         this.#scheduleFlush();
@@ -391,8 +433,9 @@
       admissionLevel: 0,
       state: "connected",
     }, this.#now());
-    this.#answerRenew(session, 0);
     const { environment } = hello;
+    this.#linkShares.addNode(session.nodeKey, hello);
+    this.#answerRenew(session, 0);
     const parts = this.#getParts(environment);
     if (parts !== undefined && this.#isAvailable()) {
       session.sendDocument(parts, createDocumentEncoder());
@@ -420,19 +463,30 @@
       session.end();
       return;
     }
+    this.#linkShares.report(session.nodeKey, {
+      linkBytes: renew.linkBytes,
+      hasLastShares: renew.answeredSequence >= session.sharesSequence,
+      now: this.#now(),
+    });
     this.#answerRenew(session, renew.sequence);
   }
 
   #answerRenew(session: NodeSession, sequence: number): void {
     const isAvailable = this.#isAvailable();
     const parts = this.#getParts(session.hello.environment);
+    const shares = this.#linkShares.takeShares(session.nodeKey, {
+      isForced: sequence === 0,
+    });
+    if (shares !== undefined) {
+      session.sharesSequence = sequence;
+    }
     session.send({
       $case: "renewAnswer",
       renewAnswer: {
         sequence,
         leaseMilliseconds: this.#directory.leaseMilliseconds,
         ledgerIndex: isAvailable ? this.#options.state.getLedgerIndex() : 0,
-        linkShares: [],
+        linkShares: shares ?? [],
         revision: isAvailable ? parts?.accepted.revision ?? 0 : 0,
       },
     });
@@ -544,7 +598,14 @@
 
   #expire(): void {
     const now = this.#now();
-    this.#directory.expire(now);
+    for (const nodeKey of this.#directory.expire(now)) {
+      this.#linkShares.removeNode(nodeKey);
+    }
+    this.#linkRounds.step({
+      peers: this.#options.state.getPeers().map((peer) => peer.instanceId),
+      getEntries: () => this.#linkShares.getDemand(),
+      now,
+    });
     const wasCollecting = this.#isCollecting;
     this.#isCollecting = this.#directory.isCollecting(now);
     this.#flush();
@@ -573,11 +634,15 @@
       });
       return;
     }
+    const { instanceId, linkDemand } = call.request;
     const answer = this.#exchange.receive(call.request);
+    if (linkDemand !== undefined) {
+      this.#linkRounds.hear(instanceId, linkDemand);
+    }
     const { state } = this.#options;
     for (const { environment, news } of call.request.crashNews) {
       if (news?.$case === "report") {
-        state.onCrashReport(environment, news.report);
+        state.onCrashReport(environment, news.report, false);
       } else if (news?.$case === "cleared") {
         state.onSuspectCleared(environment, news.cleared.fingerprint);
       }
@@ -612,6 +677,7 @@
     }
     const parts = new DocumentParts(accepted);
     this.#parts.set(environment, parts);
+    this.#linkShares.setLinks(environment, accepted.document.links);
     return parts;
   }
 }
