--- a/src/command_line/command_line.ts
+++ b/src/command_line/command_line.ts
@@ -160,7 +160,7 @@
   addCommand(program, "status", {
     description:
       "Shows the control group, nodes, targets, revisions and admission levels.",
-    examples: ["status", "status --control 10.0.0.1:7300 --json"],
+    examples: ["status", "status --control 10.0.0.1:7000 --json"],
   }).action((options) => run(options, showStatus));
   addCommand(program, "drain <environment> <target>", {
     description: "Asks the node of a target to drain it.",
@@ -173,7 +173,7 @@
   addCommand(control, "replace <old> <new>", {
     description:
       "Adds a new instance, waits until it has the state, and removes the old one.",
-    examples: ["control replace 10.0.0.1:7300 10.0.0.4:7300"],
+    examples: ["control replace 10.0.0.1:7000 10.0.0.4:7000"],
   }).action((oldAddress, newAddress, options) =>
     run(
       options,
@@ -218,7 +218,7 @@
     .description(texts.description)
     .addOption(
       new Option("--control <addresses>", "control instances, host:port,…")
-        .env("DOGWOODWALK_CONTROL").default("127.0.0.1:7300"),
+        .env("DOGWOODWALK_CONTROL").default("127.0.0.1:7000"),
     )
     .addOption(
       new Option("--token-file <file>", "file with the shared token")
--- a/src/settings/control_settings_test.ts
+++ b/src/settings/control_settings_test.ts
@@ -4,8 +4,8 @@
 import { parseControlSettings } from "./control_settings.ts";
 
 const valid = `data_folder = "data"
-listen = "127.0.0.1:7300"
-members = ["127.0.0.1:7300", "127.0.0.1:7301"]
+listen = "127.0.0.1:7000"
+members = ["127.0.0.1:7000", "127.0.0.1:7001"]
 region = "Muntenia"
 availability_zone = "muntenia-a"
 `;
@@ -13,24 +13,24 @@
 test("parseControlSettings fills in defaults", () => {
   const result = parseControlSettings(valid, "control.toml");
   assert.ok(result.kind === "ok");
-  assert.equal(result.value.address, "127.0.0.1:7300");
+  assert.equal(result.value.address, "127.0.0.1:7000");
   assert.equal(result.value.stopLimitMilliseconds, 5000);
 });
 
 const faults = [
   {
     name: "an open listener without a token",
-    text: valid.replaceAll("127.0.0.1:7300", "10.0.0.1:7300"),
+    text: valid.replaceAll("127.0.0.1:7000", "10.0.0.1:7000"),
     findings: [/control\.toml:2: listen: .*token_file is not set/],
   },
   {
     name: "a group without this instance",
-    text: valid + 'address = "127.0.0.1:7309"\n',
-    findings: [/control\.toml:3: members: Expected 127\.0\.0\.1:7309/],
+    text: valid + 'address = "127.0.0.1:7009"\n',
+    findings: [/control\.toml:3: members: Expected 127\.0\.0\.1:7009/],
   },
   {
     name: "several faults in one pass",
-    text: valid.replace(":7301", "").replace('"data"', "7") + "port = 1\n",
+    text: valid.replace(":7001", "").replace('"data"', "7") + "port = 1\n",
     findings: [
       /control\.toml:1: data_folder: Expected a text/,
       /control\.toml:3: members\.1: Expected host:port/,
