Test the replacement of an instance at its own address

Cause: docs/operations.md promises that both addresses may be the same. Change: a failure test that empties the disk of an instance, replaces it at its address and then loses a second one. Measured: the 4 tests of tests/control_group_test.ts pass, 13.5 s.

--- a/tests/control_group_test.ts
+++ b/tests/control_group_test.ts
@@ -85,6 +85,30 @@
   assert.deepEqual(revisions.map((each) => each.revision), [4, 3, 2, 1]);
 });
 
+test("an instance that lost its disk is replaced at its own address", async () => {
+  const group = await ControlGroup.start(3);
+  groups.push(group);
+  const file = writeDocument(300);
+  assert.equal((await group.run(`apply trial ${file} --base 0`)).code, 0);
+  const leader = await group.waitForLeader();
+  const [lost, kept] = group.instances.filter((each) => each !== leader);
+  await lost?.end("SIGKILL");
+  await lost?.startEmpty();
+  const replaced = await group.run(
+    `control replace ${lost?.address} ${lost?.address}`,
+    { addresses: [leader.address, `${kept?.address}`] },
+  );
+  assert.equal(replaced.code, 0, replaced.text);
+  await kept?.end("SIGKILL");
+  const addresses = [leader.address, `${lost?.address}`];
+  const next = writeDocument(301);
+  const applied = await group.run(`apply trial ${next} --base 1`, {
+    addresses,
+  });
+  assert.equal(applied.code, 0, applied.text);
+  assert.equal((await getRevisions(group, addresses)).length, 2);
+});
+
 test("SIGTERM ends an instance with 0, and a restart has what was accepted", async () => {
   const group = await ControlGroup.start(1);
   groups.push(group);
--- a/tests/support/control_group.ts
+++ b/tests/support/control_group.ts
@@ -18,15 +18,49 @@
 export class ControlProcess {
   readonly address: string;
   readonly #file: string;
+  readonly #dataFolder: string;
   #child: ChildProcess | undefined;
 
   constructor(address: string, file: string) {
     this.address = address;
     this.#file = file;
+    this.#dataFolder = `${file}.data`;
+  }
+
+  /** Writes the settings; a process that joins later has no members. */
+  writeSettings(members: readonly string[]): void {
+    const membersLine = members.length > 0
+      ? `members = ${JSON.stringify(members)}`
+      : "";
+    writeFileSync(
+      this.#file,
+      `data_folder = ${JSON.stringify(this.#dataFolder)}
+listen = "${this.address}"
+${membersLine}
+region = "Muntenia"
+availability_zone = "muntenia-a"
+`,
+    );
+  }
+
+  /** Starts an ended process again with an empty disk, outside the group. */
+  async startEmpty(): Promise<void> {
+    rmSync(this.#dataFolder, { recursive: true, force: true });
+    this.writeSettings([]);
+    this.start();
+    await this.waitUntilListening();
+  }
+
+  async waitUntilListening(): Promise<void> {
+    await waitUntil(
+      () => this.getLog().includes("event=listening"),
+      "the instance listens",
+    );
   }
 
   /** Starts the process; its log goes to a file beside its settings. */
   start(): void {
+    writeFileSync(`${this.#file}.log`, "");
     this.#child = spawn(process.execPath, [program, this.#file], {
       stdio: ["ignore", "ignore", "pipe"],
     });
@@ -87,10 +121,7 @@
   async startSpare(): Promise<ControlProcess> {
     const [address] = await findAddresses(1);
     const spare = this.#add(address as string, []);
-    await waitUntil(
-      () => spare.getLog().includes("event=listening"),
-      "the new instance listens",
-    );
+    await spare.waitUntilListening();
     return spare;
   }
 
@@ -155,19 +186,9 @@
   }
 
   #add(address: string, members: readonly string[]): ControlProcess {
-    const name = `${this.instances.length}`;
-    const file = join(this.#folder, `${name}.toml`);
-    writeFileSync(
-      file,
-      `data_folder = ${JSON.stringify(join(this.#folder, name))}
-listen = "${address}"
-${members.length > 0 ? `members = ${JSON.stringify(members)}` : ""}
-region = "Muntenia"
-availability_zone = "muntenia-a"
-`,
-    );
-    writeFileSync(`${file}.log`, "");
+    const file = join(this.#folder, `${this.instances.length}.toml`);
     const instance = new ControlProcess(address, file);
+    instance.writeSettings(members);
     this.instances.push(instance);
     instance.start();
     return instance;
