Cover targets of other regions evenly from a whole region

Cause: bench/membership.ts subsets showed 26 to 47 callers per target at 240 targets, 240 callers and 24 zones: each zone spread the other regions for itself, and windows at equal distances began in the same zone.

Change: the nodes of a region share the ring of the other regions, and zones are mixed along a ring by hash instead of by name. bench/membership.ts also compares subsets with choice by hash and streams with unary calls.

--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -15,6 +15,7 @@
 import { TcpProxy } from "../tests/support/tcp_proxy.ts";
 import { waitUntil } from "../tests/support/wait_until.ts";
 import { createLargeDocument, getServiceName } from "./membership_document.ts";
+import { measureSubsets, measureTransport } from "./membership_choices.ts";
 import { createArrivedTarget } from "./membership_memory.ts";
 import type { SessionsNews, SessionsRequest } from "./membership_sessions.ts";
 
@@ -504,6 +505,8 @@
   exchange: measureExchange,
   spread: measureSpread,
   memory: measureMemory,
+  subsets: measureSubsets,
+  transport: measureTransport,
 };
 for (const [name, measure] of Object.entries(parts)) {
   if (process.argv.length === 2 || process.argv.includes(name)) {
--- /dev/null
+++ b/bench/membership_choices.ts
@@ -0,0 +1,299 @@
+// Compares what was chosen for membership with what was not.
+import {
+  credentials,
+  Server,
+  ServerCredentials,
+  type ServerDuplexStream,
+} from "@grpc/grpc-js";
+import { getStableHash } from "../src/common/mod.ts";
+import {
+  getViewDelta,
+  type KnownTarget,
+  maximumSubsetSize,
+  SubsetRing,
+} from "../src/membership/mod.ts";
+import {
+  ExchangeClient,
+  ExchangeService,
+} from "../src/protocol/generated/exchange.ts";
+import {
+  SessionClient,
+  SessionService,
+} from "../src/protocol/generated/session.ts";
+import { TcpProxy } from "../tests/support/tcp_proxy.ts";
+import { createArrivedTarget } from "./membership_memory.ts";
+
+interface Fleet {
+  readonly targets: readonly KnownTarget[];
+  readonly callers: readonly { nodeId: string; zone: number }[];
+  readonly zones: number;
+}
+
+type Choose = (fleet: Fleet) => ReadonlyMap<string, readonly KnownTarget[]>;
+
+function getPlace(zone: number) {
+  return { region: `region-${zone % 8}`, availabilityZone: `zone-${zone}` };
+}
+
+function createFleet(targets: number, callers: number, zones: number): Fleet {
+  return {
+    zones,
+    targets: Array.from({ length: targets }, (_, number) => ({
+      ...createArrivedTarget(number),
+      ...getPlace(number % zones),
+    })),
+    callers: Array.from({ length: callers }, (_, number) => ({
+      nodeId: `caller-${number}`,
+      zone: number % zones,
+    })),
+  };
+}
+
+const chooseByRing: Choose = (fleet) => {
+  const views = new Map<string, KnownTarget[]>();
+  for (let zone = 0; zone < fleet.zones; zone++) {
+    const place = getPlace(zone);
+    const callers = fleet.callers.map((each) => ({
+      ...each,
+      ...getPlace(each.zone),
+    }))
+      .filter((each) => each.region === place.region);
+    const ring = new SubsetRing(fleet.targets, callers, place);
+    callers.filter((each) => each.zone === zone)
+      .forEach(({ nodeId }) => views.set(nodeId, ring.select(nodeId)));
+  }
+  return views;
+};
+
+/** Takes the targets with the lowest hash for the caller, zones ignored. */
+const chooseByHash: Choose = (fleet) =>
+  new Map(fleet.callers.map(({ nodeId }) => [
+    nodeId,
+    fleet.targets.map((target) => ({
+      target,
+      hash: getStableHash(`${nodeId} ${target.targetId}`),
+    })).sort((a, b) => a.hash - b.hash).slice(0, maximumSubsetSize)
+      .map(({ target }) => target)
+      .sort((a, b) => a.targetId < b.targetId ? -1 : 1),
+  ]));
+
+/** Takes the targets with the lowest hash, as many of each tier as the ring. */
+const chooseByHashInTiers: Choose = (fleet) => {
+  const sizes = chooseByRing(fleet);
+  return new Map(fleet.callers.map(({ nodeId, zone }) => {
+    const place = getPlace(zone);
+    const getTier = (target: KnownTarget) =>
+      target.region !== place.region
+        ? 2
+        : target.availabilityZone === place.availabilityZone
+        ? 0
+        : 1;
+    const chosen = [0, 1, 2].flatMap((tier) => {
+      const size = sizes.get(nodeId)?.filter((each) => getTier(each) === tier)
+        .length ?? 0;
+      return fleet.targets.filter((each) => getTier(each) === tier)
+        .map((target) => ({
+          target,
+          hash: getStableHash(`${nodeId} ${target.targetId}`),
+        })).sort((a, b) => a.hash - b.hash).slice(0, size)
+        .map(({ target }) => target);
+    });
+    return [
+      nodeId,
+      chosen.sort((a, b) => a.targetId < b.targetId ? -1 : 1),
+    ];
+  }));
+};
+
+function getChanges(
+  before: ReturnType<Choose>,
+  after: ReturnType<Choose>,
+): number {
+  let changed = 0;
+  for (const [nodeId, view] of before) {
+    changed += getViewDelta(view, after.get(nodeId) ?? [])?.changed.length ?? 0;
+  }
+  return Number((changed / before.size).toFixed(2));
+}
+
+/** Compares ways to choose the targets of a node. */
+export function measureSubsets(): void {
+  const rows = [];
+  for (
+    const [targets, callers, zones] of [[36, 36, 6], [240, 240, 24], [
+      1000,
+      200,
+      24,
+    ], [1000, 2000, 24]] as const
+  ) {
+    for (
+      const [name, choose] of Object.entries({
+        "ring in tiers": chooseByRing,
+        "hash in tiers": chooseByHashInTiers,
+        "hash over all": chooseByHash,
+      })
+    ) {
+      const fleet = createFleet(targets, callers, zones);
+      const views = choose(fleet);
+      const uses = new Map(fleet.targets.map((each) => [each.targetId, 0]));
+      let inZone = 0;
+      for (const { nodeId, zone } of fleet.callers) {
+        for (const target of views.get(nodeId) ?? []) {
+          uses.set(target.targetId, (uses.get(target.targetId) ?? 0) + 1);
+          inZone += Number(
+            target.availabilityZone === getPlace(zone).availabilityZone,
+          );
+        }
+      }
+      const counts = [...uses.values()];
+      const larger = createFleet(targets + 1, callers, zones);
+      // The same objects, so that only real changes count.
+      const withTarget = {
+        ...larger,
+        targets: [...fleet.targets, ...larger.targets.slice(targets)],
+      };
+      const withCaller = {
+        ...createFleet(targets, callers + 1, zones),
+        targets: fleet.targets,
+      };
+      rows.push({
+        targets,
+        callers,
+        choice: name,
+        "least callers": Math.min(...counts),
+        "most callers": Math.max(...counts),
+        "in own zone": Number((inZone / callers).toFixed(1)),
+        "changed per node by a target": getChanges(views, choose(withTarget)),
+        "changed per node by a node": getChanges(views, choose(withCaller)),
+      });
+    }
+  }
+  console.log(
+    "Subsets: callers per target, and targets that change in a node's view",
+  );
+  console.table(rows);
+}
+
+/** Compares renewals on a stream with one unary call each. */
+export async function measureTransport(): Promise<void> {
+  const server = new Server();
+  server.addService(SessionService, {
+    open: (stream: ServerDuplexStream<unknown, unknown>) => {
+      stream.on(
+        "data",
+        () =>
+          stream.write({
+            formatVersion: 1,
+            message: {
+              $case: "renewAnswer",
+              renewAnswer: {
+                sequence: 1000,
+                leaseMilliseconds: 6000,
+                ledgerIndex: 100_000,
+                linkShares: [],
+                revision: 1000,
+              },
+            },
+          }),
+      );
+      stream.on("end", () => stream.end());
+    },
+  });
+  server.addService(ExchangeService, {
+    push: (_call: unknown, callback: (error: null, answer: unknown) => void) =>
+      callback(null, {
+        formatVersion: 1,
+        refusal: undefined,
+        boot: 100_000,
+        wanted: [],
+      }),
+  });
+  const port = await new Promise<number>((resolve) =>
+    server.bindAsync(
+      "127.0.0.1:0",
+      ServerCredentials.createInsecure(),
+      (_, bound) => resolve(bound),
+    )
+  );
+  const proxy = new TcpProxy(`127.0.0.1:${port}`);
+  await proxy.listen();
+  const rounds = 3000;
+  const rows: object[] = [];
+  const measure = async (name: string, run: () => Promise<void>) => {
+    for (let round = 0; round < 500; round++) {
+      await run();
+    }
+    const before = {
+      bytes: proxy.sent + proxy.received,
+      cpu: process.cpuUsage(),
+    };
+    for (let round = 0; round < rounds; round++) {
+      await run();
+    }
+    const { user, system } = process.cpuUsage(before.cpu);
+    rows.push({
+      renewal: name,
+      "bytes both ways": Math.round(
+        (proxy.sent + proxy.received - before.bytes) / rounds,
+      ),
+      "processor time of both sides and proxy, microseconds": Math.round(
+        (user + system) / rounds,
+      ),
+    });
+  };
+  const session = new SessionClient(
+    proxy.address,
+    credentials.createInsecure(),
+  );
+  const stream = session.open();
+  await measure("message on a stream", () =>
+    new Promise((resolve) => {
+      stream.once("data", () => resolve());
+      stream.write({
+        formatVersion: 1,
+        message: {
+          $case: "renew",
+          renew: {
+            sequence: 1000,
+            revision: 1000,
+            linkBytes: [],
+            admissionLevel: 0,
+            ledgerIndex: 100_000,
+            answeredSequence: 999,
+          },
+        },
+      });
+    }));
+  const exchange = new ExchangeClient(
+    proxy.address,
+    credentials.createInsecure(),
+  );
+  await measure(
+    "unary call",
+    () =>
+      new Promise((resolve, reject) =>
+        exchange.push({
+          formatVersion: 1,
+          instanceId: "node",
+          boot: 1000,
+          counter: 100_000,
+          collecting: false,
+          targets: [],
+          nodes: [],
+          buckets: [],
+          digests: [],
+          crashNews: [],
+          linkDemand: undefined,
+        }, (error) => error === null ? resolve() : reject(error))
+      ),
+  );
+  console.log(
+    "Renewal on a stream against polling by unary calls, one connection, one after the other",
+  );
+  console.table(rows);
+  stream.cancel();
+  session.close();
+  exchange.close();
+  proxy.close();
+  server.forceShutdown();
+}
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -22,7 +22,12 @@
   type OwnerDigest,
   type ServiceName,
 } from "./directory.ts";
-export { maximumSubsetSize, type Place, SubsetRing } from "./subset_ring.ts";
+export {
+  type Caller,
+  maximumSubsetSize,
+  type Place,
+  SubsetRing,
+} from "./subset_ring.ts";
 export {
   getViewDelta,
   getViewDigest,
--- a/src/membership/subset_ring.ts
+++ b/src/membership/subset_ring.ts
@@ -14,40 +14,64 @@
   readonly availabilityZone: string;
 }
 
+/** A node that calls a service, and its availability zone. */
+export interface Caller {
+  readonly nodeId: string;
+  readonly availabilityZone: string;
+}
+
 /**
  * Spreads the targets of a service over the nodes of one availability zone
  * that call it.
  *
  * The targets of a tier lie on a ring, and node `i` of `n` takes a window that
  * starts at `floor(i × size / n)`. Windows of one length that start evenly
- * spaced cover any two targets equally often, give or take one.
+ * spaced cover any two targets equally often, give or take one. The nodes of a
+ * region have the other regions before them in the same order, so that a target
+ * is covered evenly by a region and not only by each of its zones.
  */
 export class SubsetRing {
   readonly #tiers: readonly (readonly KnownTarget[])[];
   readonly #lengths: readonly number[];
-  readonly #callers: readonly Caller[];
+  /** Callers by tier: of the zone for the near tiers, else of the region. */
+  readonly #callers: readonly (readonly HashedCaller[])[];
 
   /**
    * @param targets The live targets of the service.
-   * @param callers Identities of the calling nodes in the zone.
+   * @param callers The calling nodes of the region.
    * @param place The zone.
    */
   constructor(
     targets: Iterable<KnownTarget>,
-    callers: Iterable<string>,
+    callers: Iterable<Caller>,
     place: Place,
   ) {
     const tiers: KnownTarget[][] = [[], [], []];
     for (const target of targets) {
       tiers[getTier(target, place)]?.push(target);
     }
-    // Each zone has its own order, or the first nodes of all zones would meet
-    // at the same targets.
-    const seed = getStableHash(`${place.region}\0${place.availabilityZone}`);
-    this.#tiers = tiers.map((tier) => interleaveZones(tier, seed));
+    // Each zone or region has its own order, or the first nodes of all would
+    // meet at the same targets.
+    const zoneSeed = getStableHash(
+      `${place.region}\0${place.availabilityZone}`,
+    );
+    const seeds = [zoneSeed, zoneSeed, getStableHash(place.region)];
+    this.#tiers = tiers.map((tier, index) =>
+      interleaveZones(tier, seeds[index] ?? 0)
+    );
     this.#lengths = getTierLengths(tiers.map((tier) => tier.length));
-    this.#callers = [...new Set(callers)].map(createCaller)
-      .sort(compareCallers);
+    const ofRegion = new Map<string, HashedCaller>();
+    const ofZone = new Map<string, HashedCaller>();
+    for (const { nodeId, availabilityZone } of callers) {
+      const caller = createHashedCaller(nodeId);
+      ofRegion.set(nodeId, caller);
+      if (availabilityZone === place.availabilityZone) {
+        ofZone.set(nodeId, caller);
+      }
+    }
+    const inZone = [...ofZone.values()].sort(compareCallers);
+    const inRegion = [...ofRegion.values()].sort(compareCallers);
+    this.#callers = [inZone, inZone, inRegion];
   }
 
   /**
@@ -57,9 +81,11 @@
    * @returns At most {@link maximumSubsetSize} targets, ordered by identity.
    */
   select(nodeId: string): KnownTarget[] {
-    const rank = this.#getRank(createCaller(nodeId));
-    const count = Math.max(this.#callers.length, 1);
+    const caller = createHashedCaller(nodeId);
     const selected = this.#tiers.flatMap((tier, index) => {
+      const callers = this.#callers[index] ?? [];
+      const count = Math.max(callers.length, 1);
+      const rank = getRank(callers, caller);
       const length = this.#lengths[index] ?? 0;
       const start = Math.floor((rank * tier.length) / count);
       return Array.from(
@@ -70,34 +96,37 @@
     return selected.filter((each) => each !== undefined)
       .sort((a, b) => compareText(a.targetId, b.targetId));
   }
-
-  /** Gets the index of a caller, or of the place where it would be. */
-  #getRank(caller: Caller): number {
-    let low = 0;
-    let high = this.#callers.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      const other = this.#callers[middle];
-      if (other !== undefined && compareCallers(other, caller) < 0) {
-        low = middle + 1;
-      } else {
-        high = middle;
-      }
-    }
-    return low;
-  }
 }
 
-interface Caller {
+interface HashedCaller {
   readonly nodeId: string;
   readonly hash: number;
 }
 
-function createCaller(nodeId: string): Caller {
+/** Gets the index of a caller, or of the place where it would be. */
+function getRank(
+  callers: readonly HashedCaller[],
+  caller: HashedCaller,
+): number {
+  let low = 0;
+  let high = callers.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    const other = callers[middle];
+    if (other !== undefined && compareCallers(other, caller) < 0) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+}
+
+function createHashedCaller(nodeId: string): HashedCaller {
   return { nodeId, hash: getStableHash(nodeId) };
 }
 
-function compareCallers(a: Caller, b: Caller): number {
+function compareCallers(a: HashedCaller, b: HashedCaller): number {
   return a.hash - b.hash || compareText(a.nodeId, b.nodeId);
 }
 
@@ -139,9 +168,14 @@
     zone.sort((a, b) =>
       a.hash - b.hash || compareText(a.target.targetId, b.target.targetId)
     );
-    zone.forEach(({ target }, index) =>
-      placed.push({ target, position: (index + 0.5) / zone.length, zone: name })
-    );
+    // Zones of equal size would otherwise come in the same order all around
+    // the ring, and windows at equal distances would start in the same zone.
+    const offset = getStableHash(name, seed) / 2 ** 32;
+    zone.forEach(({ target, hash }, index) => {
+      const jitter = offset + hash / 2 ** 32;
+      const position = (index + jitter / 2) / zone.length;
+      placed.push({ target, position, zone: name });
+    });
   }
   placed.sort((a, b) => a.position - b.position || compareText(a.zone, b.zone));
   return placed.map(({ target }) => target);
--- a/src/membership/subset_ring_test.ts
+++ b/src/membership/subset_ring_test.ts
@@ -27,6 +27,13 @@
   };
 }
 
+function createCallers(count: number) {
+  return Array.from({ length: count }, (_, index) => ({
+    nodeId: `caller ${index}`,
+    availabilityZone: "z0",
+  }));
+}
+
 function getPlace(zone: number) {
   return { region: `r${zone >> 1}`, availabilityZone: `z${zone}` };
 }
@@ -48,14 +55,11 @@
             (_, index) => createTarget(zone * 100 + index, zone),
           )
         );
-        const callers = Array.from(
-          { length: callerCount },
-          (_, index) => `caller ${index}`,
-        );
+        const callers = createCallers(callerCount);
         const ring = new SubsetRing(targets, callers, getPlace(0));
         const uses = new Map(targets.map((each) => [each.targetId, 0]));
         for (const caller of callers) {
-          const view = ring.select(caller);
+          const view = ring.select(caller.nodeId);
           assert.equal(
             view.length,
             Math.min(targets.length, maximumSubsetSize),
@@ -95,16 +99,21 @@
     { length: 120 },
     (_, index) => createTarget(index, index % 6),
   );
-  const callers = Array.from({ length: 40 }, (_, index) => `caller ${index}`);
+  const callers = createCallers(40);
   const before = new SubsetRing(targets, callers, getPlace(0));
   const cases = [
     { name: "a target", targets: [...targets, createTarget(500, 0)], callers },
-    { name: "a node", targets, callers: [...callers, "caller x"] },
+    {
+      name: "a node",
+      targets,
+      callers: [...callers, { nodeId: "x", availabilityZone: "z0" }],
+    },
   ];
   for (const { name, ...next } of cases) {
     const after = new SubsetRing(next.targets, next.callers, getPlace(0));
     const changed = callers.map((caller) =>
-      getViewDelta(before.select(caller), after.select(caller))?.changed
+      getViewDelta(before.select(caller.nodeId), after.select(caller.nodeId))
+        ?.changed
         .length ?? 0
     );
     const mean = changed.reduce((sum, count) => sum + count, 0) /
--- a/src/membership/view_planner.ts
+++ b/src/membership/view_planner.ts
@@ -1,6 +1,6 @@
 import type { Directory, ServiceName } from "./directory.ts";
 import { getServiceKey } from "./directory.ts";
-import { type Place, SubsetRing } from "./subset_ring.ts";
+import { type Caller, type Place, SubsetRing } from "./subset_ring.ts";
 import type { KnownTarget } from "./target_record.ts";
 
 /** A node that gets views. */
@@ -58,16 +58,13 @@
   }
 
   #createRing(name: ServiceName, place: Place): SubsetRing {
-    const callers: string[] = [];
+    const callers: Caller[] = [];
     for (const service of this.#getCallers(name)) {
       const { environment } = name;
       const targets = this.#directory.getTargets({ environment, service });
       for (const target of targets.values()) {
-        if (
-          target.region === place.region &&
-          target.availabilityZone === place.availabilityZone
-        ) {
-          callers.push(target.nodeId);
+        if (target.region === place.region) {
+          callers.push(target);
         }
       }
     }
