Let a node that stops while it moves still leave; drop unused wiring

Cause: a node that stopped between two sessions left its target in views until the lease or grace ended. The control process brought its own wiring of crash reports, so the one here had no user.

Change: ControlSession.stop waits for the session that is being opened while a lease is held. session_services.ts and crash_newsroom.ts are removed; their test of isolation now tests SessionHost.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -154,6 +154,9 @@
   #sentBytes: readonly LinkBytes[] = [];
   #shares: readonly LinkShare[] = [];
   #onStopped: (() => void) | undefined;
+  #onAdopted: (() => void) | undefined;
+  #hasLease = false;
+  #isStopping = false;
   #isStopped = false;
 
   constructor(options: ControlSessionOptions) {
@@ -230,13 +233,25 @@
   }
 
   /**
-   * Ends the session and the lease. Resolves when the instance confirmed, or
-   * after the silence limit.
+   * Ends the session and the lease. A session that is moving first reaches
+   * another instance, within the silence limit. Resolves when the instance
+   * confirmed, or after another silence limit.
    */
   async stop(): Promise<void> {
-    if (this.#isStopped) {
+    if (this.#isStopped || this.#isStopping) {
       return;
     }
+    this.#isStopping = true;
+    if (this.#current === undefined && this.#hasLease) {
+      // Control would offer the targets until the lease ends.
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, this.#options.silenceMilliseconds);
+        this.#onAdopted = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
     this.#isStopped = true;
     clearTimeout(this.#attemptTimer);
     clearTimeout(this.#moveTimer);
@@ -394,6 +409,7 @@
       connection.send(each.message);
     }
     this.#scheduleRenew(this.#random() * this.#options.renewMilliseconds);
+    this.#onAdopted?.();
   }
 
   #onEnd(connection: SessionConnection, reason: string): void {
@@ -533,6 +549,7 @@
     if (answer.ledgerIndex > 0) {
       this.#options.onLedgerIndex?.(answer.ledgerIndex);
     }
+    this.#hasLease = true;
     clearTimeout(this.#leaseTimer);
     this.#leaseTimer = setTimeout(
       () => this.#onLeaseEnd(),
@@ -546,6 +563,7 @@
 
   /** Falls back to the shares that control counts without a lease. */
   #onLeaseEnd(): void {
+    this.#hasLease = false;
     if (this.#shares.length > 0) {
       this.#options.onLinkShares(this.#shares.map((share) => ({
         ...share,
--- a/src/session_server/control_state.ts
+++ b/src/session_server/control_state.ts
@@ -32,15 +32,8 @@
   getLedgerIndex(): number;
   /** Gets the other instances; may change. */
   getPeers(): readonly PeerInstance[];
-  /**
-   * Called for crashes at the nodes of any instance; may repeat a report.
-   * `isLocal` tells that the node has its session here.
-   */
-  onCrashReport(
-    environment: string,
-    report: CrashReport,
-    isLocal: boolean,
-  ): void;
+  /** Called for crashes at the nodes of any instance; may repeat a report. */
+  onCrashReport(environment: string, report: CrashReport): void;
   /** Called when a suspect completed at a node of any instance. */
   onSuspectCleared(environment: string, fingerprint: string): void;
 }
--- a/src/session_server/mod.ts
+++ b/src/session_server/mod.ts
@@ -4,13 +4,6 @@
   ControlState,
   PeerInstance,
 } from "./control_state.ts";
-export {
-  addSessionServices,
-  type ControlHost,
-  type SessionServices,
-  type SessionServicesOptions,
-} from "./session_services.ts";
-export type { CrashRules } from "./crash_newsroom.ts";
 export {
   type DrainOutcome,
   type LiveNode,
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -57,6 +57,7 @@
   /** Adds the token to each call to another instance. */
   readonly interceptors?: readonly Interceptor[];
   readonly leaseMilliseconds?: number;
+  /** Must be above 2 s, in which a quiet instance is heard once. */
   readonly graceMilliseconds?: number;
   readonly rebalanceMilliseconds?: number;
 }
@@ -107,8 +108,6 @@
   });
   readonly #sessions = new SessionRegistry();
   readonly #parts = new Map<string, DocumentParts>();
-  /** Last sent quarantine lists by environment. */
-  readonly #quarantined = new Map<string, string>();
   readonly #expireTimer: NodeJS.Timeout;
   readonly #rebalanceTimer: NodeJS.Timeout;
   #flushTimer: NodeJS.Timeout | undefined;
@@ -191,14 +190,9 @@
     }
   }
 
-  /** Sends the list of quarantined fingerprints if it changed. */
+  /** Sends the list of quarantined fingerprints after a change. */
   onQuarantineChanged(environment: string): void {
     const quarantined = [...this.#options.state.getQuarantined(environment)];
-    const text = quarantined.join(" ");
-    if (this.#quarantined.get(environment) === text) {
-      return;
-    }
-    this.#quarantined.set(environment, text);
     this.#broadcast(environment, {
       suspects: [],
       cleared: [],
@@ -291,15 +285,6 @@
     ]).map((target) => toWireTarget(target, now));
   }
 
-  /** Gets the environments of the open sessions. */
-  getEnvironments(): string[] {
-    return [
-      ...new Set(
-        [...this.#sessions.values()].map(({ hello }) => hello.environment),
-      ),
-    ];
-  }
-
   /** Number of open sessions. */
   get sessionCount(): number {
     return this.#sessions.size;
@@ -410,7 +395,7 @@
           this.#onAnnouncement(session, announcement.record),
       )
       .with({ $case: "crashReport" }, ({ crashReport }) => {
-        this.#options.state.onCrashReport(environment, crashReport, true);
+        this.#options.state.onCrashReport(environment, crashReport);
         this.#exchange.addCrashNews({
           environment,
           news: { $case: "report", report: crashReport },
@@ -687,7 +672,7 @@
     const { state } = this.#options;
     for (const { environment, news } of call.request.crashNews) {
       if (news?.$case === "report") {
-        state.onCrashReport(environment, news.report, false);
+        state.onCrashReport(environment, news.report);
       } else if (news?.$case === "cleared") {
         state.onSuspectCleared(environment, news.cleared.fingerprint);
       }
--- /dev/null
+++ b/src/session_server/session_host_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { after, test } from "node:test";
+import { parseDocument } from "../document/mod.ts";
+import { startControlInstances } from "../../tests/support/control_instance.ts";
+import { SessionNode } from "../../tests/support/session_node.ts";
+import { waitUntil } from "../../tests/support/wait_until.ts";
+
+const file = "examples/benefits-office.toml";
+const parsed = parseDocument(readFileSync(file, "utf8"), file);
+assert.equal(parsed.kind, "ok");
+const document = parsed.kind === "ok" ? parsed.value : undefined;
+
+test("an isolated instance gives out no document, shares no ledger index", async () => {
+  assert.ok(document !== undefined);
+  const [control] = await startControlInstances(1);
+  assert.ok(control !== undefined);
+  after(() => control.kill());
+  const start = (nodeId: string) => {
+    const indexes: number[] = [];
+    const node = new SessionNode({
+      controlAddresses: [control.address],
+      identity: { nodeId },
+      onLedgerIndex: (index) => indexes.push(index),
+    });
+    after(() => void node.session.stop());
+    return { node, indexes };
+  };
+  control.ledgerIndex = 7;
+  control.accept("trial", { revision: 1, digest: "d1", document });
+  const { node, indexes } = start("n1");
+  node.announce("ready");
+  await waitUntil(() => node.revisions.includes(1), "revision 1 arrives");
+  await waitUntil(() => indexes.includes(7), "the ledger index arrives");
+  await waitUntil(
+    () =>
+      node.shares.some((each) =>
+        each.fromRegion === "Puget" && each.bytesPerSecond > 0
+      ),
+    "link shares arrive",
+  );
+  control.setAvailability("isolated");
+  control.accept("trial", { revision: 2, digest: "d2", document });
+  const late = start("n2");
+  await waitUntil(
+    () => late.node.session.getStatus().connected,
+    "an isolated instance is accepted when there is no other",
+  );
+  await waitUntil(
+    () => late.node.views.get("balances")?.length === 1,
+    "its views arrive after the document would have",
+  );
+  assert.deepEqual([node.revisions, late.node.revisions], [[1], []]);
+  assert.deepEqual(late.indexes, []);
+  control.setAvailability("available");
+  await waitUntil(
+    () => late.node.revisions.includes(2) && node.revisions.includes(2),
+    "both catch up",
+  );
+});
