Move sooner from a silent instance; test cut links between instances

Cause: renewal, silence, jitter and connecting added up to 5.9 s of a lease of 6 s when only the way from a node to its instance is silent.

Change: after silence the jitter is 200 ms instead of 1 s; renewals are spread over 2 s, so nodes notice at different times. Directory tests cut one link of three (news come through the third instance) and all links of one instance (each side keeps its own targets), then heal them.

Result: npm test -- src/membership src/session_server src/control_client passes.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -424,7 +424,8 @@
     }
   }
 
-  #onLost(reason: string): void {
+  /** Looks for another instance, after a part of the longest jitter. */
+  #onLost(reason: string, jitterPart = 1): void {
     this.#options.log?.warn("control-lost", {
       address: this.#current?.address,
       reason,
@@ -437,7 +438,9 @@
     clearTimeout(this.#moveTimer);
     this.#moveTimer = undefined;
     if (this.#attempts.size === 0) {
-      this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds);
+      this.#scheduleMove(
+        this.#random() * this.#options.jitterMilliseconds * jitterPart,
+      );
     }
   }
 
@@ -459,7 +462,9 @@
         // This process stood still; the answer may wait in the socket.
         this.#scheduleRenew(standstillMilliseconds);
       } else {
-        this.#onLost("no answer within the silence limit");
+        // Renewals of many nodes are spread over time already, and the lease
+        // at a silent instance that still lives is about to end.
+        this.#onLost("no answer within the silence limit", 0.2);
       }
       return;
     }
--- a/src/membership/directory_test.ts
+++ b/src/membership/directory_test.ts
@@ -202,6 +202,70 @@
   assert.deepEqual(other.mergeBatch(relayed, 12_000), []);
 });
 
+const cuts: {
+  name: string;
+  isCut: (from: number, to: number) => boolean;
+  atSecond: readonly string[];
+}[] = [
+  {
+    name: "an instance is heard through others when one link is cut",
+    isCut: (from, to) => from + to === 1,
+    atSecond: ["a", "b"],
+  },
+  {
+    name: "each side of a partition keeps its own targets",
+    isCut: (from, to) => (from === 0) !== (to === 0),
+    atSecond: ["b"],
+  },
+];
+for (const { name, isCut, atSecond } of cuts) {
+  test(name, () => {
+    const directories = [0, 1, 2].map((id) => createDirectory(id, 3));
+    const wanted = new Map<string, BucketName[]>();
+    const announce = (id: number, targetId: string, now: number) => {
+      const sequence = 10 * now + id + 1;
+      const nodeId = `n${id}`;
+      const facts = { incarnation: 1, sequence, state: "ready" as const };
+      const target = createTarget(targetId, { ...facts, nodeId });
+      directories[id]?.openLease(createNode(nodeId, sequence), now);
+      const holder = {
+        nodeKey: `${environment}\0${nodeId}`,
+        sessionSequence: sequence,
+      };
+      directories[id]?.announce(holder, { target, now });
+    };
+    for (let now = 0; now <= 30_000; now += 250) {
+      if (now % 1000 === 0) {
+        announce(0, "a", now);
+        announce(1, "b", now);
+      }
+      directories.forEach((directory, from) => {
+        directory.expire(now);
+        const changes = directory.takeOwnChanges();
+        directories.forEach((other, to) => {
+          // The last second heals the links again.
+          if (from !== to && (now > 29_000 || !isCut(from, to))) {
+            const batch = directory.createBatch({
+              ...changes,
+              wanted: wanted.get(`${from} ${to}`) ?? [],
+              hasDigests: now % 2000 === 0 || now > 29_000,
+            }, now);
+            wanted.set(`${from} ${to}`, other.mergeBatch(batch, now));
+          }
+        });
+      });
+      if (now === 28_000) {
+        const second = directories[1];
+        assert.ok(second !== undefined);
+        assert.deepEqual(Object.keys(getStates(second)), atSecond);
+      }
+    }
+    for (const directory of directories) {
+      assert.deepEqual(Object.keys(getStates(directory)), ["a", "b"]);
+    }
+  });
+}
+
 /** Directories whose messages are lost, repeated and reordered. */
 class Fleet {
   readonly directories: Directory[];
