Let the admission level fall while its queue turns few calls away

Cause: the level fell only in windows without any call turned away, which a short queue seldom has at high load, so it stayed up after the slow-down. Change: it falls when less than half of the tolerated 3% is turned away.

--- a/src/admission/admission_level.ts
+++ b/src/admission/admission_level.ts
@@ -80,7 +80,7 @@
     const part = this.#turnedAway / Math.max(1, this.#offeredTotal);
     if (part > toleratedPart) {
       this.#rise(part - toleratedPart);
-    } else if (this.#turnedAway === 0 && !isBusy) {
+    } else if (part < toleratedPart / 2 && !isBusy) {
       this.#fall();
     }
     this.#offered.fill(0);
