Let calls wait for the slots of running calls of lower classes

Cause: the short queue of the recovery objective refused transfers while balance views were still running. Change: beyond the limit of the queue, a call may wait when fewer such calls wait than calls of less important classes run; their slots come back first.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -232,6 +232,13 @@
       return undefined;
     }
     const victim = this.#getVictim(entry);
+    if (
+      (victim === undefined || victim.classIndex <= entry.classIndex) &&
+      this.#queue.length <
+        this.#getQueueLimit() + this.#getLowerRunning(entry.classIndex)
+    ) {
+      return undefined;
+    }
     const reason = this.#getPrecedence(victim, entry);
     this.#onTurnedAway(reason === undefined && victim ? victim : entry);
     if (reason === undefined && victim !== undefined) {
@@ -240,6 +247,19 @@
     return reason;
   }
 
+  /**
+   * Counts the running calls of less important classes. As many calls may wait
+   * beyond the limit of the queue, or a call would be refused while a less
+   * important one runs.
+   */
+  #getLowerRunning(classIndex: number): number {
+    let running = 0;
+    for (let i = classIndex + 1; i < this.#runningByClass.length; i++) {
+      running += this.#runningByClass[i] ?? 0;
+    }
+    return running;
+  }
+
   /** Gets why a new call does not take the place of a queued one. */
   #getPrecedence(
     victim: AdmissionEntry | undefined,
