--- /dev/null
+++ b/src/session_server/mod.ts
@@ -0,0 +1,20 @@
+export type {
+  AcceptedDocument,
+  Availability,
+  ControlState,
+  PeerInstance,
+} from "./control_state.ts";
+export {
+  addSessionServices,
+  type ControlHost,
+  type SessionServices,
+  type SessionServicesOptions,
+} from "./session_services.ts";
+export type { CrashRules } from "./crash_newsroom.ts";
+export {
+  type DrainOutcome,
+  type LiveNode,
+  SessionHost,
+  type SessionHostOptions,
+} from "./session_host.ts";
+export { createWireBatch, parseWireBatch } from "./instance_exchange.ts";
--- /dev/null
+++ b/tests/support/log_group.ts
@@ -0,0 +1,246 @@
+import { createHash } from "node:crypto";
+import { mkdtemp, rm } from "node:fs/promises";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createLog, type Log } from "../../src/common/mod.ts";
+import {
+  createReplicatedLog,
+  type ReplicatedLog,
+  type ReplicatedLogOptions,
+  type StateMachine,
+} from "../../src/consensus/mod.ts";
+
+/** Keeps the texts of all commands in order. */
+export class TextMachine implements StateMachine {
+  readonly texts: string[] = [];
+
+  apply(entry: { readonly command: Uint8Array }): Uint8Array {
+    this.texts.push(Buffer.from(entry.command).toString());
+    return Buffer.from(String(this.texts.length));
+  }
+
+  takeSnapshot(): Uint8Array {
+    return Buffer.from(JSON.stringify(this.texts));
+  }
+
+  restoreSnapshot(bytes: Uint8Array): void {
+    this.texts.splice(
+      0,
+      this.texts.length,
+      ...JSON.parse(Buffer.from(bytes).toString()) as string[],
+    );
+  }
+
+  getDigest(): string {
+    return createHash("sha256").update(JSON.stringify(this.texts))
+      .digest("hex");
+  }
+}
+
+/** One instance of a group under test. */
+export interface LogInstance {
+  readonly address: string;
+  readonly dataFolder: string;
+  readonly machine: TextMachine;
+  readonly log: ReplicatedLog;
+}
+
+/** A group on loopback, in this process, with real files. */
+export class LogGroup {
+  readonly instances: LogInstance[] = [];
+  readonly #root: string;
+  readonly #overrides: Partial<ReplicatedLogOptions>;
+  readonly #relays = new Map<string, Relay>();
+  #folders = 0;
+
+  private constructor(root: string, overrides: Partial<ReplicatedLogOptions>) {
+    this.#root = root;
+    this.#overrides = overrides;
+  }
+
+  /**
+   * Starts a new group and waits for its leader.
+   * @param size Number of instances.
+   * @param overrides Settings of every instance.
+   */
+  static async start(
+    size: number,
+    overrides: Partial<ReplicatedLogOptions> = {},
+  ): Promise<LogGroup> {
+    const root = await mkdtemp(join(tmpdir(), "dogwoodwalk-log-"));
+    const group = new LogGroup(root, overrides);
+    const addresses = await Promise.all(
+      Array.from({ length: size }, () => group.#createRelay()),
+    );
+    for (const address of addresses) {
+      await group.startInstance({ address, initialMembers: addresses });
+    }
+    await group.getLeader();
+    return group;
+  }
+
+  /**
+   * Starts one instance.
+   * @param options Address, folder of an earlier instance, other settings.
+   */
+  async startInstance(
+    options: Partial<ReplicatedLogOptions> & { address: string },
+  ): Promise<LogInstance> {
+    const dataFolder = options.dataFolder ??
+      join(this.#root, String(++this.#folders));
+    const machine = new TextMachine();
+    const log = await createReplicatedLog({
+      initialMembers: [],
+      stateMachine: machine,
+      log: silentLog,
+      listenAddress: this.#relays.get(options.address)?.targetAddress,
+      ...this.#overrides,
+      ...options,
+      dataFolder,
+    });
+    const instance = { address: options.address, dataFolder, machine, log };
+    this.instances.push(instance);
+    return instance;
+  }
+
+  /** Stops one instance and keeps its folder. */
+  async stopInstance(instance: LogInstance): Promise<void> {
+    this.instances.splice(this.instances.indexOf(instance), 1);
+    await instance.log.stop();
+  }
+
+  async #createRelay(): Promise<string> {
+    const relay = new Relay(await getFreeAddress());
+    const address = await relay.start();
+    this.#relays.set(address, relay);
+    return address;
+  }
+
+  /** Freezes or thaws all connections to an instance. */
+  setFrozen(instance: LogInstance, isFrozen: boolean): void {
+    this.#relays.get(instance.address)?.setFrozen(isFrozen);
+  }
+
+  /** Waits until an instance leads and is not isolated. */
+  async getLeader(): Promise<LogInstance> {
+    return await waitFor(() =>
+      this.instances.find(({ log }) => {
+        const { role, isolated } = log.getStatus();
+        return role === "leader" && !isolated;
+      }), "a leader");
+  }
+
+  /** Proposes on the leader until a proposal is committed. */
+  async propose(text: string): Promise<void> {
+    await waitFor(async () => {
+      const leader = await this.getLeader();
+      const result = await leader.log.propose(Buffer.from(text));
+      return result.kind === "ok" ? true : undefined;
+    }, `commit of ${text}`);
+  }
+
+  /** Waits until all instances applied the same entries. */
+  async waitForEqualState(): Promise<void> {
+    await waitFor(() => {
+      const states = this.instances.map(({ log }) => log.getStatus());
+      const [first] = states;
+      return states.every((each) =>
+          each.appliedIndex === first?.appliedIndex &&
+          each.lastIndex === each.appliedIndex &&
+          each.digest === first.digest
+        )
+        ? true
+        : undefined;
+    }, "equal states");
+  }
+
+  /** Stops all instances and removes their folders. */
+  async stop(): Promise<void> {
+    await Promise.all(this.instances.map(({ log }) => log.stop()));
+    this.#relays.forEach((relay) => relay.stop());
+    await rm(this.#root, { recursive: true, force: true });
+  }
+}
+
+/** Forwards connections, and can stop doing so without closing them. */
+class Relay {
+  readonly #server = createServer((socket) => this.#accept(socket));
+  readonly #sockets = new Set<Socket>();
+  #isFrozen = false;
+
+  constructor(readonly targetAddress: string) {}
+
+  async start(): Promise<string> {
+    return await listenOnLoopback(this.#server);
+  }
+
+  setFrozen(isFrozen: boolean): void {
+    this.#isFrozen = isFrozen;
+    for (const socket of this.#sockets) {
+      isFrozen ? socket.pause() : socket.resume();
+    }
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  #accept(incoming: Socket): void {
+    const [host, port] = this.targetAddress.split(":");
+    const outgoing = connect({ host: host ?? "", port: Number(port) });
+    for (const [from, to] of [[incoming, outgoing], [outgoing, incoming]]) {
+      if (from !== undefined && to !== undefined) {
+        this.#sockets.add(from);
+        from.on("data", (bytes) => to.write(bytes));
+        from.on("error", () => to.destroy());
+        from.on("close", () => {
+          this.#sockets.delete(from);
+          to.destroy();
+        });
+        this.#isFrozen && from.pause();
+      }
+    }
+  }
+}
+
+async function listenOnLoopback(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  return typeof address === "object" && address !== null
+    ? `127.0.0.1:${address.port}`
+    : "";
+}
+
+const silentLog: Log = process.env["LOG"]
+  ? createLog()
+  : { info: () => {}, warn: () => {}, error: () => {} };
+
+/** Gets an address on loopback on which nothing listens. */
+export async function getFreeAddress(): Promise<string> {
+  const server = createServer();
+  const address = await listenOnLoopback(server);
+  await new Promise((resolve) => server.close(resolve));
+  return address;
+}
+
+/**
+ * Waits for a condition, up to 60 s.
+ * @param check Gets a value once the condition holds.
+ * @param what What is awaited, for the message of the error.
+ */
+export async function waitFor<Value>(
+  check: () => Value | undefined | Promise<Value | undefined>,
+  what: string,
+): Promise<Value> {
+  const end = Date.now() + 60_000;
+  while (Date.now() < end) {
+    const value = await check();
+    if (value !== undefined) {
+      return value;
+    }
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  throw new Error(`Waited 60 s in vain for ${what}`);
+}
