Take probes from the most important calls that the level refuses

Cause: probes were random, mostly balance views, and ran while the level refused transfers. Change: a refused call close to the most important one seen since the last probe becomes the next probe after 75 refusals or 125 ms; any call does after 200 refusals or 250 ms, so that the share of 1 in 100 and one per 250 ms stay.

--- a/src/admission/level_table.ts
+++ b/src/admission/level_table.ts
@@ -1,8 +1,14 @@
 import type { Clock } from "../common/mod.ts";
 import { bucketCount } from "./importance.ts";
 
+/** Time after which the next refused call is a probe, whatever it is. */
 const probeMilliseconds = 250;
-const probeInterval = 100;
+/** Refused calls after which the next one is a probe, whatever it is. */
+const longestProbeInterval = 200;
+/** Refused calls after which one near the edge is a probe: about 1 in 100. */
+const probeInterval = 75;
+/** A call this close to the most important one refused makes a good probe. */
+const probeMargin = 8;
 /** A level fades once nothing was heard of it for this long. */
 const fadeAfterMilliseconds = 1000;
 const fadeHalfLifeMilliseconds = 500;
@@ -24,6 +30,8 @@
   readonly #steps: number;
   readonly #entries = new Map<string, LevelEntry>();
   #shedSinceProbe = 0;
+  /** Lowest importance number refused since the last probe. */
+  #mostImportantShed = Infinity;
   #probedMilliseconds = -Infinity;
 
   /** @param options Clock and number of classes. */
@@ -64,7 +72,7 @@
     for (const service of services) {
       const level = this.#getLevel(service, now);
       if (level > 0 && importance >= this.#steps - level) {
-        return !this.#takeProbe(now);
+        return !this.#takeProbe(importance, now);
       }
     }
     return false;
@@ -93,15 +101,26 @@
     return level;
   }
 
-  #takeProbe(now: number): boolean {
+  /**
+   * Decides whether a call becomes a probe. Probes are taken from the most
+   * important calls that are refused, or a balance view would run as a probe
+   * while transfers are refused.
+   */
+  #takeProbe(importance: number, now: number): boolean {
     this.#shedSinceProbe++;
-    if (
-      this.#shedSinceProbe < probeInterval &&
-      now - this.#probedMilliseconds < probeMilliseconds
-    ) {
+    this.#mostImportantShed = Math.min(this.#mostImportantShed, importance);
+    const elapsed = now - this.#probedMilliseconds;
+    const isNearEdge = importance <= this.#mostImportantShed + probeMargin;
+    const isDue = isNearEdge
+      ? this.#shedSinceProbe >= probeInterval ||
+        elapsed >= probeMilliseconds / 2
+      : this.#shedSinceProbe >= longestProbeInterval ||
+        elapsed >= probeMilliseconds;
+    if (!isDue) {
       return false;
     }
     this.#shedSinceProbe = 0;
+    this.#mostImportantShed = Infinity;
     this.#probedMilliseconds = now;
     return true;
   }
--- a/src/admission/limit_and_levels_test.ts
+++ b/src/admission/limit_and_levels_test.ts
@@ -99,6 +99,24 @@
   assert.equal(table.shouldShed(["deep"], 300), true);
 });
 
+test("LevelTable takes probes from the most important calls that it refuses", () => {
+  const clock = new ManualClock();
+  const table = new LevelTable({ clock, classCount: 3 });
+  table.record("deep", 300);
+  const probes: number[] = [];
+  table.shouldShed(["deep"], 383);
+  for (let i = 0; i < 3000; i++) {
+    clock.advance(0.1);
+    // Importance from 84 to 383 in a mixed order; 84 is the edge.
+    const importance = 84 + i * 7 % 300;
+    if (!table.shouldShed(["deep"], importance)) {
+      probes.push(importance);
+    }
+  }
+  assert.ok(probes.length >= 10, `${probes.length} probes`);
+  assert.ok(Math.max(...probes) < 128, `${probes}`);
+});
+
 test("LevelTable opens when nothing more is heard of a service", () => {
   const clock = new ManualClock();
   const table = new LevelTable({ clock, classCount: 3 });
