--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -11,8 +11,8 @@
   readonly service: string;
   readonly region: string;
   readonly availabilityZone: string;
-  /** Behavior of the stand-in target. */
-  readonly target: Omit<StandInOptions, "service">;
+  /** Behavior of the stand-in target; absent to start none. */
+  readonly target?: Omit<StandInOptions, "service">;
 }
 
 /** Ports of a target and its node. */
@@ -144,7 +144,8 @@
       this.startNode(member);
     }
     await Promise.all(this.#members.map((member) => this.#waitForNode(member)));
-    this.#members.forEach((member) => this.startTarget(member));
+    this.#members.filter((member) => member.target !== undefined)
+      .forEach((member) => this.startTarget(member));
   }
 
   #waitForNode(member: Member): Promise<void> {
