--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -10,17 +10,14 @@
   isLoopbackHost,
   type Token,
 } from "../authentication/mod.ts";
-import { type Log, type Metrics, systemClock } from "../common/mod.ts";
+import type { Log, Metrics } from "../common/mod.ts";
 import { ForwardService } from "../protocol/generated/control.ts";
 import { LedgerService } from "../protocol/generated/ledger.ts";
 import { OperatorService } from "../protocol/generated/operator.ts";
 import type { ControlSettings } from "../settings/mod.ts";
 import { ControlStateMachine } from "./control_state_machine.ts";
 import { InForceMarker } from "./in_force_marker.ts";
-import type { FleetView } from "./fleet_view.ts";
-import { createControlHost, type RunningControlHost } from "./control_host.ts";
-import { addSessionServices } from "../session_server/mod.ts";
-import { CrashCorrelator } from "../suspects/mod.ts";
+import { NodeServices } from "./node_services.ts";
 import { createLedgerService } from "./ledger_service.ts";
 import { createOperatorService } from "./operator_service.ts";
 import { Proposer } from "./proposer.ts";
@@ -28,6 +25,8 @@
 
 /** Interval at which the leader looks for revisions in force everywhere. */
 const inForceCheckMilliseconds = 200;
+/** Part of the 2 s within which an instance tells that it is isolated. */
+const availabilityMilliseconds = 100;
 /** Interval at which entries whose time has passed are noticed. */
 const quarantineMilliseconds = 1000;
 const gaugeMilliseconds = 5000;
@@ -83,21 +82,14 @@
     address: settings.address,
     interceptors: createInterceptors(token),
   });
-  const host = createControlHost({
-    address: settings.address,
+  const nodes = new NodeServices({
     stateMachine,
     log,
     proposer,
-  });
-  const sessions = addSessionServices(server, host, {
-    // The boot count starts again with a new disk, the time does not.
-    boot: Date.now(),
-    clock: systemClock,
-    log: eventLog,
+    eventLog,
     interceptors: createInterceptors(token),
-    createCrashRules: () => new CrashCorrelator({ clock: systemClock }),
-    stopMilliseconds: settings.stopLimitMilliseconds,
   });
+  nodes.host.addServices(server);
   server.addService(LedgerService, createLedgerService(proposer, metrics));
   server.addService(ForwardService, proposer.getService());
   server.addService(
@@ -106,7 +98,7 @@
       stateMachine,
       log,
       proposer,
-      fleet: sessions,
+      fleet: nodes.host,
       address: settings.address,
       eventLog,
       now: () => new Date(),
@@ -114,21 +106,14 @@
   );
   const port = await listen(server, settings);
   eventLog.info("listening", { address: settings.address, port });
-  const timers = startTimers({
-    stateMachine,
-    log,
-    proposer,
-    host,
-    fleet: sessions,
-    options,
-  });
+  const timers = startTimers({ stateMachine, log, proposer, nodes, options });
   return {
     stateMachine,
     log,
     port,
     stop: async () => {
       timers.forEach(clearInterval);
-      await sessions.stop();
+      nodes.stop();
       // The log needs the server until the last proposal has its result.
       const isDone = await proposer.stop(settings.stopLimitMilliseconds);
       if (!isDone) {
@@ -162,14 +147,13 @@
   stateMachine: ControlStateMachine;
   log: ReplicatedLog;
   proposer: Proposer;
-  host: RunningControlHost;
-  fleet: FleetView;
+  nodes: NodeServices;
   options: ControlOptions;
 }): NodeJS.Timeout[] {
-  const { stateMachine, log, proposer, host, fleet, options } = parts;
+  const { stateMachine, log, proposer, nodes, options } = parts;
   const marker = new InForceMarker({
     history: stateMachine.history,
-    fleet,
+    fleet: nodes.host,
     isLeader: () => log.getStatus().role === "leader",
     propose: (environment, revision) =>
       proposer.propose({
@@ -178,8 +162,9 @@
       }),
   });
   return [
+    setInterval(() => nodes.checkAvailability(), availabilityMilliseconds),
     setInterval(() => void marker.check(), inForceCheckMilliseconds),
-    setInterval(() => host.checkQuarantine(), quarantineMilliseconds),
+    setInterval(() => nodes.checkQuarantine(), quarantineMilliseconds),
     setInterval(
       () => sendGauges(options.metrics, stateMachine, log),
       gaugeMilliseconds,
--- a/src/control/fleet_view.ts
+++ b/src/control/fleet_view.ts
@@ -1,7 +1,7 @@
-import type { SessionServices } from "../session_server/mod.ts";
+import type { SessionHost } from "../session_server/mod.ts";
 
 /** What the control process asks the session host about nodes and targets. */
 export type FleetView = Pick<
-  SessionServices,
+  SessionHost,
   "getLiveNodes" | "getTargets" | "drain"
 >;
--- /dev/null
+++ b/src/control/node_services.ts
@@ -0,0 +1,177 @@
+import type { Interceptor } from "@grpc/grpc-js";
+import { type Log, systemClock } from "../common/mod.ts";
+import type { ReplicatedLog } from "../consensus/mod.ts";
+import { environments } from "../configuration/mod.ts";
+import {
+  type Availability,
+  type ControlState,
+  SessionHost,
+} from "../session_server/mod.ts";
+import { AcceptedDocuments } from "./accepted_documents.ts";
+import type {
+  ControlStateMachine,
+  StateChange,
+} from "./control_state_machine.ts";
+import type { Proposer } from "./proposer.ts";
+import { SuspectCoordinator } from "./suspect_coordinator.ts";
+
+/** Used while the environment has no document. */
+const defaultQuarantineSeconds = 3600;
+
+/** What {@link NodeServices} needs. */
+export interface NodeServicesOptions {
+  readonly stateMachine: ControlStateMachine;
+  readonly log: ReplicatedLog;
+  readonly proposer: Proposer;
+  readonly eventLog: Log;
+  readonly interceptors: readonly Interceptor[];
+}
+
+/** Connects the sessions of nodes to the replicated state. */
+export class NodeServices {
+  readonly host: SessionHost;
+  readonly #options: NodeServicesOptions;
+  readonly #documents: AcceptedDocuments;
+  readonly #suspects: SuspectCoordinator;
+  /** Environments with a change that the nodes are to be told. */
+  readonly #changed = new Set<string>();
+  /** Quarantine that the nodes of each environment were told last. */
+  readonly #toldQuarantine = new Map<string, string>();
+  #availability: Availability;
+  #isStopping = false;
+
+  constructor(options: NodeServicesOptions) {
+    this.#options = options;
+    const { stateMachine, log, eventLog, interceptors } = options;
+    this.#documents = new AcceptedDocuments(stateMachine.history);
+    this.#suspects = new SuspectCoordinator({
+      clock: systemClock,
+      isLeader: () => log.getStatus().role === "leader",
+      isQuarantined: (environment, fingerprint) =>
+        this.#getQuarantined(environment).includes(fingerprint),
+      quarantine: (environment, fingerprint) =>
+        this.#quarantine(environment, fingerprint),
+      publish: (environment, change) =>
+        this.host.publishSuspects(environment, change),
+    });
+    const { id, bootCount } = log.getStatus();
+    this.host = new SessionHost({
+      instanceId: id,
+      boot: bootCount,
+      state: this.#createState(),
+      clock: systemClock,
+      log: eventLog,
+      interceptors,
+    });
+    this.#availability = this.#getAvailability();
+    stateMachine.subscribe((change) => this.#onChange(change));
+  }
+
+  /** Moves the nodes away, or takes them back, after a change. */
+  checkAvailability(): void {
+    const availability = this.#getAvailability();
+    if (availability !== this.#availability) {
+      this.#availability = availability;
+      this.#options.eventLog.warn("availability changed", { availability });
+      this.host.onAvailabilityChanged();
+    }
+  }
+
+  /** Tells the nodes of entries that were added, were cleared or ran out. */
+  checkQuarantine(): void {
+    for (const environment of environments) {
+      const quarantined = this.#getQuarantined(environment).join("\n");
+      if (quarantined !== (this.#toldQuarantine.get(environment) ?? "")) {
+        this.#toldQuarantine.set(environment, quarantined);
+        this.host.onQuarantineChanged(environment);
+      }
+    }
+  }
+
+  /** Sends the nodes to other instances and ends their sessions. */
+  stop(): void {
+    this.#isStopping = true;
+    this.checkAvailability();
+    this.#suspects.stop();
+    this.host.stop();
+  }
+
+  #createState(): ControlState {
+    const { stateMachine, log } = this.#options;
+    return {
+      getAcceptedDocument: (environment) => this.#documents.get(environment),
+      getAvailability: () => this.#getAvailability(),
+      getQuarantined: (environment) => this.#getQuarantined(environment),
+      getSuspects: (environment) => this.#suspects.getSuspects(environment),
+      getLedgerIndex: () => stateMachine.index,
+      getPeers: () => {
+        const { id, members } = log.getStatus();
+        return members.filter((each) => each.id !== id)
+          .map((each) => ({ instanceId: each.id, address: each.address }));
+      },
+      onCrashReport: (environment, report) =>
+        this.#suspects.onCrashReport(environment, report),
+      onSuspectCleared: (environment, fingerprint) =>
+        this.#suspects.onCleared(environment, fingerprint),
+    };
+  }
+
+  #getAvailability(): Availability {
+    const { isolated, failure } = this.#options.log.getStatus();
+    if (this.#isStopping) {
+      return "stopping";
+    }
+    return isolated || failure !== undefined ? "isolated" : "available";
+  }
+
+  #getQuarantined(environment: string): string[] {
+    return this.#options.stateMachine.quarantine
+      .getEntries(environment, systemClock.now())
+      .map((each) => each.fingerprint);
+  }
+
+  async #quarantine(
+    environment: string,
+    fingerprint: string,
+  ): Promise<boolean> {
+    const { log, proposer, eventLog } = this.#options;
+    const proposed = await proposer.propose({
+      $case: "quarantine",
+      quarantine: {
+        environment,
+        fingerprint,
+        seconds: this.#documents.get(environment)?.document.quarantineSeconds ??
+          defaultQuarantineSeconds,
+        reason: "crash",
+        reportedBy: log.getStatus().address,
+      },
+    });
+    const isRecorded = proposed.kind === "ok";
+    eventLog.warn("quarantine", { environment, fingerprint, isRecorded });
+    return isRecorded;
+  }
+
+  /**
+   * Tells the nodes once for all changes of this turn of the event loop: a
+   * restart replays hundreds of revisions, and only the last one matters.
+   */
+  #onChange(change: StateChange): void {
+    if (this.#changed.size === 0) {
+      setImmediate(() => this.#tellNodes());
+    }
+    const { history } = this.#options.stateMachine;
+    const environments = change.environment === undefined
+      ? history.getEnvironments()
+      : [change.environment];
+    environments.forEach((each) => this.#changed.add(each));
+  }
+
+  #tellNodes(): void {
+    const environments = [...this.#changed];
+    this.#changed.clear();
+    if (!this.#isStopping) {
+      environments.forEach((each) => this.host.onDocumentAccepted(each));
+      this.checkQuarantine();
+    }
+  }
+}
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -244,10 +244,10 @@
       : undefined;
   }
 
-  async drain(request: DrainRequest): Promise<DrainAnswer> {
+  drain(request: DrainRequest): DrainAnswer {
     const { environment, targetId, operator } = request;
     const { fleet, eventLog } = this.#options;
-    const outcome = await fleet.drain({ environment, targetId });
+    const outcome = fleet.drain({ environment, targetId });
     eventLog.info("drain requested", {
       environment,
       targetId,
