Tell nodes of a quarantine before it is in the log; test ports outside the ephemeral range

Cause: a request that crashes targets could crash a third one, because nodes heard of the quarantine only after its commit. Test processes sometimes failed to bind a port that an outgoing connection had taken meanwhile.

--- a/bench/latency_setup.ts
+++ b/bench/latency_setup.ts
@@ -2,7 +2,7 @@
 import { join } from "node:path";
 import { Cluster, type Member } from "../tests/support/cluster.ts";
 import { sendCall, waitFor } from "../tests/support/http_call.ts";
-import { getFreePorts } from "../tests/support/process_group.ts";
+import { getFreePorts } from "../tests/support/free_ports.ts";
 
 const document = `format = 1
 objective = "goodput"
--- a/src/control/node_services.ts
+++ b/src/control/node_services.ts
@@ -48,7 +48,8 @@
       clock: systemClock,
       isLeader: () => log.getStatus().role === "leader",
       isQuarantined: (environment, fingerprint) =>
-        this.#getQuarantined(environment).includes(fingerprint),
+        this.#getRecorded(environment).includes(fingerprint),
+      publishQuarantine: () => this.checkQuarantine(),
       quarantine: (environment, fingerprint) =>
         this.#quarantine(environment, fingerprint),
       publish: (environment, change) =>
@@ -125,6 +126,11 @@
   }
 
   #getQuarantined(environment: string): string[] {
+    const pending = this.#suspects.getPending(environment);
+    return [...new Set([...this.#getRecorded(environment), ...pending])];
+  }
+
+  #getRecorded(environment: string): string[] {
     return this.#options.stateMachine.quarantine
       .getEntries(environment, systemClock.now())
       .map((each) => each.fingerprint);
--- a/src/control/suspect_coordinator.ts
+++ b/src/control/suspect_coordinator.ts
@@ -17,6 +17,8 @@
     environment: string,
     fingerprint: string,
   ) => boolean;
+  /** Tells the nodes of this instance the whole quarantine. */
+  readonly publishQuarantine: (environment: string) => void;
   /** Proposes a quarantine; false when it may not have been recorded. */
   readonly quarantine: (
     environment: string,
@@ -33,6 +35,8 @@
   readonly correlator: CrashCorrelator;
   /** Time at which each suspect was reported last. */
   readonly suspects: Map<string, number>;
+  /** Quarantines that are decided and not yet known to be recorded. */
+  readonly pending: Set<string>;
 }
 
 /**
@@ -67,6 +71,14 @@
     }
     for (const fingerprint of decision.quarantined) {
       known.suspects.delete(fingerprint);
+      known.pending.add(fingerprint);
+    }
+    // The nodes hear of it before it is in the log, because the request may be
+    // sent again within the time of one commit, or while there is no leader.
+    if (decision.quarantined.length > 0) {
+      this.#options.publishQuarantine(environment);
+    }
+    for (const fingerprint of decision.quarantined) {
       if (this.#options.isLeader()) {
         void this.#record(environment, fingerprint, maximumAttempts);
       } else {
@@ -93,6 +105,11 @@
     return [...suspects.keys()];
   }
 
+  /** Gets the quarantines that are decided and not yet recorded. */
+  getPending(environment: string): readonly string[] {
+    return [...this.#get(environment).pending];
+  }
+
   /** Ends the retries. */
   stop(): void {
     this.#timers.forEach(clearTimeout);
@@ -106,9 +123,12 @@
   ): Promise<void> {
     const { isQuarantined, quarantine } = this.#options;
     if (isQuarantined(environment, fingerprint) || attemptsLeft === 0) {
+      this.#get(environment).pending.delete(fingerprint);
       return;
     }
-    if (!await quarantine(environment, fingerprint)) {
+    if (await quarantine(environment, fingerprint)) {
+      this.#get(environment).pending.delete(fingerprint);
+    } else {
       this.#retry(environment, fingerprint, attemptsLeft - 1);
     }
   }
@@ -127,6 +147,7 @@
       known = {
         correlator: new CrashCorrelator({ clock: this.#options.clock }),
         suspects: new Map(),
+        pending: new Set(),
       };
       this.#environments.set(environment, known);
     }
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -2,7 +2,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { waitFor } from "./http_call.ts";
-import { getFreePorts, ProcessGroup } from "./process_group.ts";
+import { getFreePorts } from "./free_ports.ts";
+import { ProcessGroup } from "./process_group.ts";
 import type { StandInOptions } from "./stand_in_target.ts";
 
 /** A target and its node. */
--- a/tests/support/control_group.ts
+++ b/tests/support/control_group.ts
@@ -1,6 +1,5 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -8,6 +7,7 @@
   type CommandLineIo,
   runCommandLine,
 } from "../../src/command_line/mod.ts";
+import { getFreePorts } from "./free_ports.ts";
 import { waitUntil } from "./wait_until.ts";
 
 const program = fileURLToPath(
@@ -195,23 +195,7 @@
   }
 }
 
-/** Finds ports that are free now. */
+/** Gets free addresses on loopback. */
 async function findAddresses(count: number): Promise<string[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer();
-          server.listen(0, "127.0.0.1", () => resolve(server));
-        }),
-    ),
-  );
-  return await Promise.all(servers.map((server) => {
-    const address = server.address();
-    const port = typeof address === "object" ? address?.port : undefined;
-    return new Promise<string>((resolve) =>
-      server.close(() => resolve(`127.0.0.1:${port}`))
-    );
-  }));
+  return (await getFreePorts(count)).map((port) => `127.0.0.1:${port}`);
 }
--- a/tests/support/log_group.ts
+++ b/tests/support/log_group.ts
@@ -1,3 +1,4 @@
+import { getFreePorts } from "./free_ports.ts";
 import { createHash } from "node:crypto";
 import { mkdtemp, rm } from "node:fs/promises";
 import { connect, createServer, type Server, type Socket } from "node:net";
@@ -232,10 +233,8 @@
 
 /** Gets an address on loopback on which nothing listens. */
 export async function getFreeAddress(): Promise<string> {
-  const server = createServer();
-  const address = await listenOnLoopback(server);
-  await new Promise((resolve) => server.close(resolve));
-  return address;
+  const [port] = await getFreePorts(1);
+  return `127.0.0.1:${port}`;
 }
 
 /**
--- a/tests/support/process_group.ts
+++ b/tests/support/process_group.ts
@@ -1,5 +1,4 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { type AddressInfo, createServer } from "node:net";
 import { fileURLToPath } from "node:url";
 
 /** Root of the compiled project. */
@@ -116,25 +115,3 @@
     this.processes.forEach(({ child }) => child.kill("SIGKILL"));
   }
 }
-
-/**
- * Gets loopback ports that were free a moment ago.
- * @param count How many.
- */
-export async function getFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer();
-          server.listen(0, "127.0.0.1", () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((each) => (each.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map((each) => new Promise((resolve) => each.close(resolve))),
-  );
-  return ports;
-}
