Report a failed storage as isolated, and the time until a restart serves

An instance whose storage failed still told its last role; nodes move away from an isolated one, so a failure now counts as isolation. The restart measurement also waits for a confirmed read, which needs a leader.

--- a/bench/consensus_restart.ts
+++ b/bench/consensus_restart.ts
@@ -21,8 +21,9 @@
   entries: number;
   snapshot: string;
   "log KiB": number;
-  "median ms": number;
-  "max ms": number;
+  "applied ms": number;
+  "serving ms": number;
+  "serving ms, max": number;
   digest: string;
 }
 
@@ -40,8 +41,15 @@
   }
 }
 
-/** Restarts all instances; gets the time until all have all entries. */
-async function restart(group: LogGroup, lastIndex: number): Promise<number> {
+/**
+ * Restarts all instances.
+ * @returns The times until all have all entries, and until a read is
+ *   confirmed, which needs a leader.
+ */
+async function restart(
+  group: LogGroup,
+  lastIndex: number,
+): Promise<{ applied: number; serving: number }> {
   const stopped: LogInstance[] = [...group.instances];
   for (const instance of stopped) {
     await group.stopInstance(instance);
@@ -59,7 +67,17 @@
       ) || undefined,
     "all entries",
   );
-  return performance.now() - start;
+  const applied = performance.now() - start;
+  await waitFor(async () => {
+    const { log } = await group.getLeader();
+    return (await log.confirmRead()).kind === "ok" || undefined;
+  }, "a confirmed read");
+  return { applied, serving: performance.now() - start };
+}
+
+function getMedian(times: readonly number[]): number {
+  const sorted = [...times].sort((a, b) => a - b);
+  return Math.round(sorted[repetitions >> 1] ?? NaN);
 }
 
 async function measure(
@@ -77,23 +95,26 @@
     assert.ok(first);
     const { lastIndex, digest, snapshotIndex } = first.log.getStatus();
     assert.equal(snapshotIndex > 0, hasSnapshot);
-    const times: number[] = [];
+    const applied: number[] = [];
+    const serving: number[] = [];
     let isSame = true;
     for (let repetition = 0; repetition < repetitions; repetition++) {
-      times.push(await restart(group, lastIndex));
+      const times = await restart(group, lastIndex);
+      applied.push(times.applied);
+      serving.push(times.serving);
       isSame &&= group.instances.every(({ log }) =>
         log.getStatus().digest === digest
       );
     }
-    times.sort((a, b) => a - b);
     const { size } = await stat(join(first.dataFolder, "log"));
     return {
       instances,
       entries,
       snapshot: hasSnapshot ? "yes" : "no",
       "log KiB": Math.round(size / 1024),
-      "median ms": Math.round(times[repetitions >> 1] ?? NaN),
-      "max ms": Math.round(times.at(-1) ?? NaN),
+      "applied ms": getMedian(applied),
+      "serving ms": getMedian(serving),
+      "serving ms, max": Math.round(Math.max(...serving)),
       digest: isSame ? "same" : "DIFFERS",
     };
   } finally {
@@ -110,6 +131,6 @@
   }
 }
 console.log(
-  `${repetitions} restarts each, commands of ${commandBytes} bytes; all instances stop and start together`,
+  `medians of ${repetitions} restarts, commands of ${commandBytes} bytes; all instances stop and start together`,
 );
 console.table(rows);
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -51,7 +51,10 @@
   readonly role: Role;
   readonly term: number;
   readonly leader?: { readonly id: string; readonly address: string };
-  /** True when too little was heard for 1.5 s to call the state current. */
+  /**
+   * True when too little was heard for 1.5 s to call the state current, or
+   * when the storage failed.
+   */
   readonly isolated: boolean;
   readonly members: readonly Member[];
   /** On the leader: the index up to which each member follows. */
@@ -591,7 +594,8 @@
   // --- Errors ---
 
   #isIsolated(): boolean {
-    return this.#core.isIsolated(this.#clock.monotonicMilliseconds());
+    return this.#failure !== undefined ||
+      this.#core.isIsolated(this.#clock.monotonicMilliseconds());
   }
 
   #getRefusal(): ProposeError | undefined {
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -188,6 +188,7 @@
       "storage-failed",
     );
     assert.match(log.getStatus().failure ?? "", /ENOSPC: no space left/);
+    assert.equal(log.getStatus().isolated, true);
   } finally {
     await group.stop();
   }
