Keep a mean of the levels that the targets of a service state

Cause: the node records a level for each service that a response could have named, 0 when it names none, so that with the last news in force one open target of six opened the table. The measurement recorded only named levels. Change: the table keeps a mean with weight 1/8 per news, more for news that follow after a pause. The measurement records levels as the node does.

--- a/bench/virtual_chain.ts
+++ b/bench/virtual_chain.ts
@@ -255,7 +255,7 @@
         kind: result.kind === "ok" ? "completed" : "refused",
         hint: this.#chain.isControlled ? node.getHint() : undefined,
       });
-      result.levels.forEach((it) => this.#levels.record(it.service, it.level));
+      this.#recordLevels(result);
       this.#refusals.record(result.kind === "refused");
       call.account.settle(part.handedDown, result.unused);
       call.awayMilliseconds += loop.now - startedAt;
@@ -271,6 +271,14 @@
     );
   }
 
+  /** Records the levels of all deeper services, as a node does. */
+  #recordLevels({ levels }: Result): void {
+    for (const service of reachedServices.slice(this.#index + 1)) {
+      const heard = levels.find((it) => it.service === service);
+      this.#levels.record(service, heard?.level ?? 0);
+    }
+  }
+
   #onResult(
     call: Call,
     result: Result,
--- a/src/admission/level_table.ts
+++ b/src/admission/level_table.ts
@@ -13,6 +13,11 @@
 const fadeAfterMilliseconds = 1000;
 const fadeHalfLifeMilliseconds = 500;
 
+/** Weight of one news when news are frequent. */
+const newsWeight = 1 / 8;
+/** News older than this hardly count any more. */
+const newsMilliseconds = 100;
+
 /** Options of a level table. */
 export interface LevelTableOptions {
   readonly clock: Clock;
@@ -41,19 +46,30 @@
   }
 
   /**
-   * Records a level heard from a service.
+   * Records a level heard from a service. The targets of a service differ, so
+   * the table keeps a mean of recent news; a response without a level counts
+   * as news of 0.
    * @param service Name of the service.
    * @param level Its level; 0 is open.
    */
   record(service: string, level: number): void {
     const bounded = Math.min(Math.max(level, 0), this.#steps - 1);
-    const now = this.#clock.monotonicMilliseconds();
     const entry = this.#entries.get(service);
-    if (entry !== undefined) {
-      entry.level = bounded;
-      entry.heardMilliseconds = now;
-    } else if (bounded > 0) {
+    if (entry === undefined && bounded === 0) {
+      return;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    if (entry === undefined) {
       this.#entries.set(service, { level: bounded, heardMilliseconds: now });
+      return;
+    }
+    const age = now - entry.heardMilliseconds;
+    const weight = Math.max(newsWeight, Math.min(1, age / newsMilliseconds));
+    const known = this.#getMean(entry, now);
+    entry.level = known + weight * (bounded - known);
+    entry.heardMilliseconds = now;
+    if (entry.level < 0.5) {
+      this.#entries.delete(service);
     }
   }
 
@@ -91,16 +107,20 @@
     if (entry === undefined) {
       return 0;
     }
-    const silent = now - entry.heardMilliseconds - fadeAfterMilliseconds;
-    const level = silent <= 0
-      ? entry.level
-      : Math.floor(entry.level * 0.5 ** (silent / fadeHalfLifeMilliseconds));
+    const level = Math.round(this.#getMean(entry, now));
     if (level === 0) {
       this.#entries.delete(service);
     }
     return level;
   }
 
+  #getMean(entry: LevelEntry, now: number): number {
+    const silent = now - entry.heardMilliseconds - fadeAfterMilliseconds;
+    return silent <= 0
+      ? entry.level
+      : entry.level * 0.5 ** (silent / fadeHalfLifeMilliseconds);
+  }
+
   /**
    * Decides whether a call becomes a probe. Probes are taken from the most
    * important calls that are refused, or a balance view would run as a probe
