Let the admission level fall in proportion while the target is idle

Cause: after the slow-down the level fell by a fixed number of steps per window, while the deepest targets had free slots. Change: after a window in which most moments found fewer than 75% of the limit in use, the level is also multiplied by 0.9 (goodput) or 0.6 (recovery).

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../common/mod.ts";
 import type { Objective } from "../document/mod.ts";
 import type { RefusalReason } from "../request/mod.ts";
-import { AdmissionLevel } from "./admission_level.ts";
+import { AdmissionLevel, type TargetUse } from "./admission_level.ts";
 import {
   type AdmissionEntry,
   AdmissionQueue,
@@ -24,6 +24,8 @@
   type ObjectiveParameters,
 } from "./objective_parameters.ts";
 
+/** Part of the limit below which a target counts as idle. */
+const idleLoad = 0.75;
 const runDecision: AdmissionDecision = { kind: "run" };
 const queuedDecision: AdmissionDecision = { kind: "queued" };
 const noEvents: AdmissionEvent[] = [];
@@ -66,7 +68,7 @@
     });
     this.#level = new AdmissionLevel(options.classCount, {
       nowMilliseconds: now,
-      maximumDecrease: this.#parameters.maximumLevelDecrease,
+      ...this.#parameters,
     });
   }
 
@@ -159,8 +161,10 @@
 
   /** Gets the admission level; 0 is open. */
   getLevel(): number {
-    const isBusy = this.#queue.length * 2 > this.#getQueueLimit();
-    return this.#level.get(this.#clock.monotonicMilliseconds(), isBusy);
+    return this.#level.get(
+      this.#clock.monotonicMilliseconds(),
+      this.#getUse(),
+    );
   }
 
   /** Changes the options; running calls go on. */
@@ -174,7 +178,7 @@
       options.slots,
       this.#parameters.limitIncreasePerSecond,
     );
-    this.#level.setMaximumDecrease(this.#parameters.maximumLevelDecrease);
+    this.#level.setSpeed(this.#parameters);
     this.#startQueued(this.#clock.monotonicMilliseconds());
   }
 
@@ -188,6 +192,13 @@
     };
   }
 
+  #getUse(): TargetUse {
+    if (this.#queue.length * 2 > this.#getQueueLimit()) {
+      return "queue-half-full";
+    }
+    return this.#running < idleLoad * this.#limit.value ? "idle" : "in-use";
+  }
+
   #createEntry(request: AdmissionRequest, now: number): AdmissionEntry {
     return {
       id: request.id,
--- a/src/admission/admission_level.ts
+++ b/src/admission/admission_level.ts
@@ -8,6 +8,20 @@
  */
 const toleratedPart = 0.03;
 
+/** Part of the moments of a window at which an open target is idle. */
+const idlePart = 0.5;
+
+/** How much of a target is in use at a moment; idle means free slots. */
+export type TargetUse = "idle" | "in-use" | "queue-half-full";
+
+/** How fast a level falls. */
+export interface LevelSpeed {
+  /** Largest number of steps by which the level falls in one window. */
+  readonly maximumLevelDecrease: number;
+  /** Factor on the level after a window in which the target was idle. */
+  readonly idleLevelFactor: number;
+}
+
 /**
  * Computes the admission level of one target from the calls that its queue
  * turned away. Level `n` asks entry nodes to refuse the `n` least important
@@ -21,6 +35,9 @@
   #level = 0;
   #decrease = 1;
   #maximumDecrease: number;
+  #idleFactor: number;
+  #moments = 0;
+  #idleMoments = 0;
 
   /**
    * @param classCount Number of classes.
@@ -28,16 +45,18 @@
    */
   constructor(
     classCount: number,
-    options: { nowMilliseconds: number; maximumDecrease: number },
+    options: LevelSpeed & { nowMilliseconds: number },
   ) {
     this.#offered = new Float64Array(classCount * bucketCount);
     this.#windowStart = options.nowMilliseconds;
-    this.#maximumDecrease = options.maximumDecrease;
+    this.#maximumDecrease = options.maximumLevelDecrease;
+    this.#idleFactor = options.idleLevelFactor;
   }
 
-  /** Sets the largest number of steps by which the level falls in a window. */
-  setMaximumDecrease(steps: number): void {
-    this.#maximumDecrease = steps;
+  /** Changes how fast the level falls. */
+  setSpeed(speed: LevelSpeed): void {
+    this.#maximumDecrease = speed.maximumLevelDecrease;
+    this.#idleFactor = speed.idleLevelFactor;
   }
 
   /**
@@ -61,13 +80,20 @@
     }
   }
 
-  /** Gets the level; 0 is open. */
-  get(nowMilliseconds: number, isBusy: boolean): number {
+  /**
+   * Gets the level; 0 is open.
+   * @param nowMilliseconds Monotonic time.
+   * @param use Use of the target at this moment; most of the moments in a
+   * window decide.
+   */
+  get(nowMilliseconds: number, use: TargetUse): number {
+    this.#moments++;
+    this.#idleMoments += use === "idle" ? 1 : 0;
     const windows = Math.floor(
       (nowMilliseconds - this.#windowStart) / windowMilliseconds,
     );
     if (windows > 0) {
-      this.#closeWindow(isBusy);
+      this.#closeWindow(use);
       for (let i = 1; i < Math.min(windows, 64) && this.#level > 0; i++) {
         this.#fall();
       }
@@ -76,13 +102,18 @@
     return this.#level;
   }
 
-  #closeWindow(isBusy: boolean): void {
+  #closeWindow(use: TargetUse): void {
     const part = this.#turnedAway / Math.max(1, this.#offeredTotal);
     if (part > toleratedPart) {
       this.#rise(part - toleratedPart);
-    } else if (part < toleratedPart / 2 && !isBusy) {
+    } else if (this.#idleMoments > this.#moments * idlePart) {
+      this.#level = Math.floor(this.#level * this.#idleFactor);
+      this.#fall();
+    } else if (part < toleratedPart / 2 && use !== "queue-half-full") {
       this.#fall();
     }
+    this.#moments = 0;
+    this.#idleMoments = 0;
     this.#offered.fill(0);
     this.#offeredTotal = 0;
     this.#turnedAway = 0;
--- a/src/admission/objective_parameters.ts
+++ b/src/admission/objective_parameters.ts
@@ -1,13 +1,12 @@
 import type { Objective } from "../document/mod.ts";
+import type { LevelSpeed } from "./admission_level.ts";
 
 /** Parameters of admission that the objective decides. */
-export interface ObjectiveParameters {
+export interface ObjectiveParameters extends LevelSpeed {
   /** Queue length as a multiple of the slots. */
   readonly queuePerSlot: number;
   /** Slots added per second while the limit is in use, as a share of slots. */
   readonly limitIncreasePerSecond: number;
-  /** Largest number of steps by which the level falls in one window. */
-  readonly maximumLevelDecrease: number;
 }
 
 const parameters: Readonly<Record<Objective, ObjectiveParameters>> = {
@@ -15,11 +14,13 @@
     queuePerSlot: 2,
     limitIncreasePerSecond: 0.5,
     maximumLevelDecrease: 16,
+    idleLevelFactor: 0.9,
   },
   recovery: {
     queuePerSlot: 0.5,
     limitIncreasePerSecond: 2,
     maximumLevelDecrease: 48,
+    idleLevelFactor: 0.6,
   },
 };
 
