Ignore scheduling delays when service times below 1 ms are compared

Cause: a call of 0.2 ms takes 0.8 ms when the process is busy; the ratio of 4 cut the limit to 0.7, though the target was not slow. Change: 1 ms is added to the service time and to the baseline before they are compared. The new test fails without it.

--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -3,6 +3,11 @@
 const tolerance = 2;
 /** Above the declared slots, the limit grows only while calls stay this fast. */
 const growthTolerance = 1.1;
+/**
+ * Added to both sides when service times are compared. Delays of timers and
+ * scheduling in a busy process double the time of a call below 1 ms.
+ */
+const noiseMilliseconds = 1;
 const baselineGrowth = 1.001;
 const overloadFactor = 0.9;
 /** Decrease by which the limit tests whether fewer calls at once are faster. */
@@ -163,7 +168,7 @@
       ? mean
       : Math.min(mean, known * baselineGrowth);
     this.#baselines[classIndex] = baseline;
-    return baseline === 0 ? 1 : mean / baseline;
+    return (mean + noiseMilliseconds) / (baseline + noiseMilliseconds);
   }
 
   #startWindow(nowMilliseconds: number): void {
--- a/src/admission/limit_and_levels_test.ts
+++ b/src/admission/limit_and_levels_test.ts
@@ -59,6 +59,13 @@
   });
 }
 
+test("ConcurrencyLimit is not cut by scheduling delays of calls below 1 ms", () => {
+  const limit = createLimit();
+  feed(limit, { from: 0, seconds: 1, getService: () => 0.2, inUse: false });
+  const options = { from: 1000, seconds: 0.3, getService: () => 0.8 };
+  assert.ok(feed(limit, options) >= 20);
+});
+
 test("ConcurrencyLimit stays within 1 and twice the slots", () => {
   const limit = createLimit();
   assert.equal(
