Remove Router.drain

Cause: nothing calls it; a node announces that its own target drains with a new view. Result: check, tsc and 63 tests of the slices pass.

--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -187,11 +187,6 @@
     );
   }
 
-  /** Sends no new work to a target from now on. */
-  drain(targetId: string): void {
-    this.#targets.get(targetId)?.view.drain(targetId);
-  }
-
   /** Records bytes that went over a link. */
   onLinkBytes(link: LinkKey, bytes: number): void {
     this.#links.onBytes(link, bytes, this.#clock.monotonicMilliseconds());
--- a/src/routing/service_view.ts
+++ b/src/routing/service_view.ts
@@ -84,14 +84,6 @@
     return { added, removed };
   }
 
-  /** Marks a target as draining at once. */
-  drain(targetId: string): void {
-    const state = this.#states.get(targetId);
-    if (state !== undefined) {
-      this.#setDraining(state, { ...state.target, isDraining: true });
-    }
-  }
-
   /** Ejects a target unless too large a part of the view is ejected. */
   eject(state: TargetState, nowMilliseconds: number): void {
     if (
