Bound names and remembered conflicts, and check environments early

Cause: a remembered conflict named up to 20 revisions under any of 8,192 change ids, operators' names had no limit, and reads of an unknown environment looked like an empty one. Change: conflicts name 5 revisions, names have at most 100 characters, the command line refuses other environments than trial and production, and a failed proposal answers its batches. The log of one instance moves to tests/support.

--- a/src/command_line/command_line.ts
+++ b/src/command_line/command_line.ts
@@ -11,6 +11,7 @@
   createClientInterceptor,
   readTokenFile,
 } from "../authentication/mod.ts";
+import { environments, isEnvironment } from "../configuration/mod.ts";
 import type { CommandContext } from "./command_context.ts";
 import { ControlConnection } from "./control_connection.ts";
 import {
@@ -235,9 +236,24 @@
       10,
     )
     .option("--json", "print JSON")
+    .hook("preAction", (_, command) => checkEnvironment(command))
     .addHelpText("after", `\nExamples:\n${examples.join("\n")}`);
 }
 
+/** Reports an environment that no control group keeps. */
+function checkEnvironment(command: Command): void {
+  command.registeredArguments.forEach((argument, position) => {
+    const name = command.args[position] ?? "";
+    if (argument.name() === "environment" && !isEnvironment(name)) {
+      command.error(
+        `error: expected an environment of ${
+          environments.join(", ")
+        }, found "${name}"`,
+      );
+    }
+  });
+}
+
 function addChangeOptions(command: Command): Command {
   return command
     .requiredOption(
--- a/src/command_line/command_line_test.ts
+++ b/src/command_line/command_line_test.ts
@@ -6,12 +6,9 @@
 import { credentials } from "@grpc/grpc-js";
 import { createClientInterceptor, Token } from "../authentication/mod.ts";
 import { createLog, discardedMetrics } from "../common/mod.ts";
-import {
-  type RunningControl,
-  SingleInstanceLog,
-  startControl,
-} from "../control/mod.ts";
+import { type RunningControl, startControl } from "../control/mod.ts";
 import { SessionClient } from "../protocol/generated/session.ts";
+import { SingleInstanceLog } from "../../tests/support/single_instance_log.ts";
 import { SessionNode } from "../../tests/support/session_node.ts";
 import { waitUntil } from "../../tests/support/wait_until.ts";
 import { runCommandLine } from "./command_line.ts";
@@ -86,7 +83,13 @@
   { line: `validate ${first}`, code: 0, text: /no findings/ },
   { line: `validate ${broken}`, code: 2, text: /broken\.toml:18: services/ },
   { line: `apply trial ${broken} --base 0`, code: 2, text: /broken\.toml:18/ },
-  { line: `apply mars ${first} --base 0`, code: 2, text: /invalid-request/ },
+  { line: `apply mars ${first} --base 0`, code: 2, text: /trial, production/ },
+  { line: "history mars", code: 2, text: /trial, production/ },
+  {
+    line: `apply trial ${first} --base 0 --change-id ${"x".repeat(101)}`,
+    code: 2,
+    text: /invalid-request/,
+  },
   { line: `apply trial missing --base 0`, code: 2, text: /missing: ENOENT/ },
   { line: `apply trial ${first}`, code: 2, text: /--base <revision>/ },
   {
--- a/src/configuration/document_history.ts
+++ b/src/configuration/document_history.ts
@@ -20,8 +20,11 @@
 export const keptDocumentCount = 50;
 /** Change ids that are remembered; nearly four days at 2,100 changes a day. */
 export const knownChangeLimit = 8192;
-/** Revisions that a conflict names; the newest ones. */
-const conflictRevisionLimit = 20;
+/**
+ * Revisions that a conflict names; the newest ones. Conflicts are remembered
+ * under their change ids, so that this bounds the memory of those.
+ */
+const conflictRevisionLimit = 5;
 
 /** The time of a log entry. */
 export interface EntryTime {
--- a/src/control/control_process_test.ts
+++ b/src/control/control_process_test.ts
@@ -10,7 +10,7 @@
 } from "../protocol/generated/ledger.ts";
 import { type RunningControl, startControl } from "./control_process.ts";
 import { LedgerBatcher, operationsPerEntry } from "./ledger_batcher.ts";
-import { SingleInstanceLog } from "./single_instance_log.ts";
+import { SingleInstanceLog } from "../../tests/support/single_instance_log.ts";
 
 const running: RunningControl[] = [];
 after(() => Promise.all(running.map((each) => each.stop())));
--- a/src/control/ledger_batcher.ts
+++ b/src/control/ledger_batcher.ts
@@ -4,7 +4,7 @@
   LedgerBatch,
   LedgerBatchAnswer,
 } from "../protocol/generated/ledger.ts";
-import type { Result } from "../common/mod.ts";
+import { failed, type Result } from "../common/mod.ts";
 import { formatVersion } from "./control_state_machine.ts";
 import { createRefusal } from "./refusal.ts";
 
@@ -81,7 +81,10 @@
 
   async #proposeEntry(entry: readonly Waiting[]): Promise<void> {
     this.#inFlight += 1;
-    const proposed = await this.#propose(entry.map((each) => each.batch));
+    const proposed = await this.#propose(entry.map((each) => each.batch))
+      .catch((error: Error) =>
+        failed(createRefusal("outcome-unknown", error.message))
+      );
     this.#inFlight -= 1;
     const answers = proposed.kind === "ok" && proposed.value?.$case === "ledger"
       ? proposed.value.ledger.answers
--- a/src/control/mod.ts
+++ b/src/control/mod.ts
@@ -8,4 +8,3 @@
 export { ControlStateMachine, formatVersion } from "./control_state_machine.ts";
 export type { FleetView } from "./fleet_view.ts";
 export { type ControlRefusalReason, createRefusal } from "./refusal.ts";
-export { SingleInstanceLog } from "./single_instance_log.ts";
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -32,6 +32,8 @@
 
 /** Largest document, in bytes; bounds the memory of the history. */
 export const largestDocumentBytes = 1024 * 1024;
+/** Characters of a change id or of an operator's name. */
+const longestName = 100;
 /** Changed lines that a conflict shows. */
 const changedLinesLimit = 100;
 
@@ -200,12 +202,15 @@
     },
   ): Promise<ChangeAnswer> {
     const { environment, changeId, operator } = request;
-    if (!isEnvironment(environment) || changeId === "" || operator === "") {
+    const hasNames = [changeId, operator].every((name) =>
+      name !== "" && name.length <= longestName
+    );
+    if (!isEnvironment(environment) || !hasNames) {
       return createChangeAnswer(createRefusal(
         "invalid-request",
         `Expected an environment of ${
           environments.join(", ")
-        }, a change id and the operator's name`,
+        }, and a change id and an operator's name of 1 to ${longestName} characters`,
       ));
     }
     const proposed = await this.propose(command);
--- a/src/control/single_instance_log.ts
+++ b/tests/support/single_instance_log.ts
@@ -1,10 +1,15 @@
-import { type Clock, ok, type Result, systemClock } from "../common/mod.ts";
+import {
+  type Clock,
+  ok,
+  type Result,
+  systemClock,
+} from "../../src/common/mod.ts";
 import type {
   ConsensusStatus,
   ProposeError,
   ReplicatedLog,
   StateMachine,
-} from "../consensus/mod.ts";
+} from "../../src/consensus/mod.ts";
 
 /** A log of one instance without a disk, for tests. */
 export class SingleInstanceLog implements ReplicatedLog {
