Show claims and memory of the control processes in the measurement

Cause: the ledger alone is not what an instance needs. Change: bench/ledger.ts adds the claims held and the resident memory.

--- a/bench/ledger.ts
+++ b/bench/ledger.ts
@@ -5,6 +5,7 @@
  *
  * Usage: flock /tmp/dogwoodwalk-bench.lock node dist/bench/ledger.js
  */
+import { readFileSync } from "node:fs";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { build, type Histogram } from "hdr-histogram-js";
@@ -133,6 +134,11 @@
     const steady = await measureLatency(nodes);
     const full = await measureThroughput(nodes);
     nodes.forEach((each) => each.stop());
+    const status = await group.run("status");
+    const claims = /(\d+) of \d+ claims/.exec(status.text)?.[1] ?? "";
+    const memory = group.instances.map((each) =>
+      getResidentMebibytes(each.pid)
+    );
     const failures = [...steady.outcomes].filter(([kind]) =>
       kind !== "granted"
     );
@@ -143,6 +149,8 @@
         "",
         ...formatLatency(steady.histogram),
         failures.map(([kind, times]) => `${times} ${kind}`).join(", ") || "0",
+        "",
+        "",
       ],
       [
         `${count}`,
@@ -150,6 +158,8 @@
         full.rate.toFixed(0),
         ...formatLatency(full.histogram),
         "",
+        claims,
+        Math.max(...memory).toFixed(0),
       ],
     ];
   } finally {
@@ -157,6 +167,12 @@
   }
 }
 
+/** Gets the resident memory of a process, from the files of Linux. */
+function getResidentMebibytes(pid: number | undefined): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  return Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1]) / 1024;
+}
+
 function formatLatency(histogram: Histogram): string[] {
   return [50, 99, 99.9].map((percentile) =>
     (histogram.getValueAtPercentile(percentile) / 1000).toFixed(2)
@@ -286,6 +302,8 @@
       "P99 MS",
       "P99.9 MS",
       "NOT GRANTED",
+      "CLAIMS HELD",
+      "RESIDENT MIB",
     ],
     ...groupRows,
   ]).join("\n"),
