--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -11,8 +11,8 @@
   readonly service: string;
   readonly region: string;
   readonly availabilityZone: string;
-  /** Behavior of the stand-in target. */
-  readonly target: Omit<StandInOptions, "service">;
+  /** Behavior of the stand-in target; absent to start none. */
+  readonly target?: Omit<StandInOptions, "service">;
 }
 
 /** Ports of a target and its node. */
@@ -73,6 +73,13 @@
     });
   }
 
+  /** Starts a control instance, such as after it was killed. */
+  startControl(index: number): void {
+    this.group.start(`control-${index}`, "src/bin/dogwoodwalk_control.js", {
+      arguments: [join(this.folder, `control-${index}.toml`)],
+    });
+  }
+
   /** Starts the node of a member, such as after it was killed. */
   startNode(member: Member): void {
     const settings = join(this.folder, `${member.name}.toml`);
@@ -120,9 +127,7 @@
 availability_zone = "muntenia-a"
 `,
       );
-      this.group.start(`control-${index}`, "src/bin/dogwoodwalk_control.js", {
-        arguments: [file],
-      });
+      this.startControl(index);
     });
   }
 
@@ -144,7 +149,8 @@
       this.startNode(member);
     }
     await Promise.all(this.#members.map((member) => this.#waitForNode(member)));
-    this.#members.forEach((member) => this.startTarget(member));
+    this.#members.filter((member) => member.target !== undefined)
+      .forEach((member) => this.startTarget(member));
   }
 
   #waitForNode(member: Member): Promise<void> {
