Reconnect to a restarted leader within a second

Cause: gRPC waits up to two minutes between attempts to reconnect, so that a follower could not forward to a leader that came back. Change: the connections between instances for forwarded commands and those of the command line retry after 100 ms to 1 s; forwarding gives up a silent connection after 2 s. Measured: the tests of src/control, src/command_line and the 4 of tests/control_group_test.ts pass; the wait itself was not measured.

--- a/src/command_line/control_connection.ts
+++ b/src/command_line/control_connection.ts
@@ -154,6 +154,8 @@
       client = new Client(address, credentials.createInsecure(), {
         interceptors: [...this.#options.interceptors],
         "grpc.max_receive_message_length": 16 * 1024 * 1024,
+        "grpc.initial_reconnect_backoff_ms": 100,
+        "grpc.max_reconnect_backoff_ms": 1000,
       });
       this.#clients.set(address, client);
     }
--- a/src/control/proposer.ts
+++ b/src/control/proposer.ts
@@ -14,6 +14,17 @@
 /** Deadline of a forwarded command; the same as for every RPC of the group. */
 const forwardMilliseconds = 1000;
 
+/**
+ * Finds a restarted leader within a second, where gRPC by default waits up to
+ * two minutes, and gives up a connection through a silent partition.
+ */
+const reconnectOptions = {
+  "grpc.initial_reconnect_backoff_ms": 100,
+  "grpc.max_reconnect_backoff_ms": 1000,
+  "grpc.keepalive_time_ms": 1000,
+  "grpc.keepalive_timeout_ms": 1000,
+};
+
 /** What {@link Proposer} needs. */
 export interface ProposerOptions {
   readonly log: ReplicatedLog;
@@ -162,6 +173,7 @@
     let client = this.#clients.get(address);
     if (client === undefined) {
       client = new ForwardClient(address, credentials.createInsecure(), {
+        ...reconnectOptions,
         interceptors: [...this.#options.interceptors],
       });
       this.#clients.set(address, client);
