Exit with 4 when the result of a change stays unknown

Cause: a change whose answers were all lost ended with 1, although the operator has to resend it as after no answer at all. Change: outcome-unknown and session-elsewhere exit with 4.

--- a/src/command_line/exit_code.ts
+++ b/src/command_line/exit_code.ts
@@ -20,7 +20,13 @@
   "unknown-revision",
   "unknown-target",
 ]);
-const unreachableReasons = new Set(["not-leader", "isolated", "stopping"]);
+const unreachableReasons = new Set([
+  "not-leader",
+  "isolated",
+  "stopping",
+  "session-elsewhere",
+  "outcome-unknown",
+]);
 
 /**
  * Gets the exit code for a refusal of a control instance.
