--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -217,7 +217,7 @@
       this.#holdTime.isFresh(now) &&
       remainingMilliseconds < this.#getExpectedWait(entry) + this.#holdTime.mean
     ) {
-      this.#level.onTurnedAway();
+      this.#onTurnedAway(entry);
       return "deadline-too-short";
     }
     if (this.#queue.length >= this.#getQueueLimit()) {
@@ -231,8 +231,40 @@
     if (this.#queue.length === 0 && this.#hasRoomFor(entry)) {
       return undefined;
     }
-    this.#level.onTurnedAway();
     const victim = this.#getVictim(entry);
+    if (
+      (victim === undefined || victim.classIndex <= entry.classIndex) &&
+      this.#queue.length <
+        this.#getQueueLimit() + this.#getLowerRunning(entry.classIndex)
+    ) {
+      return undefined;
+    }
+    const reason = this.#getPrecedence(victim, entry);
+    this.#onTurnedAway(reason === undefined && victim ? victim : entry);
+    if (reason === undefined && victim !== undefined) {
+      this.#refuse(victim, "evicted");
+    }
+    return reason;
+  }
+
+  /**
+   * Counts the running calls of less important classes. As many calls may wait
+   * beyond the limit of the queue, or a call would be refused while a less
+   * important one runs.
+   */
+  #getLowerRunning(classIndex: number): number {
+    let running = 0;
+    for (let i = classIndex + 1; i < this.#runningByClass.length; i++) {
+      running += this.#runningByClass[i] ?? 0;
+    }
+    return running;
+  }
+
+  /** Gets why a new call does not take the place of a queued one. */
+  #getPrecedence(
+    victim: AdmissionEntry | undefined,
+    entry: AdmissionEntry,
+  ): RefusalReason | undefined {
     if (victim === undefined || victim.classIndex < entry.classIndex) {
       return "queue-full";
     }
@@ -242,11 +274,13 @@
       return "caller-share";
     }
     const isForced = isShared && this.#isOverQueueShare(victim.use, entry.use);
-    if (!isForced && compareEntries(victim, entry) < 0) {
-      return "queue-full";
-    }
-    this.#refuse(victim, "evicted");
-    return undefined;
+    return !isForced && compareEntries(victim, entry) < 0
+      ? "queue-full"
+      : undefined;
+  }
+
+  #onTurnedAway(entry: AdmissionEntry): void {
+    this.#level.onTurnedAway(getImportance(entry.classIndex, entry.hash));
   }
 
   /**
@@ -367,7 +401,7 @@
       }
       const remaining = entry.deadlineMilliseconds - now;
       if (this.#holdTime.isFresh(now) && remaining < this.#holdTime.mean) {
-        this.#level.onTurnedAway();
+        this.#onTurnedAway(entry);
         this.#refuse(entry, "deadline-too-short");
         continue;
       }
@@ -404,7 +438,7 @@
     let earliest = Infinity;
     for (const entry of [...this.#queue.getEntries()]) {
       if (entry.deadlineMilliseconds <= now) {
-        this.#level.onTurnedAway();
+        this.#onTurnedAway(entry);
         this.#refuse(entry, "deadline-exceeded");
       } else {
         earliest = Math.min(earliest, entry.deadlineMilliseconds);
--- a/src/admission/admission_level.ts
+++ b/src/admission/admission_level.ts
@@ -1,6 +1,12 @@
 import { bucketCount } from "./importance.ts";
 
 const windowMilliseconds = 100;
+/**
+ * Part of the calls that the queue may turn away before the level rises. A
+ * short queue turns some away at any high load; a level of 0 tolerance refused
+ * 30 calls early for each of them.
+ */
+const toleratedPart = 0.03;
 
 /**
  * Computes the admission level of one target from the calls that its queue
@@ -34,17 +40,25 @@
     this.#maximumDecrease = steps;
   }
 
-  /** Records an offered call. */
+  /**
+   * Records an offered call. Calls that the level refuses already, but that
+   * entry nodes sent as probes or before they knew, do not count.
+   */
   onOffered(importance: number): void {
     const last = this.#offered.length - 1;
+    if (importance > last - this.#level) {
+      return;
+    }
     const step = importance < last ? importance : last;
     this.#offered[step] = (this.#offered[step] ?? 0) + 1;
     this.#offeredTotal++;
   }
 
   /** Records a call that was refused or evicted for lack of capacity. */
-  onTurnedAway(): void {
-    this.#turnedAway++;
+  onTurnedAway(importance: number): void {
+    if (importance <= this.#offered.length - 1 - this.#level) {
+      this.#turnedAway++;
+    }
   }
 
   /** Gets the level; 0 is open. */
@@ -63,9 +77,10 @@
   }
 
   #closeWindow(isBusy: boolean): void {
-    if (this.#turnedAway > 0) {
-      this.#rise(this.#turnedAway / Math.max(1, this.#offeredTotal));
-    } else if (!isBusy) {
+    const part = this.#turnedAway / Math.max(1, this.#offeredTotal);
+    if (part > toleratedPart) {
+      this.#rise(part - toleratedPart);
+    } else if (part < toleratedPart / 2 && !isBusy) {
       this.#fall();
     }
     this.#offered.fill(0);
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -22,7 +22,12 @@
   type OwnerDigest,
   type ServiceName,
 } from "./directory.ts";
-export { maximumSubsetSize, type Place, SubsetRing } from "./subset_ring.ts";
+export {
+  type Caller,
+  maximumSubsetSize,
+  type Place,
+  SubsetRing,
+} from "./subset_ring.ts";
 export {
   getViewDelta,
   getViewDigest,
@@ -30,3 +35,15 @@
   type ViewDelta,
 } from "./view.ts";
 export { type ViewedNode, ViewPlanner } from "./view_planner.ts";
+export {
+  getLinkKey,
+  type LinkDemandEntry,
+  type LinkDemandNews,
+  LinkRounds,
+} from "./link_rounds.ts";
+export {
+  type BudgetedLink,
+  type LinkBytes,
+  type LinkShare,
+  LinkShareBook,
+} from "./link_share_book.ts";
--- a/src/session_server/instance_exchange.ts
+++ b/src/session_server/instance_exchange.ts
@@ -6,6 +6,7 @@
   type DirectoryBatch,
   getNodeKey,
   type KnownTarget,
+  type LinkDemandNews,
   type NodeRecord,
   parseTargetRecord,
   toKnownTarget,
@@ -30,6 +31,7 @@
   readonly log: Log;
   readonly interceptors: readonly Interceptor[];
   getPeers(): readonly PeerInstance[];
+  getLinkDemand(): LinkDemandNews;
 }
 
 /** What is to be sent to one peer, and the connection to it. */
@@ -83,7 +85,7 @@
   receive(batch: ExchangeBatch): ExchangeAnswer {
     const now = this.#options.clock.monotonicMilliseconds();
     const wanted = this.#options.directory.mergeBatch(
-      parseBatch(batch, now),
+      parseWireBatch(batch, now),
       now,
     );
     return {
@@ -94,15 +96,15 @@
     };
   }
 
-  /** Gets the addresses of the instances that answered lately. */
-  getReachableAddresses(): string[] {
+  /** Gets the instances that answered lately. */
+  getReachablePeers(): PeerInstance[] {
     const now = this.#options.clock.monotonicMilliseconds();
     return [...this.#peers.values()]
       .filter((peer) =>
         now - peer.answeredAt <
           digestIntervalMilliseconds + deadlineMilliseconds
       )
-      .map((peer) => peer.instance.address);
+      .map((peer) => peer.instance);
   }
 
   stop(): void {
@@ -178,7 +180,11 @@
     }
     const client = peer.client;
     client.push(
-      createWireBatch(batch, { crashNews: peer.crashNews, now }),
+      createWireBatch(batch, {
+        crashNews: peer.crashNews,
+        linkDemand: hasDigests ? this.#options.getLinkDemand() : undefined,
+        now,
+      }),
       new Metadata(),
       { deadline: Date.now() + deadlineMilliseconds },
       (error, answer) => {
@@ -249,7 +255,11 @@
 /** Converts a batch for sending. */
 export function createWireBatch(
   batch: DirectoryBatch,
-  options: { crashNews: readonly CrashNews[]; now: number },
+  options: {
+    crashNews: readonly CrashNews[];
+    linkDemand?: LinkDemandNews | undefined;
+    now: number;
+  },
 ): ExchangeBatch {
   const { now } = options;
   return {
@@ -270,11 +280,21 @@
       buckets: [...digest.buckets],
     })),
     crashNews: [...options.crashNews],
-    linkDemand: undefined,
+    linkDemand: options.linkDemand === undefined ? undefined : {
+      ...options.linkDemand,
+      rounds: options.linkDemand.rounds.map(({ round, entries }) => ({
+        round,
+        entries: [...entries],
+      })),
+    },
   };
 }
 
-function parseBatch(batch: ExchangeBatch, now: number): DirectoryBatch {
+/** Converts a batch that arrived. */
+export function parseWireBatch(
+  batch: ExchangeBatch,
+  now: number,
+): DirectoryBatch {
   return {
     instanceId: batch.instanceId,
     boot: batch.boot,
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -10,6 +10,8 @@
 import {
   Directory,
   getNodeKey,
+  LinkRounds,
+  LinkShareBook,
   parseTargetRecord,
   type ServiceName,
   type TargetRecord,
@@ -55,7 +57,9 @@
   /** Adds the token to each call to another instance. */
   readonly interceptors?: readonly Interceptor[];
   readonly leaseMilliseconds?: number;
+  /** Must be above 2 s, in which a quiet instance is heard once. */
   readonly graceMilliseconds?: number;
+  readonly rebalanceMilliseconds?: number;
 }
 
 /** A node whose lease runs, on whichever instance. */
@@ -82,6 +86,11 @@
 // Targets that change together go out in one message. Adds to the time in
 // which a drain reaches all nodes (limit 3 s).
 const flushDelayMilliseconds = 50;
+const defaultRebalanceMilliseconds = 10_000;
+// Random choices of 886 nodes differ by some percent; that is no reason to move.
+const unevenRatio = 1.2;
+// Few at once, so that their targets' records do not change all together.
+const movedRatio = 0.05;
 
 /**
  * Serves the sessions of nodes and the exchange with other instances. Everything
@@ -92,9 +101,15 @@
   readonly #directory: Directory;
   readonly #planner: ViewPlanner;
   readonly #exchange: InstanceExchange;
+  readonly #linkRounds: LinkRounds;
+  readonly #linkShares = new LinkShareBook({
+    getPortion: (linkKey) => this.#linkRounds.getPortion(linkKey),
+    getInstanceCount: () => this.#options.state.getPeers().length + 1,
+  });
   readonly #sessions = new SessionRegistry();
   readonly #parts = new Map<string, DocumentParts>();
   readonly #expireTimer: NodeJS.Timeout;
+  readonly #rebalanceTimer: NodeJS.Timeout;
   #flushTimer: NodeJS.Timeout | undefined;
   #isCollecting = true;
 
@@ -115,6 +130,10 @@
       this.#directory,
       (name) => this.#getCallers(name),
     );
+    this.#linkRounds = new LinkRounds({
+      boot: options.boot,
+      now: options.clock.monotonicMilliseconds(),
+    });
     this.#exchange = new InstanceExchange({
       boot: options.boot,
       directory: this.#directory,
@@ -122,11 +141,16 @@
       log: options.log,
       interceptors: options.interceptors ?? [],
       getPeers: () => options.state.getPeers(),
+      getLinkDemand: () => this.#linkRounds.createNews(),
     });
     this.#expireTimer = setInterval(
       () => this.#expire(),
       expireIntervalMilliseconds,
     );
+    this.#rebalanceTimer = setInterval(
+      () => this.#rebalance(),
+      options.rebalanceMilliseconds ?? defaultRebalanceMilliseconds,
+    );
   }
 
   /** Adds the Session and Exchange services to a server. */
@@ -147,14 +171,22 @@
    * @param environment The environment.
    */
   onDocumentAccepted(environment: string): void {
+    const previous = this.#parts.get(environment);
     const parts = this.#getParts(environment);
     if (parts === undefined || !this.#isAvailable()) {
       return;
     }
     const encode = createDocumentEncoder();
+    const hasNewCalls = parts.callText !== previous?.callText;
+    if (hasNewCalls) {
+      this.#planner.clear();
+    }
     for (const session of this.#sessions.getByEnvironment(environment)) {
       session.sendDocument(parts, encode);
-      this.#updateViewedServices(session);
+      if (hasNewCalls) {
+        this.#updateViewedServices(session);
+        session.viewedServices.forEach((each) => this.#sendView(session, each));
+      }
     }
   }
 
@@ -198,7 +230,7 @@
       environments.forEach((each) => this.onDocumentAccepted(each));
       return;
     }
-    const addresses = this.#exchange.getReachableAddresses();
+    const addresses = this.#getReachableAddresses();
     for (const session of this.#sessions.values()) {
       session.redirect(availability, addresses);
     }
@@ -253,6 +285,11 @@
     ]).map((target) => toWireTarget(target, now));
   }
 
+  /** Number of open sessions. */
+  get sessionCount(): number {
+    return this.#sessions.size;
+  }
+
   /** Gets whether targets may be missing because this process just started. */
   isCollecting(): boolean {
     return this.#directory.isCollecting(this.#now());
@@ -261,6 +298,7 @@
   /** Ends all sessions and the exchange. */
   stop(): void {
     clearInterval(this.#expireTimer);
+    clearInterval(this.#rebalanceTimer);
     clearTimeout(this.#flushTimer);
     this.#exchange.stop();
     for (const session of this.#sessions.values()) {
@@ -272,6 +310,39 @@
     return this.#options.clock.monotonicMilliseconds();
   }
 
+  #getReachableAddresses(): string[] {
+    return this.#exchange.getReachablePeers().map(({ address }) => address);
+  }
+
+  /**
+   * Asks some nodes to move when this instance has many more than others, as
+   * after the restart of another one.
+   */
+  #rebalance(): void {
+    if (!this.#isAvailable() || this.#isCollecting) {
+      return;
+    }
+    const counts = this.#directory.getNodeCounts();
+    const reachable = this.#exchange.getReachablePeers();
+    const peers = reachable.map((peer) => ({
+      ...peer,
+      count: counts.get(peer.instanceId) ?? 0,
+    }));
+    const own = this.#sessions.size;
+    const mean = peers.reduce((sum, { count }) => sum + count, own) /
+      (peers.length + 1);
+    if (own <= mean * unevenRatio + 1) {
+      return;
+    }
+    const addresses = peers.filter(({ count }) => count < mean)
+      .map(({ address }) => address);
+    const moving = Math.ceil(Math.min(own - mean, own * movedRatio));
+    for (const session of [...this.#sessions.values()].slice(0, moving)) {
+      session.resetRedirect();
+      session.redirect("uneven", addresses);
+    }
+  }
+
   #isAvailable(): boolean {
     return this.#options.state.getAvailability() === "available";
   }
@@ -345,6 +416,7 @@
       })
       .with({ $case: "leave" }, () => {
         this.#directory.leave(session, this.#now());
+        this.#linkShares.removeNode(session.nodeKey);
         this.#sessions.remove(session);
         session.end();
         this.#scheduleFlush();
@@ -362,7 +434,7 @@
         formatVersion,
         message: createRedirect(
           availability,
-          this.#exchange.getReachableAddresses(),
+          this.#getReachableAddresses(),
         ),
       });
       stream.end();
@@ -391,8 +463,9 @@
       admissionLevel: 0,
       state: "connected",
     }, this.#now());
-    this.#answerRenew(session, 0);
     const { environment } = hello;
+    this.#linkShares.addNode(session.nodeKey, hello);
+    this.#answerRenew(session, 0);
     const parts = this.#getParts(environment);
     if (parts !== undefined && this.#isAvailable()) {
       session.sendDocument(parts, createDocumentEncoder());
@@ -420,19 +493,30 @@
       session.end();
       return;
     }
+    this.#linkShares.report(session.nodeKey, {
+      linkBytes: renew.linkBytes,
+      hasLastShares: renew.answeredSequence >= session.sharesSequence,
+      now: this.#now(),
+    });
     this.#answerRenew(session, renew.sequence);
   }
 
   #answerRenew(session: NodeSession, sequence: number): void {
     const isAvailable = this.#isAvailable();
     const parts = this.#getParts(session.hello.environment);
+    const shares = this.#linkShares.takeShares(session.nodeKey, {
+      isForced: sequence === 0,
+    });
+    if (shares !== undefined) {
+      session.sharesSequence = sequence;
+    }
     session.send({
       $case: "renewAnswer",
       renewAnswer: {
         sequence,
         leaseMilliseconds: this.#directory.leaseMilliseconds,
         ledgerIndex: isAvailable ? this.#options.state.getLedgerIndex() : 0,
-        linkShares: [],
+        linkShares: shares ?? [],
         revision: isAvailable ? parts?.accepted.revision ?? 0 : 0,
       },
     });
@@ -544,7 +628,14 @@
 
   #expire(): void {
     const now = this.#now();
-    this.#directory.expire(now);
+    for (const nodeKey of this.#directory.expire(now)) {
+      this.#linkShares.removeNode(nodeKey);
+    }
+    this.#linkRounds.step({
+      peers: this.#options.state.getPeers().map((peer) => peer.instanceId),
+      getEntries: () => this.#linkShares.getDemand(),
+      now,
+    });
     const wasCollecting = this.#isCollecting;
     this.#isCollecting = this.#directory.isCollecting(now);
     this.#flush();
@@ -573,7 +664,11 @@
       });
       return;
     }
+    const { instanceId, linkDemand } = call.request;
     const answer = this.#exchange.receive(call.request);
+    if (linkDemand !== undefined) {
+      this.#linkRounds.hear(instanceId, linkDemand);
+    }
     const { state } = this.#options;
     for (const { environment, news } of call.request.crashNews) {
       if (news?.$case === "report") {
@@ -612,6 +707,7 @@
     }
     const parts = new DocumentParts(accepted);
     this.#parts.set(environment, parts);
+    this.#linkShares.setLinks(environment, accepted.document.links);
     return parts;
   }
 }
--- a/tests/support/log_group.ts
+++ b/tests/support/log_group.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import { mkdtemp, rm } from "node:fs/promises";
-import { createServer } from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createLog, type Log } from "../../src/common/mod.ts";
@@ -51,6 +51,7 @@
   readonly instances: LogInstance[] = [];
   readonly #root: string;
   readonly #overrides: Partial<ReplicatedLogOptions>;
+  readonly #relays: Relay[] = [];
   #folders = 0;
 
   private constructor(root: string, overrides: Partial<ReplicatedLogOptions>) {
@@ -72,6 +73,7 @@
     const addresses = await Promise.all(
       Array.from({ length: size }, () => getFreeAddress()),
     );
+    await group.#createRelays(addresses);
     for (const address of addresses) {
       await group.startInstance({ address, initialMembers: addresses });
     }
@@ -81,25 +83,25 @@
 
   /**
    * Starts one instance.
-   * @param options Address, folder of an earlier instance, initial members.
+   * @param options Address, folder of an earlier instance, other settings.
    */
   async startInstance(
-    options: {
-      address: string;
-      dataFolder?: string;
-      initialMembers?: readonly string[];
-    },
+    options: Partial<ReplicatedLogOptions> & { address: string },
   ): Promise<LogInstance> {
     const dataFolder = options.dataFolder ??
       join(this.#root, String(++this.#folders));
     const machine = new TextMachine();
     const log = await createReplicatedLog({
-      dataFolder,
-      address: options.address,
-      initialMembers: options.initialMembers ?? [],
+      initialMembers: [],
       stateMachine: machine,
       log: silentLog,
+      resolveAddress: (to) =>
+        this.#relays.find((each) =>
+          each.from === options.address && each.to === to
+        )?.address ?? to,
       ...this.#overrides,
+      ...options,
+      dataFolder,
     });
     const instance = { address: options.address, dataFolder, machine, log };
     this.instances.push(instance);
@@ -112,6 +114,15 @@
     await instance.log.stop();
   }
 
+  /** Freezes or thaws all connections from and to an instance. */
+  setFrozen({ address }: LogInstance, isFrozen: boolean): void {
+    for (const relay of this.#relays) {
+      if (relay.from === address || relay.to === address) {
+        relay.setFrozen(isFrozen);
+      }
+    }
+  }
+
   /** Waits until an instance leads and is not isolated. */
   async getLeader(): Promise<LogInstance> {
     return await waitFor(() =>
@@ -145,13 +156,76 @@
     }, "equal states");
   }
 
+  async #createRelays(addresses: readonly string[]): Promise<void> {
+    for (const from of addresses) {
+      for (const to of addresses) {
+        const relay = new Relay(from, to);
+        await relay.start();
+        this.#relays.push(relay);
+      }
+    }
+  }
+
   /** Stops all instances and removes their folders. */
   async stop(): Promise<void> {
     await Promise.all(this.instances.map(({ log }) => log.stop()));
+    this.#relays.forEach((relay) => relay.stop());
     await rm(this.#root, { recursive: true, force: true });
   }
 }
 
+/** Forwards connections, and can stop doing so without closing them. */
+class Relay {
+  readonly #server = createServer((socket) => this.#accept(socket));
+  readonly #sockets = new Set<Socket>();
+  #isFrozen = false;
+
+  address = "";
+
+  constructor(readonly from: string, readonly to: string) {}
+
+  async start(): Promise<void> {
+    this.address = await listenOnLoopback(this.#server);
+  }
+
+  setFrozen(isFrozen: boolean): void {
+    this.#isFrozen = isFrozen;
+    for (const socket of this.#sockets) {
+      isFrozen ? socket.pause() : socket.resume();
+    }
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  #accept(incoming: Socket): void {
+    const [host, port] = this.to.split(":");
+    const outgoing = connect({ host: host ?? "", port: Number(port) });
+    for (const [from, to] of [[incoming, outgoing], [outgoing, incoming]]) {
+      if (from !== undefined && to !== undefined) {
+        this.#sockets.add(from);
+        from.on("data", (bytes) => to.write(bytes));
+        from.on("error", () => to.destroy());
+        from.on("close", () => {
+          this.#sockets.delete(from);
+          to.destroy();
+        });
+        this.#isFrozen && from.pause();
+      }
+    }
+  }
+}
+
+async function listenOnLoopback(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  return typeof address === "object" && address !== null
+    ? `127.0.0.1:${address.port}`
+    : "";
+}
+
 const silentLog: Log = process.env["LOG"]
   ? createLog()
   : { info: () => {}, warn: () => {}, error: () => {} };
@@ -159,12 +233,9 @@
 /** Gets an address on loopback on which nothing listens. */
 export async function getFreeAddress(): Promise<string> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = server.address();
+  const address = await listenOnLoopback(server);
   await new Promise((resolve) => server.close(resolve));
-  return typeof address === "object" && address !== null
-    ? `127.0.0.1:${address.port}`
-    : "";
+  return address;
 }
 
 /**
