Free the slot when a caller leaves inside a streamed response

Cause: a receiver that closed while the source was paused for back-pressure never resumed it, so the call held its slot and its connection for good. Change: the pump ends when its destination closes.

--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -7,6 +7,7 @@
   RefusalReason,
   ServiceLevel,
 } from "../request/mod.ts";
+import type { AttemptOutcome } from "../routing/mod.ts";
 import type { ResponseHead } from "./exchange.ts";
 
 /** An attempt that gave no response of the target. */
@@ -86,3 +87,20 @@
 export function isAbsenceReason(reason: RefusalReason): boolean {
   return absenceReasons.has(reason);
 }
+
+/**
+ * Gets what a failed attempt says about its target.
+ * @param failure The failure.
+ * @returns The kind for the router.
+ */
+export function getOutcomeKind(
+  failure: AttemptFailure,
+): AttemptOutcome["kind"] {
+  if (isAbsenceReason(failure.reason)) {
+    return "unreachable";
+  }
+  if (isCapacityReason(failure.reason)) {
+    return "refused";
+  }
+  return failure.disposition === "unknown" ? "failed" : "completed";
+}
--- a/src/node/body_pump.ts
+++ b/src/node/body_pump.ts
@@ -39,6 +39,7 @@
     isDone = true;
     source.off("data", onData);
     destination.off("drain", onDrain);
+    destination.off("close", onClose);
     if (fault === undefined) {
       destination.end();
     }
@@ -56,7 +57,10 @@
   const onDrain = (): void => {
     source.resume();
   };
+  // A paused source would otherwise wait for a receiver that has left.
+  const onClose = (): void => finish("broken");
   destination.on("drain", onDrain);
+  destination.on("close", onClose);
   source.on("data", onData);
   source.on("end", () => finish(source.complete ? undefined : "broken"));
   source.on("error", () => finish("broken"));
--- a/src/node/failures_test.ts
+++ b/src/node/failures_test.ts
@@ -1,6 +1,5 @@
 import assert from "node:assert/strict";
-import { createServer, type Server } from "node:net";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect, createServer, type Server } from "node:net";
 import { test, type TestContext } from "node:test";
 import { sendCall, waitFor } from "../../tests/support/http_call.ts";
 import {
@@ -35,6 +34,16 @@
     socket.on("error", () => {});
     socket.once("data", () => socket.end(text));
   });
+  await listenInPlace(context, pair, server);
+  return server;
+}
+
+/** Lets a server take the place of the target. */
+async function listenInPlace(
+  context: TestContext,
+  pair: TestPair,
+  server: Server,
+): Promise<void> {
   await new Promise<void>((resolve) => server.listen(0, resolve));
   context.after(() => server.close());
   const { port } = server.address() as AddressInfo;
@@ -42,7 +51,6 @@
     endpoint: { host: "127.0.0.1", port },
     incarnation: Date.now() + 1000,
   }, { hasLease: false });
-  return server;
 }
 
 const broken = [
@@ -81,6 +89,33 @@
   assert.equal(front.node.callCount, 0);
 });
 
+test("a caller that leaves inside a streamed response frees the target's slot", async (context) => {
+  const front = await start(context, "front-1");
+  const endless = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("close", () => closed++);
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n");
+      socket.write(Buffer.alloc(50_000_000));
+    });
+  });
+  let closed = 0;
+  await listenInPlace(context, front, endless);
+  // Never reads, so that the response is held back when it leaves.
+  const caller = connect(front.outside, "127.0.0.1");
+  caller.on("error", () => {});
+  caller.pause();
+  caller.write("GET /views/1 HTTP/1.1\r\nHost: front\r\n\r\n");
+  await waitFor(() => front.node.targetSide.getStatus()?.running === 1);
+  await waitFor(() =>
+    front.node.state.counters.get("front", "low").completed === 1
+  );
+  caller.destroy();
+  await waitFor(() => front.node.callCount === 0);
+  await waitFor(() => closed === 1);
+  assert.equal(front.node.targetSide.getStatus()?.running, 0);
+});
+
 test("a target cannot forge a disposition or an answer", async (context) => {
   const front = await start(context, "front-1");
   await replaceTarget(
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -4,7 +4,6 @@
   type CallFailure,
   getClaimFingerprint,
   getRequestFingerprint,
-  type ServiceLevel,
 } from "../request/mod.ts";
 import { type AllowanceAccount, decideRetry } from "../retries/mod.ts";
 import type { AttemptOutcome, RouteChoice } from "../routing/mod.ts";
@@ -12,7 +11,7 @@
   type Attempt,
   type AttemptFailure,
   type AttemptSink,
-  isAbsenceReason,
+  getOutcomeKind,
   isCapacityReason,
   type StreamedResponse,
 } from "./attempt.ts";
@@ -25,6 +24,7 @@
 import type { ResponseHead } from "./exchange.ts";
 import { getFencedResult, needsFence } from "./final_fence.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
+import { recordLevels, type StatedLevels } from "./heard_levels.ts";
 import type { OriginSide } from "./origin_side.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
@@ -371,24 +371,12 @@
     return disposition === "not-run" ? "not-run" : "unknown";
   }
 
-  /**
-   * Another node names all services that are not open. The target beside this
-   * node states its own level only, because the others were heard here.
-   */
-  #recordLevels(
-    answer: Pick<Answer, "levels" | "load">,
-    { choice }: CurrentAttempt,
-  ): void {
-    if (answer.load === undefined) {
-      return; // the callee's admission did not see the call
-    }
+  #recordLevels(answer: StatedLevels, { choice }: CurrentAttempt): void {
     const { levels, settings } = this.#side.state;
-    const { reached } = this.details.plan;
-    const count = choice.targetId === settings.nodeId ? 1 : reached.length;
-    for (let index = 0; index < count; index++) {
-      const service = reached[index] as string;
-      levels.record(service, getLevel(answer.levels, service));
-    }
+    recordLevels(levels, answer, {
+      reached: this.details.plan.reached,
+      isOwnTarget: choice.targetId === settings.nodeId,
+    });
   }
 
   #refuse(
@@ -440,22 +428,3 @@
 }
 
 const noTargets: ReadonlySet<string> = new Set();
-
-function getLevel(levels: readonly ServiceLevel[], service: string): number {
-  for (const each of levels) {
-    if (each.service === service) {
-      return each.level;
-    }
-  }
-  return 0;
-}
-
-function getOutcomeKind(failure: AttemptFailure): AttemptOutcome["kind"] {
-  if (isAbsenceReason(failure.reason)) {
-    return "unreachable";
-  }
-  if (isCapacityReason(failure.reason)) {
-    return "refused";
-  }
-  return failure.disposition === "unknown" ? "failed" : "completed";
-}
