--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -3,9 +3,8 @@
   type Answer,
   type CallFailure,
   getClaimFingerprint,
-  getRequestFingerprint,
 } from "../request/mod.ts";
-import { type AllowanceAccount, decideRetry } from "../retries/mod.ts";
+import type { AllowanceAccount } from "../retries/mod.ts";
 import type { AttemptOutcome, RouteChoice } from "../routing/mod.ts";
 import {
   type Attempt,
@@ -29,6 +28,7 @@
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { ServiceBudget } from "./retry_budget.ts";
+import { takeRetry } from "./retry_step.ts";
 import type { OutgoingCall, TargetCall } from "./target_call.ts";
 
 /** A call made by a caller or by the target beside this node. */
@@ -286,38 +286,18 @@
   }
 
   #decide(failure: AttemptFailure, targetId: string): void {
-    const { details } = this;
-    const { plan, classIndex } = details;
-    const { state } = this.#side;
-    const counters = plan.counters[classIndex];
-    const decision = decideRetry({
-      disposition: this.#mayHaveRun && failure.disposition === "not-run"
-        ? "unknown"
-        : failure.disposition,
-      reason: failure.reason,
+    const decision = takeRetry(this.#side.state, failure, {
+      details: this.details,
+      body: this.#body,
+      budget: this.#budget,
       attempts: this.#attempts,
-      isIdempotent: plan.route.idempotent,
-      isSuspect: failure.reason === "suspect" || this.#isSuspect(),
       remainingAllowance: this.#account.remaining,
-      remainingMilliseconds: details.deadlineMilliseconds -
-        state.clock.monotonicMilliseconds(),
-      hasRatioToken: this.#budget.ratio.hasToken,
-      isServiceRefusing: this.#budget.refusals.isMostlyRefusing,
-    }, {
-      objective: state.view?.document.objective ?? "goodput",
-      need: plan.need,
-      random: state.random,
+      mayHaveRun: this.#mayHaveRun,
     });
-    if (decision.kind === "stop" || this.#body?.source !== undefined) {
-      const reason = decision.kind === "stop"
-        ? decision.reason
-        : "not-retryable";
-      counters && countReason(counters.notRetried, reason);
+    if (decision.kind === "stop") {
       this.fail(failure);
       return;
     }
-    this.#budget.ratio.take();
-    counters && countReason(counters.retried, decision.reason);
     (this.#excluded ??= new Set()).add(targetId);
     if (decision.delayMilliseconds === 0) {
       this.#attempt();
@@ -329,15 +309,6 @@
     }
   }
 
-  #isSuspect(): boolean {
-    const { suspects } = this.#side.state;
-    return !suspects.isEmpty && suspects.isSuspect(getRequestFingerprint({
-      ...this.details,
-      body: this.#body?.body,
-      streamedLength: this.#body?.streamedLength ?? -1,
-    }));
-  }
-
   #onResponse(answer: Answer, bytes: number): void {
     const current = this.#current;
     if (current !== undefined) {
--- /dev/null
+++ b/src/node/retry_step.ts
@@ -0,0 +1,83 @@
+import { getRequestFingerprint } from "../request/mod.ts";
+import { decideRetry, type RetryDecision } from "../retries/mod.ts";
+import type { AttemptFailure } from "./attempt.ts";
+import { countReason } from "./call_counters.ts";
+import type { CallBody, CallDetails } from "./call_details.ts";
+import type { NodeState } from "./node_state.ts";
+import type { ServiceBudget } from "./retry_budget.ts";
+
+/** A failed attempt and what the call has left. */
+export interface FailedStep {
+  readonly details: CallDetails;
+  readonly body: CallBody | undefined;
+  readonly budget: ServiceBudget;
+  readonly attempts: number;
+  readonly remainingAllowance: number;
+  /** Whether this or an earlier attempt may have run. */
+  readonly mayHaveRun: boolean;
+}
+
+/**
+ * Decides whether a failed attempt is made again, takes the retry from the
+ * budget and counts the decision.
+ * @param state What the parts of the node share.
+ * @param failure The failure.
+ * @param step What the call has left.
+ * @returns The decision.
+ */
+export function takeRetry(
+  state: NodeState,
+  failure: AttemptFailure,
+  step: FailedStep,
+): RetryDecision {
+  const { details, budget } = step;
+  const { plan, classIndex } = details;
+  const decision = decide(state, failure, step);
+  const counters = plan.counters[classIndex];
+  if (decision.kind === "retry") {
+    budget.ratio.take();
+    counters && countReason(counters.retried, decision.reason);
+  } else {
+    counters && countReason(counters.notRetried, decision.reason);
+  }
+  return decision;
+}
+
+function decide(
+  state: NodeState,
+  failure: AttemptFailure,
+  step: FailedStep,
+): RetryDecision {
+  const { details, body, budget } = step;
+  const { plan } = details;
+  if (body?.source !== undefined) {
+    // A streamed body cannot be sent again.
+    return { kind: "stop", reason: "not-retryable" };
+  }
+  return decideRetry({
+    disposition: step.mayHaveRun && failure.disposition === "not-run"
+      ? "unknown"
+      : failure.disposition,
+    reason: failure.reason,
+    attempts: step.attempts,
+    isIdempotent: plan.route.idempotent,
+    isSuspect: failure.reason === "suspect" || isSuspect(state, step),
+    remainingAllowance: step.remainingAllowance,
+    remainingMilliseconds: details.deadlineMilliseconds -
+      state.clock.monotonicMilliseconds(),
+    hasRatioToken: budget.ratio.hasToken,
+    isServiceRefusing: budget.refusals.isMostlyRefusing,
+  }, {
+    objective: state.view?.document.objective ?? "goodput",
+    need: plan.need,
+    random: state.random,
+  });
+}
+
+function isSuspect({ suspects }: NodeState, step: FailedStep): boolean {
+  return !suspects.isEmpty && suspects.isSuspect(getRequestFingerprint({
+    ...step.details,
+    body: step.body?.body,
+    streamedLength: step.body?.streamedLength ?? -1,
+  }));
+}
