Take the entry of a call out of the origin side

Cause: the file held several jobs, and connections to other nodes kept the limit of an earlier document. Change: call_entry.ts creates the details of a call; a pool follows the limit of the document in force.

--- a/src/node/connection_pool.ts
+++ b/src/node/connection_pool.ts
@@ -61,8 +61,10 @@
 
   /** Sets the most connections at once; open ones are kept. */
   setLimit(limit: number): void {
-    this.#limit = limit;
-    this.#serveWaiting();
+    if (limit !== this.#limit) {
+      this.#limit = limit;
+      this.#serveWaiting();
+    }
   }
 
   /**
--- a/src/node/node_pools.ts
+++ b/src/node/node_pools.ts
@@ -29,6 +29,7 @@
     const known = this.#pools.get(address);
     if (known !== undefined) {
       known.usedMilliseconds = performance.now();
+      known.pool.setLimit(limit);
       return known.pool;
     }
     const endpoint = parseEndpoint(address);
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -1,17 +1,15 @@
-import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { getImportance } from "../admission/mod.ts";
-import { getStableHash } from "../common/mod.ts";
 import {
   type CallFailure,
   fieldLimits,
-  getBoundedCaller,
   type RefusalReason,
 } from "../request/mod.ts";
 import { AllowanceAccount } from "../retries/mod.ts";
 import type { RouteChoice } from "../routing/mod.ts";
 import { type Attempt, createFailure } from "./attempt.ts";
 import type { CallDetails } from "./call_details.ts";
+import { createCallDetails } from "./call_entry.ts";
 import { writeFailure } from "./caller_response.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
 import { copyHeaders } from "./forwarded_headers.ts";
@@ -100,7 +98,7 @@
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
-    const details = this.#createDetails(plan, {
+    const details = createCallDetails(this.state, plan, {
       request,
       parent,
       key,
@@ -237,52 +235,6 @@
     return view.getPlan({ service, method, path: target.routePath });
   }
 
-  #createDetails(
-    plan: RoutePlan,
-    options: {
-      request: IncomingMessage;
-      parent: TargetCall | undefined;
-      key: string | undefined;
-      path: string;
-      headers: string[];
-      isOutside: boolean;
-    },
-  ): CallDetails {
-    const { request, parent, key } = options;
-    const { route } = plan;
-    const inherited = parent?.details;
-    const requestId = inherited?.requestId ?? randomUUID();
-    return {
-      plan,
-      requestId,
-      caller: inherited?.caller ?? this.#getCaller(request, options.isOutside),
-      classIndex: inherited?.classIndex ?? route.classIndex,
-      depth: (inherited?.depth ?? 0) + 1,
-      hash: inherited?.hash ?? getStableHash(requestId),
-      // Each send enters here, also one that a target makes.
-      entryIndex: this.state.ledger.knownIndex,
-      deadlineMilliseconds: inherited?.deadlineMilliseconds ??
-        this.state.clock.monotonicMilliseconds() + route.deadlineMilliseconds,
-      method: request.method ?? "",
-      path: options.path,
-      headers: options.headers,
-      key,
-      needsClaim: key !== undefined && !route.idempotent &&
-        route.key !== "none",
-    };
-  }
-
-  #getCaller(request: IncomingMessage, isOutside: boolean): string {
-    if (!isOutside) {
-      return this.state.settings.service;
-    }
-    const header = this.state.view?.document.callerHeader;
-    const named = header === undefined ? undefined : request.headers[header];
-    return getBoundedCaller(
-      typeof named === "string" ? named : request.socket.remoteAddress ?? "",
-    );
-  }
-
   #getRefusal(
     view: DocumentView,
     details: CallDetails,
