--- a/bench/policy_overload.ts
+++ b/bench/policy_overload.ts
@@ -1,7 +1,7 @@
 // Measures the decisions under overload in virtual time, without processes:
 // goodput of whole requests by class, and recovery after a slow-down.
 // Run: npm run build && node dist/bench/policy_overload.js [mode ...] [part ...]
-// A part is load or slow; REFUSALS=1 and SERIES=1 print more.
+// A part is load, slow or one (one target slowed); REFUSALS=1 and SERIES=1 print more.
 import {
   capacityPerSecond,
   classes,
@@ -100,8 +100,13 @@
 const windowMilliseconds = 500;
 
 /** Slows the deepest service 10 times for 5 s while demand is twice. */
-function measureRecovery(mode: Mode, resends: number): void {
+function measureRecovery(
+  mode: Mode,
+  resends: number,
+  slowTargets = 6,
+): void {
   const chain = new VirtualChain(mode);
+  chain.slowTargets = slowTargets;
   const completed = startCallers(chain, {
     getDemand: (seconds) => seconds < 3 ? 0.8 : 2,
     resends,
@@ -124,10 +129,13 @@
   }
   const recovery = back < 23_000 ? `${back - slowTo}ms` : "none in 10s";
   console.log(
-    `mode=${mode} resends=${resends} before=${before.toFixed(0)}/s ` +
+    `mode=${mode} resends=${resends} slow_targets=${slowTargets} before=${
+      before.toFixed(0)
+    }/s ` +
       `during=${getRate(all, slowFrom, slowTo).toFixed(0)}/s ` +
       `recovery=${recovery} ` +
-      `first_2s=${getRate(all, slowTo, slowTo + 2000).toFixed(0)}/s`,
+      `first_2s=${getRate(all, slowTo, slowTo + 2000).toFixed(0)}/s ` +
+      `transfers_refused_beside_balance=${chain.transfersRefusedBesideBalance}`,
   );
   printRefusals(chain);
   if (process.env["SERIES"] === "1") {
@@ -137,7 +145,7 @@
 }
 
 const chosen = process.argv.slice(2);
-const parts = ["load", "slow"].filter((it) => chosen.includes(it));
+const parts = ["load", "slow", "one"].filter((it) => chosen.includes(it));
 const chosenModes = modes.filter((it) => chosen.includes(it));
 for (const mode of chosenModes.length > 0 ? chosenModes : modes) {
   if (parts.length === 0 || parts.includes("load")) {
@@ -150,4 +158,7 @@
     measureRecovery(mode, 2);
     measureRecovery(mode, 6);
   }
+  if (parts.length === 0 || parts.includes("one")) {
+    measureRecovery(mode, 2, 1);
+  }
 }
--- a/bench/virtual_chain.ts
+++ b/bench/virtual_chain.ts
@@ -66,6 +66,8 @@
 class VirtualNode {
   readonly #chain: VirtualChain;
   readonly #index: number;
+  /** Position among the targets of the service. */
+  readonly #position: number;
   readonly #service: (typeof services)[number];
   readonly #gate: AdmissionController | FixedGate;
   readonly #levels: LevelTable;
@@ -79,11 +81,12 @@
   #busySlots = 0;
   #wakeAt = Infinity;
 
-  constructor(chain: VirtualChain, index: number) {
+  constructor(chain: VirtualChain, index: number, position: number) {
     const { loop, mode } = chain;
     const service = services[index] ?? services[0];
     this.#chain = chain;
     this.#index = index;
+    this.#position = position;
     this.#service = service;
     const { clock } = loop;
     this.#gate = chain.isControlled
@@ -220,7 +223,7 @@
     this.#busySlots++;
     const { loop, random } = this.#chain;
     const mean = this.#service.milliseconds *
-      this.#chain.getSlowness(this.#index);
+      this.#chain.getSlowness(this.#index, this.#position);
     const own = mean * (0.5 - 0.5 * Math.log(1 - random()));
     loop.after(own, () => {
       if (call.state !== "running") {
@@ -378,6 +381,8 @@
   readonly isControlled: boolean;
   /** Factor on the service time of the deepest service. */
   slowness = 1;
+  /** Targets of the deepest service that it applies to. */
+  slowTargets: number = targetsPerService;
   /** Refusals by class and reason. */
   readonly refusals = new Map<string, number>();
   /** Transfers refused by a node whose target ran a balance view. */
@@ -391,7 +396,7 @@
     this.#nodes = services.map((_, index) =>
       Array.from(
         { length: targetsPerService },
-        () => new VirtualNode(this, index),
+        (_, position) => new VirtualNode(this, index, position),
       )
     );
   }
@@ -457,8 +462,10 @@
     return node;
   }
 
-  getSlowness(serviceIndex: number): number {
-    return serviceIndex === deepest ? this.slowness : 1;
+  getSlowness(serviceIndex: number, position: number): number {
+    return serviceIndex === deepest && position < this.slowTargets
+      ? this.slowness
+      : 1;
   }
 
   onRefused(
