--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -3,16 +3,14 @@
   type Answer,
   type CallFailure,
   getClaimFingerprint,
-  getRequestFingerprint,
-  type ServiceLevel,
 } from "../request/mod.ts";
-import { type AllowanceAccount, decideRetry } from "../retries/mod.ts";
+import type { AllowanceAccount } from "../retries/mod.ts";
 import type { AttemptOutcome, RouteChoice } from "../routing/mod.ts";
 import {
   type Attempt,
   type AttemptFailure,
   type AttemptSink,
-  isAbsenceReason,
+  getOutcomeKind,
   isCapacityReason,
   type StreamedResponse,
 } from "./attempt.ts";
@@ -25,10 +23,12 @@
 import type { ResponseHead } from "./exchange.ts";
 import { getFencedResult, needsFence } from "./final_fence.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
+import { recordLevels, type StatedLevels } from "./heard_levels.ts";
 import type { OriginSide } from "./origin_side.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { ServiceBudget } from "./retry_budget.ts";
+import { takeRetry } from "./retry_step.ts";
 import type { OutgoingCall, TargetCall } from "./target_call.ts";
 
 /** A call made by a caller or by the target beside this node. */
@@ -286,38 +286,18 @@
   }
 
   #decide(failure: AttemptFailure, targetId: string): void {
-    const { details } = this;
-    const { plan, classIndex } = details;
-    const { state } = this.#side;
-    const counters = plan.counters[classIndex];
-    const decision = decideRetry({
-      disposition: this.#mayHaveRun && failure.disposition === "not-run"
-        ? "unknown"
-        : failure.disposition,
-      reason: failure.reason,
+    const decision = takeRetry(this.#side.state, failure, {
+      details: this.details,
+      body: this.#body,
+      budget: this.#budget,
       attempts: this.#attempts,
-      isIdempotent: plan.route.idempotent,
-      isSuspect: failure.reason === "suspect" || this.#isSuspect(),
       remainingAllowance: this.#account.remaining,
-      remainingMilliseconds: details.deadlineMilliseconds -
-        state.clock.monotonicMilliseconds(),
-      hasRatioToken: this.#budget.ratio.hasToken,
-      isServiceRefusing: this.#budget.refusals.isMostlyRefusing,
-    }, {
-      objective: state.view?.document.objective ?? "goodput",
-      need: plan.need,
-      random: state.random,
+      mayHaveRun: this.#mayHaveRun,
     });
-    if (decision.kind === "stop" || this.#body?.source !== undefined) {
-      const reason = decision.kind === "stop"
-        ? decision.reason
-        : "not-retryable";
-      counters && countReason(counters.notRetried, reason);
+    if (decision.kind === "stop") {
       this.fail(failure);
       return;
     }
-    this.#budget.ratio.take();
-    counters && countReason(counters.retried, decision.reason);
     (this.#excluded ??= new Set()).add(targetId);
     if (decision.delayMilliseconds === 0) {
       this.#attempt();
@@ -329,15 +309,6 @@
     }
   }
 
-  #isSuspect(): boolean {
-    const { suspects } = this.#side.state;
-    return !suspects.isEmpty && suspects.isSuspect(getRequestFingerprint({
-      ...this.details,
-      body: this.#body?.body,
-      streamedLength: this.#body?.streamedLength ?? -1,
-    }));
-  }
-
   #onResponse(answer: Answer, bytes: number): void {
     const current = this.#current;
     if (current !== undefined) {
@@ -371,24 +342,12 @@
     return disposition === "not-run" ? "not-run" : "unknown";
   }
 
-  /**
-   * Another node names all services that are not open. The target beside this
-   * node states its own level only, because the others were heard here.
-   */
-  #recordLevels(
-    answer: Pick<Answer, "levels" | "load">,
-    { choice }: CurrentAttempt,
-  ): void {
-    if (answer.load === undefined) {
-      return; // the callee's admission did not see the call
-    }
+  #recordLevels(answer: StatedLevels, { choice }: CurrentAttempt): void {
     const { levels, settings } = this.#side.state;
-    const { reached } = this.details.plan;
-    const count = choice.targetId === settings.nodeId ? 1 : reached.length;
-    for (let index = 0; index < count; index++) {
-      const service = reached[index] as string;
-      levels.record(service, getLevel(answer.levels, service));
-    }
+    recordLevels(levels, answer, {
+      reached: this.details.plan.reached,
+      isOwnTarget: choice.targetId === settings.nodeId,
+    });
   }
 
   #refuse(
@@ -440,22 +399,3 @@
 }
 
 const noTargets: ReadonlySet<string> = new Set();
-
-function getLevel(levels: readonly ServiceLevel[], service: string): number {
-  for (const each of levels) {
-    if (each.service === service) {
-      return each.level;
-    }
-  }
-  return 0;
-}
-
-function getOutcomeKind(failure: AttemptFailure): AttemptOutcome["kind"] {
-  if (isAbsenceReason(failure.reason)) {
-    return "unreachable";
-  }
-  if (isCapacityReason(failure.reason)) {
-    return "refused";
-  }
-  return failure.disposition === "unknown" ? "failed" : "completed";
-}
