Stop a node without cutting calls that are on their way to it

Cause: a stopping node closed idle connections at once; a request that was just sent on one of them ended as unknown.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -29,6 +29,7 @@
 export class HttpListener {
   readonly #server: Server;
   readonly #endpoint: Endpoint;
+  #isLeaving = false;
 
   /** @param options Address and handler. */
   constructor(options: HttpListenerOptions) {
@@ -40,7 +41,12 @@
       keepAliveTimeout: keepAliveMilliseconds,
       connectionsCheckingInterval: 1000,
       noDelay: true,
-    }, options.handle);
+    }, (request, response) => {
+      if (this.#isLeaving) {
+        response.shouldKeepAlive = false;
+      }
+      options.handle(request, response);
+    });
     this.#server.on("clientError", onClientError);
   }
 
@@ -65,6 +71,15 @@
     });
   }
 
+  /**
+   * Ends each connection after its next response. An idle connection stays
+   * open: closing it could cut a request that is on its way, and the sender
+   * could not tell whether it ran.
+   */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
   /** Refuses new connections, and resolves when the open ones have ended. */
   close(): Promise<void> {
     return new Promise((resolve) => {
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -47,6 +47,12 @@
   onSuspectCleared(fingerprint: string): void;
 }
 
+/**
+ * Time in which all nodes hear that a target leaves. Until then they may send
+ * calls on connections that they keep open.
+ */
+const leaveMilliseconds = 3000;
+
 /** How a graceful stop ended. */
 export interface StopResult {
   /** Calls that were cut off at the limit. */
@@ -165,8 +171,15 @@
     const { state } = this;
     state.isStopping = true;
     state.log.info("stopping", { calls: this.callCount });
-    const end = performance.now() + limitMilliseconds;
-    while (this.callCount > 0 && performance.now() < end) {
+    this.outside.leave();
+    this.node.leave();
+    const start = performance.now();
+    const end = start + limitMilliseconds;
+    const quietAt = Math.min(end, start + leaveMilliseconds);
+    while (
+      performance.now() < quietAt ||
+      (this.callCount > 0 && performance.now() < end)
+    ) {
       await new Promise((resolve) => setTimeout(resolve, 10));
     }
     const cutOff = this.callCount;
