Keep a target whose move its old owner knows first

Cause: an instance that asked the old owner of a moved target for its items dropped the target when the old owner had the news of the move and it had not yet.

Change: an item that its owner does not have is dropped when it is missing for 4 s, two digest intervals.

--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -88,6 +88,8 @@
 // A longer gap between two calls of `expire` means that this process stood
 // still and could not read the renewals that were waiting for it.
 const pauseMilliseconds = 1000;
+// Two digest intervals; an item that moved is known from its new owner by then.
+const missingMilliseconds = 4000;
 // The check visits all items.
 const tombstoneCheckMilliseconds = 10_000;
 
@@ -117,6 +119,8 @@
     compare: compareNodeRecords,
     isLive: (node) => node.state !== "gone",
   }, (change) => this.#onNodeChange(change));
+  /** When an item was first missing in its owner's bucket. */
+  readonly #missingSince = new WeakMap<object, number>();
   #counter = 0;
   #checkedAt: number;
   #tombstonesCheckedAt = Number.NEGATIVE_INFINITY;
@@ -553,17 +557,30 @@
     this.#mergeItems(bucket, owner, now);
     // An older copy may lack items that a newer batch brought.
     if (bucket.counter >= this.#owners.getCounter(owner)) {
+      const mayDrop = (item: object) => this.#isMissingForLong(item, now);
       this.#targets.drop(owner, {
         bucket: index,
         kept: new Set(bucket.targets.map(getTargetKey)),
+        mayDrop,
       });
       this.#nodes.drop(owner, {
         bucket: index,
         kept: new Set(bucket.nodes.map(getNodeKey)),
+        mayDrop,
       });
     }
   }
 
+  /**
+   * Gets whether an item has been missing at its owner for some time. At first
+   * it may have moved to another instance whose news the owner has sooner.
+   */
+  #isMissingForLong(item: object, now: number): boolean {
+    const since = this.#missingSince.get(item) ?? now;
+    this.#missingSince.set(item, since);
+    return now - since >= missingMilliseconds;
+  }
+
   #compareDigest(
     digest: OwnerDigest,
     options: { sender: string; now: number },
--- a/src/membership/replicated_table.ts
+++ b/src/membership/replicated_table.ts
@@ -133,17 +133,23 @@
   /**
    * Drops the live items of an owner without tombstones.
    * @param owner The owner.
-   * @param options The bucket, absent for all, and keys to keep.
+   * @param options The bucket, absent for all, keys to keep, and which of the
+   * other items may be dropped.
    */
   drop(
     owner: string,
-    options: { bucket?: number; kept?: ReadonlySet<string> } = {},
+    options: {
+      bucket?: number;
+      kept?: ReadonlySet<string>;
+      mayDrop?: (item: Item) => boolean;
+    } = {},
   ): void {
     for (const [key, entry] of this.#entries) {
       if (
         entry.owner === owner &&
         (options.bucket === undefined || entry.bucket === options.bucket) &&
-        !options.kept?.has(key) && this.#rules.isLive(entry.item)
+        !options.kept?.has(key) && this.#rules.isLive(entry.item) &&
+        (options.mayDrop?.(entry.item) ?? true)
       ) {
         this.#remove(key, entry);
       }
