Compare the entry term when a start is judged

Cause: a voter remembered only the index of a peer's last entry. Within one term an entry can be replaced by a later one at the same index, so an older disk with the replaced entry was confirmed.

Change: PeerMemory, StartState and the request for confirmation carry the term of the last entry, and positions are ordered by entry term, then index. A position without the entry term, as written by the earlier layout, is compared by its index alone. An acknowledged entry whose term the leader has discarded adds only the term: it was committed without that acknowledgement.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -3,7 +3,13 @@
 import type { EntryContent, LogEntry, SnapshotInfo } from "./log_entry.ts";
 import { getMajority, isVoter, type Member } from "./member.ts";
 import type { ConsensusMessage, Envelope } from "./message.ts";
-import { advanceMemory, judgeStart, type PeerMemory } from "./peer_memory.ts";
+import {
+  advanceMemory,
+  emptyPosition,
+  judgeStart,
+  type LogPosition,
+  type PeerMemory,
+} from "./peer_memory.ts";
 import type {
   HardState,
   Identity,
@@ -146,7 +152,7 @@
   #leaderSince = 0;
   #firstIndexOfTerm = 0;
 
-  readonly #startState: { term: number; lastIndex: number };
+  readonly #startState: LogPosition & { readonly term: number };
   /** True once a majority of the voters confirmed this start. */
   #isConfirmed: boolean;
   /** Voters that confirmed this start. */
@@ -208,6 +214,7 @@
     this.#heardLeaderAt = this.#now;
     this.#startState = {
       term: state.hardState.term,
+      lastTerm: this.#log.lastTerm,
       lastIndex: this.#log.lastIndex,
     };
     // An identity that was made in this start has no past to fall behind.
@@ -785,7 +792,7 @@
     }
     // A vote counts only if it can be held against the voter when it starts
     // again with an older disk.
-    if (this.#remember(envelope, 0)) {
+    if (this.#remember(envelope, emptyPosition)) {
       this.#countVote(envelope.fromId);
     }
   }
@@ -1080,7 +1087,13 @@
     index: number,
   ): void {
     if (progress.isTrusted) {
-      this.#remember(envelope, index);
+      // An entry whose term is not held any more is committed without this
+      // acknowledgement.
+      const lastTerm = this.#log.getTerm(index);
+      this.#remember(
+        envelope,
+        lastTerm === undefined ? emptyPosition : { lastTerm, lastIndex: index },
+      );
     }
     if (index > progress.matchIndex) {
       progress.matchIndex = index;
@@ -1358,12 +1371,12 @@
   // --- Confirmation of a start ---
 
   /** Keeps what a peer promised; false when its start is not confirmed here. */
-  #remember(envelope: Envelope, lastIndex: number): boolean {
+  #remember(envelope: Envelope, position: LogPosition): boolean {
     const memory = this.#peers.get(envelope.fromId);
     if (memory === undefined || memory.bootId !== envelope.fromBootId) {
       return false;
     }
-    const advanced = advanceMemory(memory, { term: this.term, lastIndex });
+    const advanced = advanceMemory(memory, { term: this.term, ...position });
     if (advanced !== memory) {
       this.#peers.set(envelope.fromId, advanced);
       this.#arePeersDirty = true;
@@ -1397,6 +1410,7 @@
         bootCount: this.identity.bootCount,
         startTerm: this.#startState.term,
         startLastIndex: this.#startState.lastIndex,
+        startLastTerm: this.#startState.lastTerm,
       });
     }
   }
@@ -1446,6 +1460,7 @@
       bootId: envelope.fromBootId,
       term: message.startTerm,
       lastIndex: message.startLastIndex,
+      lastTerm: message.startLastTerm,
     });
     if (memory !== known) {
       this.#forgetFormerMembers();
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -16,6 +16,8 @@
     readonly bootCount: number;
     readonly startTerm: number;
     readonly startLastIndex: number;
+    /** Term of the entry at `startLastIndex`. */
+    readonly startLastTerm: number;
   }
   | {
     readonly kind: "confirmResponse";
