Remember what a leader or candidate promised

Cause: a leader counts itself when it commits and a candidate votes for itself, but only the receiver of an acknowledgement or vote remembered anything. A leader whose disk went back to an earlier state was confirmed by its followers and could help to elect an instance without committed entries.

Change: a follower keeps the position that a leader sent it, and a voter the term of the candidate it votes for, durably before it answers. A voter gives no vote to, and a follower does not count for, a start that it has not confirmed. Every member, not only voters, is asked for confirmation, because a non-voter that does not know the leader's start cannot be promoted. A leader sends entries only once they are on its own disk: otherwise a crash before its write looks like an older disk.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -776,7 +776,10 @@
     const { votedFor } = this.#hardState;
     const isGranted = this.#canVote() && this.#role !== "leader" &&
       (votedFor === "" || votedFor === envelope.fromId) &&
-      this.#isUpToDate(message);
+      this.#isUpToDate(message) &&
+      // A candidate votes for itself, which must be held against it when it
+      // starts again with an older disk.
+      this.#rememberNow(envelope, emptyPosition);
     if (isGranted) {
       if (votedFor === "") {
         this.#setHardState({ votedFor: envelope.fromId });
@@ -1004,9 +1007,12 @@
     }
     while (
       progress.inFlight.length < maximumInFlight &&
-      progress.nextIndex <= this.#log.lastIndex
+      progress.nextIndex <= this.#durableIndex
     ) {
+      // Members remember what they were sent as a promise of this leader, so
+      // an entry that a crash could take away must not be sent.
       const entries = this.#log.getEntries(progress.nextIndex, {
+        to: this.#durableIndex,
         maximumBytes: maximumAppendBytes,
       });
       this.#sendAppend(member, { from: progress.nextIndex, entries });
@@ -1077,7 +1083,7 @@
     }
     progress.heardAtMilliseconds = this.#now;
     progress.isTrusted = canVote &&
-      this.#peers.get(envelope.fromId)?.bootId === envelope.fromBootId;
+      this.#knowsStart(envelope);
     return progress;
   }
 
@@ -1163,7 +1169,7 @@
         isSuccess,
         index,
         round: message.round,
-        canVote: this.#canVote(),
+        canVote: this.#canVote() && this.#knowsStart(envelope),
       });
     let { previousIndex, previousTerm, entries } = message;
     // Entries up to the base are committed and in a snapshot.
@@ -1196,6 +1202,10 @@
       this.#updateConfirmation();
     }
     const match = previousIndex + entries.length;
+    this.#rememberNow(envelope, {
+      lastTerm: entries.at(-1)?.term ?? previousTerm,
+      lastIndex: match,
+    });
     this.#commitIndex = Math.max(
       this.#commitIndex,
       Math.min(message.commitIndex, match),
@@ -1246,7 +1256,7 @@
         index: info.index,
         nextOffset,
         isInstalled,
-        canVote: this.#canVote(),
+        canVote: this.#canVote() && this.#knowsStart(envelope),
       });
     if (info.index <= this.#commitIndex) {
       return respond(0, true);
@@ -1272,6 +1282,10 @@
     this.#pendingSnapshot = { info, data };
     this.#pendingFrom = undefined;
     this.#restore = { info, data };
+    this.#rememberNow(envelope, {
+      lastTerm: info.term,
+      lastIndex: info.index,
+    });
     this.#updateConfirmation();
     respond(incoming.size, true);
   }
@@ -1373,7 +1387,7 @@
   /** Keeps what a peer promised; false when its start is not confirmed here. */
   #remember(envelope: Envelope, position: LogPosition): boolean {
     const memory = this.#peers.get(envelope.fromId);
-    if (memory === undefined || memory.bootId !== envelope.fromBootId) {
+    if (memory === undefined || !this.#knowsStart(envelope)) {
       return false;
     }
     const advanced = advanceMemory(memory, { term: this.term, ...position });
@@ -1384,14 +1398,33 @@
     return true;
   }
 
+  /**
+   * Keeps what a leader or candidate promised. The messages held from now on
+   * wait until it is durable: the peer counts itself together with them.
+   */
+  #rememberNow(envelope: Envelope, position: LogPosition): boolean {
+    const isKnown = this.#remember(envelope, position);
+    this.#pendingPeers ||= this.#arePeersDirty;
+    return isKnown;
+  }
+
+  /** Reports whether promises of this start of the sender can be kept. */
+  #knowsStart(envelope: Envelope): boolean {
+    return this.#peers.get(envelope.fromId)?.bootId === envelope.fromBootId;
+  }
+
   #tickConfirmation(): void {
     this.#updateConfirmation();
     if (this.#now < this.#nextConfirmAt || this.#hardState.isRegressed) {
       return;
     }
     this.#nextConfirmAt = this.#now + this.#timing.heartbeatMilliseconds;
-    for (const member of this.#otherVoters()) {
-      this.#askConfirmation(member);
+    // Non-voters too: one that does not know this start cannot be promoted by
+    // this instance as leader.
+    for (const member of this.members) {
+      if (member.id !== this.identity.id) {
+        this.#askConfirmation(member);
+      }
     }
     if (this.#leader !== undefined && !this.isLeader) {
       this.#askConfirmation(this.#leader);
@@ -1399,7 +1432,7 @@
   }
 
   /**
-   * Asks for confirmation of this start unless it was given. Every voter is
+   * Asks for confirmation of this start unless it was given. Every member is
    * asked, also after the majority: one that answers late may still deny, and
    * candidates and leaders count only starts that they confirmed themselves.
    */
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -573,3 +573,204 @@
   group.finish();
   assert.equal(disk.state.hardState.isMoved, false);
 });
+
+/** Gets the slot of the leader. */
+function getLeaderSlot(group: SimulatedGroup): number {
+  return group.instances.findIndex((each) => each.core === group.leader);
+}
+
+// Guards against a leader that counted itself for entries, goes back to an
+// older disk, and helps to elect an instance without them.
+test("a former leader on an older disk is denied by its follower", () => {
+  const group = new SimulatedGroup(3);
+  const leader = getLeaderSlot(group);
+  const image = group.at(leader).disk.copy();
+  group.sides = 1 << (leader + 1) % 3;
+  const before = group.committedCount;
+  group.propose(leader, 5);
+  group.run(200, { seed: 1 });
+  assert.equal(group.committedCount, before + 5);
+  group.crash(leader, true);
+  group.at(leader).disk = image;
+  group.start(leader);
+  group.sides = 0;
+  group.run(1000, { seed: 2 });
+  assert.equal(group.at(leader).core?.getRole(), "denied");
+  group.loseDisk(leader);
+  group.finish();
+});
+
+// Guards against taking a crash before the end of a write for an older disk.
+test("a leader that crashes before its write is confirmed again", () => {
+  const group = new SimulatedGroup(3);
+  const leader = getLeaderSlot(group);
+  group.propose(leader, 5);
+  group.crash(leader, false);
+  group.run(100, { seed: 1 });
+  group.start(leader);
+  group.run(1000, { seed: 2 });
+  assert.equal(group.at(leader).core?.getRole(), "follower");
+  group.finish();
+});
+
+const voters = ["a", "b", "c"].map((id) => ({
+  id,
+  address: `${id}:1`,
+  isVoter: true,
+}));
+
+/** Creates the start of voter `a` in a term, confirmed by both others. */
+function createConfirmedCore(term: number, votedFor: string): ConsensusCore {
+  const core = new ConsensusCore({
+    identity: { id: "a", bootCount: 2, bootId: "a2", folderMark: "" },
+    hardState: { ...emptyHardState, term, votedFor, groupId: "g" },
+    snapshot: emptySnapshotInfo,
+    entries: [{
+      index: 1,
+      term: 1,
+      timeMilliseconds: 0,
+      content: { kind: "members", members: voters },
+    }],
+    peers: new Map(),
+  }, {
+    address: "a:1",
+    initialMembers: [],
+    random: createSeededRandom(1),
+    time: { monotonicMilliseconds: 0, wallMilliseconds: 0 },
+    timing,
+  });
+  for (const from of ["b", "c"]) {
+    const verdict = "confirmed";
+    ask(core, { from, term }, {
+      kind: "confirmResponse",
+      bootId: "a2",
+      verdict,
+      reason: "",
+    });
+  }
+  return core;
+}
+
+/** Delivers a message and gets the answer, once all writes are done. */
+function ask(
+  core: ConsensusCore,
+  { from, term, boot = 1 }: { from: string; term: number; boot?: number },
+  message: Envelope["message"],
+): Envelope["message"] | undefined {
+  core.receive({
+    groupId: "g",
+    fromId: from,
+    fromAddress: `${from}:1`,
+    fromBootId: `${from}${boot}`,
+    toId: "a",
+    toAddress: "a:1",
+    term,
+    message,
+  });
+  const request = core.takeStorageRequest();
+  if (request !== undefined) {
+    core.onStored(request.sequence);
+  }
+  return core.takeMessages().at(-1)?.message;
+}
+
+function askConfirmation(
+  core: ConsensusCore,
+  options: { boot: number; startTerm: number; startLastIndex: number },
+): string {
+  const { boot, startTerm, startLastIndex } = options;
+  const answer = ask(core, { from: "b", term: startTerm, boot }, {
+    kind: "confirmRequest",
+    bootCount: boot,
+    startTerm,
+    startLastIndex,
+    startLastTerm: 1,
+  });
+  assert.ok(answer?.kind === "confirmResponse");
+  return answer.verdict;
+}
+
+const voteRequest = { kind: "voteRequest", lastIndex: 1, lastTerm: 1 } as const;
+
+for (
+  const { name, votedFor, term, isKnown, isGranted } of [
+    {
+      name: "that is on the disk",
+      votedFor: "b",
+      term: 5,
+      isKnown: true,
+      isGranted: true,
+    },
+    {
+      name: "other than the one on the disk",
+      votedFor: "c",
+      term: 5,
+      isKnown: true,
+      isGranted: false,
+    },
+    {
+      name: "in a later term",
+      votedFor: "",
+      term: 6,
+      isKnown: true,
+      isGranted: true,
+    },
+    {
+      name: "for a start that it does not know",
+      votedFor: "",
+      term: 6,
+      isKnown: false,
+      isGranted: false,
+    },
+  ]
+) {
+  // Guards against a second vote in one term after a start with an older disk,
+  // and against a candidate whose own vote nobody remembers.
+  test(`a started instance ${isGranted ? "gives" : "refuses"} a vote ${name}`, () => {
+    const core = createConfirmedCore(5, votedFor);
+    if (isKnown) {
+      askConfirmation(core, { boot: 1, startTerm: 5, startLastIndex: 1 });
+    }
+    assert.deepEqual(ask(core, { from: "b", term }, voteRequest), {
+      kind: "voteResponse",
+      isGranted,
+    });
+  });
+}
+
+// Guards against a candidate on an older disk that votes again in its term.
+test("a voter remembers the term of the candidate it voted for", () => {
+  const core = createConfirmedCore(5, "");
+  askConfirmation(core, { boot: 1, startTerm: 5, startLastIndex: 1 });
+  ask(core, { from: "b", term: 6 }, voteRequest);
+  const start = { boot: 2, startTerm: 5, startLastIndex: 1 };
+  assert.equal(askConfirmation(core, start), "denied");
+});
+
+// Guards against a leader that counts itself while its follower cannot
+// remember what it was sent.
+test("a follower counts only for a leader whose start it knows", () => {
+  const core = createConfirmedCore(5, "");
+  const append = () => {
+    const answer = ask(core, { from: "b", term: 6 }, {
+      kind: "append",
+      previousIndex: 1,
+      previousTerm: 1,
+      entries: [{
+        index: 2,
+        term: 6,
+        timeMilliseconds: 0,
+        content: { kind: "empty" },
+      }],
+      commitIndex: 1,
+      round: 0,
+    });
+    assert.ok(answer?.kind === "appendResponse" && answer.isSuccess);
+    return answer.canVote;
+  };
+  assert.equal(append(), false);
+  askConfirmation(core, { boot: 1, startTerm: 6, startLastIndex: 1 });
+  assert.equal(append(), true);
+  const start = { boot: 2, startTerm: 6, startLastIndex: 1 };
+  assert.equal(askConfirmation(core, start), "denied");
+});
