Abstain in the term of the start

Cause: an instance whose disk went back to before its vote was confirmed and could give a second vote in the same term.

Change: a started instance gives no vote in the term with which it started, unless that vote is on its disk. It votes and stands in higher terms.

Without the rule, the case 'refuses a vote in the term of the start' fails.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -774,8 +774,11 @@
     message: { lastIndex: number; lastTerm: number },
   ): void {
     const { votedFor } = this.#hardState;
+    // A vote of the start's term that is not on the disk may have been given
+    // before the disk went back, so a new one could be the second.
+    const isFree = votedFor === "" && this.term > this.#startState.term;
     const isGranted = this.#canVote() && this.#role !== "leader" &&
-      (votedFor === "" || votedFor === envelope.fromId) &&
+      (isFree || votedFor === envelope.fromId) &&
       this.#isUpToDate(message) &&
       // A candidate votes for itself, which must be held against it when it
       // starts again with an older disk.
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -694,6 +694,13 @@
 
 for (
   const { name, votedFor, term, isKnown, isGranted } of [
+    {
+      name: "in the term of the start",
+      votedFor: "",
+      term: 5,
+      isKnown: true,
+      isGranted: false,
+    },
     {
       name: "that is on the disk",
       votedFor: "b",
