Let a claimed call finish when its caller has left

Cause: a transfer whose caller disconnected after dispatch was cancelled at the target, so its key ended as unknown and could only be settled by hand. Change: the node keeps the exchange for up to 10 s, records the response in the ledger and gives the slot back then. A test aborts a transfer in flight and sends it again.

--- a/src/node/claims_test.ts
+++ b/src/node/claims_test.ts
@@ -212,3 +212,23 @@
   await waitFor(() => ledger.releases.length === 1);
   assert.equal(front.target.runs.length, 0);
 });
+
+test("a transfer whose caller left completes, and a resend gets its response", async (context) => {
+  const ledger = new FakeLedger();
+  const front = await start(context, ledger, { serviceMilliseconds: 100 });
+  const abort = new AbortController();
+  const left = sendCall({
+    port: front.outside,
+    method: "POST",
+    path: "/transfers",
+    headers: { "idempotency-key": "k1" },
+    body: "amount=5",
+    signal: abort.signal,
+  });
+  await waitFor(() => front.target.runs.length === 1);
+  abort.abort();
+  await assert.rejects(left);
+  await waitFor(() => front.target.runs[0]?.end === "completed");
+  await waitFor(async () => (await transfer(front)).status === 200);
+  assert.equal(front.target.runs.length, 1);
+});
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -43,6 +43,12 @@
   cancelByParent(): void;
 }
 
+/**
+ * Time for which a claimed call whose caller left may still run. Its response
+ * goes to the ledger, so that the caller can learn the outcome.
+ */
+const detachedMilliseconds = 10_000;
+
 type Phase = "queued" | "claiming" | "running" | "streaming" | "ended";
 
 /** Runs one call at the target beside this node. */
@@ -66,6 +72,8 @@
   #exchange: Exchange | undefined;
   #outgoing: Set<OutgoingCall> | undefined;
   #fingerprint: string | undefined;
+  /** Runs while the call goes on without a caller. */
+  #detachment: NodeJS.Timeout | undefined;
 
   /**
    * @param side The target's side of this node.
@@ -148,6 +156,10 @@
     }
     const mayHaveRun = this.#exchange !== undefined &&
       this.#exchange.mayBeSent;
+    if (mayHaveRun && phase === "running" && this.#claim !== undefined) {
+      this.#detach();
+      return "unknown";
+    }
     this.#exchange?.cancel();
     if (!mayHaveRun) {
       this.#claim?.abandon();
@@ -180,7 +192,11 @@
     }
     this.#claim?.complete(head, body);
     this.#onCompleted();
-    this.#sink.onHeld(this.#createAnswer(), head, body);
+    if (this.#detachment === undefined) {
+      this.#sink.onHeld(this.#createAnswer(), head, body);
+    } else {
+      this.#state.memory.release(body.length);
+    }
   }
 
   onStream(
@@ -206,6 +222,11 @@
         this.#exchange?.cancel();
       }
     };
+    if (this.#detachment !== undefined) {
+      response.once("end", () => onEnd(true)).once("close", () => onEnd(false));
+      response.resume();
+      return;
+    }
     // The target may still make calls, so nothing is given back yet.
     const answer = this.#createAnswer(0);
     this.#sink.onStream(answer, { head, response, chunks, onEnd });
@@ -291,6 +312,14 @@
     }
   }
 
+  /** Lets a claimed call go on without its caller. */
+  #detach(): void {
+    this.#detachment ??= setTimeout(() => {
+      this.#exchange?.cancel();
+      this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
+    }, detachedMilliseconds);
+  }
+
   /** Releases the claim first, because the caller may send again. */
   #failNotRun(kind: FinishSample["kind"], reason: RefusalReason): void {
     this.#end({ kind, serviceMilliseconds: 0 });
@@ -303,6 +332,7 @@
 
   #end(sample: FinishSample): void {
     this.#phase = "ended";
+    clearTimeout(this.#detachment);
     if (this.#outgoing !== undefined) {
       for (const call of [...this.#outgoing]) {
         call.cancelByParent();
@@ -321,6 +351,9 @@
     if (counters !== undefined) {
       countReason(counters.failedAttempts, reason);
     }
+    if (this.#detachment !== undefined) {
+      return;
+    }
     this.#sink.onFailure({
       disposition,
       reason,
