--- a/bench/virtual_chain.ts
+++ b/bench/virtual_chain.ts
@@ -66,6 +66,8 @@
 class VirtualNode {
   readonly #chain: VirtualChain;
   readonly #index: number;
+  /** Position among the targets of the service. */
+  readonly #position: number;
   readonly #service: (typeof services)[number];
   readonly #gate: AdmissionController | FixedGate;
   readonly #levels: LevelTable;
@@ -79,11 +81,12 @@
   #busySlots = 0;
   #wakeAt = Infinity;
 
-  constructor(chain: VirtualChain, index: number) {
+  constructor(chain: VirtualChain, index: number, position: number) {
     const { loop, mode } = chain;
     const service = services[index] ?? services[0];
     this.#chain = chain;
     this.#index = index;
+    this.#position = position;
     this.#service = service;
     const { clock } = loop;
     this.#gate = chain.isControlled
@@ -220,7 +223,7 @@
     this.#busySlots++;
     const { loop, random } = this.#chain;
     const mean = this.#service.milliseconds *
-      this.#chain.getSlowness(this.#index);
+      this.#chain.getSlowness(this.#index, this.#position);
     const own = mean * (0.5 - 0.5 * Math.log(1 - random()));
     loop.after(own, () => {
       if (call.state !== "running") {
@@ -255,7 +258,7 @@
         kind: result.kind === "ok" ? "completed" : "refused",
         hint: this.#chain.isControlled ? node.getHint() : undefined,
       });
-      result.levels.forEach((it) => this.#levels.record(it.service, it.level));
+      this.#recordLevels(result);
       this.#refusals.record(result.kind === "refused");
       call.account.settle(part.handedDown, result.unused);
       call.awayMilliseconds += loop.now - startedAt;
@@ -271,6 +274,14 @@
     );
   }
 
+  /** Records the levels of all deeper services, as a node does. */
+  #recordLevels({ levels }: Result): void {
+    for (const service of reachedServices.slice(this.#index + 1)) {
+      const heard = levels.find((it) => it.service === service);
+      this.#levels.record(service, heard?.level ?? 0);
+    }
+  }
+
   #onResult(
     call: Call,
     result: Result,
@@ -370,6 +381,8 @@
   readonly isControlled: boolean;
   /** Factor on the service time of the deepest service. */
   slowness = 1;
+  /** Targets of the deepest service that it applies to. */
+  slowTargets: number = targetsPerService;
   /** Refusals by class and reason. */
   readonly refusals = new Map<string, number>();
   /** Transfers refused by a node whose target ran a balance view. */
@@ -383,7 +396,7 @@
     this.#nodes = services.map((_, index) =>
       Array.from(
         { length: targetsPerService },
-        () => new VirtualNode(this, index),
+        (_, position) => new VirtualNode(this, index, position),
       )
     );
   }
@@ -449,8 +462,10 @@
     return node;
   }
 
-  getSlowness(serviceIndex: number): number {
-    return serviceIndex === deepest ? this.slowness : 1;
+  getSlowness(serviceIndex: number, position: number): number {
+    return serviceIndex === deepest && position < this.slowTargets
+      ? this.slowness
+      : 1;
   }
 
   onRefused(
--- a/src/admission/level_table.ts
+++ b/src/admission/level_table.ts
@@ -1,12 +1,23 @@
 import type { Clock } from "../common/mod.ts";
 import { bucketCount } from "./importance.ts";
 
+/** Time after which the next refused call is a probe, whatever it is. */
 const probeMilliseconds = 250;
-const probeInterval = 100;
+/** Refused calls after which the next one is a probe, whatever it is. */
+const longestProbeInterval = 200;
+/** Refused calls after which one near the edge is a probe: about 1 in 100. */
+const probeInterval = 75;
+/** A call this close to the most important one refused makes a good probe. */
+const probeMargin = 8;
 /** A level fades once nothing was heard of it for this long. */
 const fadeAfterMilliseconds = 1000;
 const fadeHalfLifeMilliseconds = 500;
 
+/** Weight of one news when news are frequent. */
+const newsWeight = 1 / 8;
+/** News older than this hardly count any more. */
+const newsMilliseconds = 100;
+
 /** Options of a level table. */
 export interface LevelTableOptions {
   readonly clock: Clock;
@@ -24,6 +35,8 @@
   readonly #steps: number;
   readonly #entries = new Map<string, LevelEntry>();
   #shedSinceProbe = 0;
+  /** Lowest importance number refused since the last probe. */
+  #mostImportantShed = Infinity;
   #probedMilliseconds = -Infinity;
 
   /** @param options Clock and number of classes. */
@@ -33,19 +46,30 @@
   }
 
   /**
-   * Records a level heard from a service.
+   * Records a level heard from a service. The targets of a service differ, so
+   * the table keeps a mean of recent news; a response without a level counts
+   * as news of 0.
    * @param service Name of the service.
    * @param level Its level; 0 is open.
    */
   record(service: string, level: number): void {
     const bounded = Math.min(Math.max(level, 0), this.#steps - 1);
-    const now = this.#clock.monotonicMilliseconds();
     const entry = this.#entries.get(service);
-    if (entry !== undefined) {
-      entry.level = bounded;
-      entry.heardMilliseconds = now;
-    } else if (bounded > 0) {
+    if (entry === undefined && bounded === 0) {
+      return;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    if (entry === undefined) {
       this.#entries.set(service, { level: bounded, heardMilliseconds: now });
+      return;
+    }
+    const age = now - entry.heardMilliseconds;
+    const weight = Math.max(newsWeight, Math.min(1, age / newsMilliseconds));
+    const known = this.#getMean(entry, now);
+    entry.level = known + weight * (bounded - known);
+    entry.heardMilliseconds = now;
+    if (entry.level < 0.5) {
+      this.#entries.delete(service);
     }
   }
 
@@ -64,7 +88,7 @@
     for (const service of services) {
       const level = this.#getLevel(service, now);
       if (level > 0 && importance >= this.#steps - level) {
-        return !this.#takeProbe(now);
+        return !this.#takeProbe(importance, now);
       }
     }
     return false;
@@ -83,25 +107,40 @@
     if (entry === undefined) {
       return 0;
     }
-    const silent = now - entry.heardMilliseconds - fadeAfterMilliseconds;
-    const level = silent <= 0
-      ? entry.level
-      : Math.floor(entry.level * 0.5 ** (silent / fadeHalfLifeMilliseconds));
+    const level = Math.round(this.#getMean(entry, now));
     if (level === 0) {
       this.#entries.delete(service);
     }
     return level;
   }
 
-  #takeProbe(now: number): boolean {
+  #getMean(entry: LevelEntry, now: number): number {
+    const silent = now - entry.heardMilliseconds - fadeAfterMilliseconds;
+    return silent <= 0
+      ? entry.level
+      : entry.level * 0.5 ** (silent / fadeHalfLifeMilliseconds);
+  }
+
+  /**
+   * Decides whether a call becomes a probe. Probes are taken from the most
+   * important calls that are refused, or a balance view would run as a probe
+   * while transfers are refused.
+   */
+  #takeProbe(importance: number, now: number): boolean {
     this.#shedSinceProbe++;
-    if (
-      this.#shedSinceProbe < probeInterval &&
-      now - this.#probedMilliseconds < probeMilliseconds
-    ) {
+    this.#mostImportantShed = Math.min(this.#mostImportantShed, importance);
+    const elapsed = now - this.#probedMilliseconds;
+    const isNearEdge = importance <= this.#mostImportantShed + probeMargin;
+    const isDue = isNearEdge
+      ? this.#shedSinceProbe >= probeInterval ||
+        elapsed >= probeMilliseconds / 2
+      : this.#shedSinceProbe >= longestProbeInterval ||
+        elapsed >= probeMilliseconds;
+    if (!isDue) {
       return false;
     }
     this.#shedSinceProbe = 0;
+    this.#mostImportantShed = Infinity;
     this.#probedMilliseconds = now;
     return true;
   }
--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -3,7 +3,13 @@
 import type { EntryContent, LogEntry, SnapshotInfo } from "./log_entry.ts";
 import { getMajority, isVoter, type Member } from "./member.ts";
 import type { ConsensusMessage, Envelope } from "./message.ts";
-import { advanceMemory, judgeStart, type PeerMemory } from "./peer_memory.ts";
+import {
+  advanceMemory,
+  emptyPosition,
+  judgeStart,
+  type LogPosition,
+  type PeerMemory,
+} from "./peer_memory.ts";
 import type {
   HardState,
   Identity,
@@ -146,7 +152,7 @@
   #leaderSince = 0;
   #firstIndexOfTerm = 0;
 
-  readonly #startState: { term: number; lastIndex: number };
+  readonly #startState: LogPosition & { readonly term: number };
   /** True once a majority of the voters confirmed this start. */
   #isConfirmed: boolean;
   /** Voters that confirmed this start. */
@@ -208,6 +214,7 @@
     this.#heardLeaderAt = this.#now;
     this.#startState = {
       term: state.hardState.term,
+      lastTerm: this.#log.lastTerm,
       lastIndex: this.#log.lastIndex,
     };
     // An identity that was made in this start has no past to fall behind.
@@ -767,9 +774,15 @@
     message: { lastIndex: number; lastTerm: number },
   ): void {
     const { votedFor } = this.#hardState;
+    // A vote of the start's term that is not on the disk may have been given
+    // before the disk went back, so a new one could be the second.
+    const isFree = votedFor === "" && this.term > this.#startState.term;
     const isGranted = this.#canVote() && this.#role !== "leader" &&
-      (votedFor === "" || votedFor === envelope.fromId) &&
-      this.#isUpToDate(message);
+      (isFree || votedFor === envelope.fromId) &&
+      this.#isUpToDate(message) &&
+      // A candidate votes for itself, which must be held against it when it
+      // starts again with an older disk.
+      this.#rememberNow(envelope, emptyPosition);
     if (isGranted) {
       if (votedFor === "") {
         this.#setHardState({ votedFor: envelope.fromId });
@@ -785,7 +798,7 @@
     }
     // A vote counts only if it can be held against the voter when it starts
     // again with an older disk.
-    if (this.#remember(envelope, 0)) {
+    if (this.#remember(envelope, emptyPosition)) {
       this.#countVote(envelope.fromId);
     }
   }
@@ -997,9 +1010,12 @@
     }
     while (
       progress.inFlight.length < maximumInFlight &&
-      progress.nextIndex <= this.#log.lastIndex
+      progress.nextIndex <= this.#durableIndex
     ) {
+      // Members remember what they were sent as a promise of this leader, so
+      // an entry that a crash could take away must not be sent.
       const entries = this.#log.getEntries(progress.nextIndex, {
+        to: this.#durableIndex,
         maximumBytes: maximumAppendBytes,
       });
       this.#sendAppend(member, { from: progress.nextIndex, entries });
@@ -1070,7 +1086,7 @@
     }
     progress.heardAtMilliseconds = this.#now;
     progress.isTrusted = canVote &&
-      this.#peers.get(envelope.fromId)?.bootId === envelope.fromBootId;
+      this.#knowsStart(envelope);
     return progress;
   }
 
@@ -1080,7 +1096,13 @@
     index: number,
   ): void {
     if (progress.isTrusted) {
-      this.#remember(envelope, index);
+      // An entry whose term is not held any more is committed without this
+      // acknowledgement.
+      const lastTerm = this.#log.getTerm(index);
+      this.#remember(
+        envelope,
+        lastTerm === undefined ? emptyPosition : { lastTerm, lastIndex: index },
+      );
     }
     if (index > progress.matchIndex) {
       progress.matchIndex = index;
@@ -1150,7 +1172,7 @@
         isSuccess,
         index,
         round: message.round,
-        canVote: this.#canVote(),
+        canVote: this.#canVote() && this.#knowsStart(envelope),
       });
     let { previousIndex, previousTerm, entries } = message;
     // Entries up to the base are committed and in a snapshot.
@@ -1183,6 +1205,10 @@
       this.#updateConfirmation();
     }
     const match = previousIndex + entries.length;
+    this.#rememberNow(envelope, {
+      lastTerm: entries.at(-1)?.term ?? previousTerm,
+      lastIndex: match,
+    });
     this.#commitIndex = Math.max(
       this.#commitIndex,
       Math.min(message.commitIndex, match),
@@ -1233,7 +1259,7 @@
         index: info.index,
         nextOffset,
         isInstalled,
-        canVote: this.#canVote(),
+        canVote: this.#canVote() && this.#knowsStart(envelope),
       });
     if (info.index <= this.#commitIndex) {
       return respond(0, true);
@@ -1259,6 +1285,10 @@
     this.#pendingSnapshot = { info, data };
     this.#pendingFrom = undefined;
     this.#restore = { info, data };
+    this.#rememberNow(envelope, {
+      lastTerm: info.term,
+      lastIndex: info.index,
+    });
     this.#updateConfirmation();
     respond(incoming.size, true);
   }
@@ -1358,12 +1388,12 @@
   // --- Confirmation of a start ---
 
   /** Keeps what a peer promised; false when its start is not confirmed here. */
-  #remember(envelope: Envelope, lastIndex: number): boolean {
+  #remember(envelope: Envelope, position: LogPosition): boolean {
     const memory = this.#peers.get(envelope.fromId);
-    if (memory === undefined || memory.bootId !== envelope.fromBootId) {
+    if (memory === undefined || !this.#knowsStart(envelope)) {
       return false;
     }
-    const advanced = advanceMemory(memory, { term: this.term, lastIndex });
+    const advanced = advanceMemory(memory, { term: this.term, ...position });
     if (advanced !== memory) {
       this.#peers.set(envelope.fromId, advanced);
       this.#arePeersDirty = true;
@@ -1371,14 +1401,33 @@
     return true;
   }
 
+  /**
+   * Keeps what a leader or candidate promised. The messages held from now on
+   * wait until it is durable: the peer counts itself together with them.
+   */
+  #rememberNow(envelope: Envelope, position: LogPosition): boolean {
+    const isKnown = this.#remember(envelope, position);
+    this.#pendingPeers ||= this.#arePeersDirty;
+    return isKnown;
+  }
+
+  /** Reports whether promises of this start of the sender can be kept. */
+  #knowsStart(envelope: Envelope): boolean {
+    return this.#peers.get(envelope.fromId)?.bootId === envelope.fromBootId;
+  }
+
   #tickConfirmation(): void {
     this.#updateConfirmation();
     if (this.#now < this.#nextConfirmAt || this.#hardState.isRegressed) {
       return;
     }
     this.#nextConfirmAt = this.#now + this.#timing.heartbeatMilliseconds;
-    for (const member of this.#otherVoters()) {
-      this.#askConfirmation(member);
+    // Non-voters too: one that does not know this start cannot be promoted by
+    // this instance as leader.
+    for (const member of this.members) {
+      if (member.id !== this.identity.id) {
+        this.#askConfirmation(member);
+      }
     }
     if (this.#leader !== undefined && !this.isLeader) {
       this.#askConfirmation(this.#leader);
@@ -1386,7 +1435,7 @@
   }
 
   /**
-   * Asks for confirmation of this start unless it was given. Every voter is
+   * Asks for confirmation of this start unless it was given. Every member is
    * asked, also after the majority: one that answers late may still deny, and
    * candidates and leaders count only starts that they confirmed themselves.
    */
@@ -1397,6 +1446,7 @@
         bootCount: this.identity.bootCount,
         startTerm: this.#startState.term,
         startLastIndex: this.#startState.lastIndex,
+        startLastTerm: this.#startState.lastTerm,
       });
     }
   }
@@ -1411,11 +1461,17 @@
       others.filter((each) => this.#confirmations.has(each.id)).length;
     const hasWaited = this.#now - this.#startedAt >=
       this.#timing.confirmationMilliseconds;
+    // Only the leader that counted an acknowledgement remembers it. A copied
+    // folder may be older than that, so it needs the word of every voter.
+    const { isMoved } = this.#hardState;
     if (
       confirmed + self >= getMajority(this.members) &&
-      (confirmed === others.length || hasWaited)
+      (confirmed === others.length || (hasWaited && !isMoved))
     ) {
       this.#isConfirmed = true;
+      if (isMoved) {
+        this.#setHardState({ isMoved: false });
+      }
       this.#events.push({
         kind: "notice",
         text: "start confirmed",
@@ -1440,6 +1496,7 @@
       bootId: envelope.fromBootId,
       term: message.startTerm,
       lastIndex: message.startLastIndex,
+      lastTerm: message.startLastTerm,
     });
     if (memory !== known) {
       this.#forgetFormerMembers();
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -33,7 +33,7 @@
 
   constructor(id: string) {
     this.state = {
-      identity: { id, bootCount: 0, bootId: "" },
+      identity: { id, bootCount: 0, bootId: "", folderMark: "" },
       hardState: emptyHardState,
       snapshot: emptySnapshotInfo,
       entries: [],
@@ -148,7 +148,7 @@
     disk.state = {
       ...disk.state,
       identity: {
-        id: identity.id,
+        ...identity,
         bootCount: identity.bootCount + 1,
         bootId: String(++this.#starts),
       },
@@ -516,10 +516,10 @@
   group.finish();
 });
 
-test("an instance on an older disk neither votes nor stands", () => {
+/** Instance 2 goes back to before entries that only 0 saw it acknowledge. */
+function createGroupWithOlderDisk(isMoved: boolean): SimulatedGroup {
   const group = new SimulatedGroup(3);
   const image = group.at(2).disk.copy();
-  // Instance 1 misses what 0 and 2 commit; only 0 can tell that 2 is behind.
   group.sides = 0b010;
   group.run(2000, { seed: 1 });
   const before = group.committedCount;
@@ -527,7 +527,14 @@
   group.run(1000, { seed: 2 });
   assert.equal(group.committedCount, before + 5);
   group.crash(2, true);
+  const { state } = image;
+  image.state = { ...state, hardState: { ...state.hardState, isMoved } };
   group.at(2).disk = image;
+  return group;
+}
+
+test("an instance on an older disk neither votes nor stands", () => {
+  const group = createGroupWithOlderDisk(false);
   group.start(2);
   group.run(1000, { seed: 3 });
   assert.equal(group.at(2).core?.getRole(), "denied");
@@ -542,3 +549,235 @@
   group.loseDisk(2);
   group.finish();
 });
+
+test("a restored copy waits for the voter that remembers more", () => {
+  const group = createGroupWithOlderDisk(true);
+  group.sides = 0b001;
+  group.start(2);
+  group.run(3000, { seed: 3 });
+  assert.equal(group.at(2).core?.getRole(), "recovering");
+  assert.equal(group.leader, undefined, "1 and 2 lack committed entries");
+  group.sides = 0;
+  group.run(3000, { seed: 4 });
+  assert.equal(group.at(2).core?.getRole(), "denied");
+  group.loseDisk(2);
+  group.finish();
+});
+
+test("a moved folder takes part again once all voters confirmed it", () => {
+  const group = new SimulatedGroup(3);
+  group.crash(2, true);
+  const { disk } = group.at(2);
+  const { hardState } = disk.state;
+  disk.state = { ...disk.state, hardState: { ...hardState, isMoved: true } };
+  group.finish();
+  assert.equal(disk.state.hardState.isMoved, false);
+});
+
+/** Gets the slot of the leader. */
+function getLeaderSlot(group: SimulatedGroup): number {
+  return group.instances.findIndex((each) => each.core === group.leader);
+}
+
+// Guards against a leader that counted itself for entries, goes back to an
+// older disk, and helps to elect an instance without them.
+test("a former leader on an older disk is denied by its follower", () => {
+  const group = new SimulatedGroup(3);
+  const leader = getLeaderSlot(group);
+  const image = group.at(leader).disk.copy();
+  group.sides = 1 << (leader + 1) % 3;
+  const before = group.committedCount;
+  group.propose(leader, 5);
+  group.run(200, { seed: 1 });
+  assert.equal(group.committedCount, before + 5);
+  group.crash(leader, true);
+  group.at(leader).disk = image;
+  group.start(leader);
+  group.sides = 0;
+  group.run(1000, { seed: 2 });
+  assert.equal(group.at(leader).core?.getRole(), "denied");
+  group.loseDisk(leader);
+  group.finish();
+});
+
+// Guards against taking a crash before the end of a write for an older disk.
+test("a leader that crashes before its write is confirmed again", () => {
+  const group = new SimulatedGroup(3);
+  const leader = getLeaderSlot(group);
+  group.propose(leader, 5);
+  group.crash(leader, false);
+  group.run(100, { seed: 1 });
+  group.start(leader);
+  group.run(1000, { seed: 2 });
+  assert.equal(group.at(leader).core?.getRole(), "follower");
+  group.finish();
+});
+
+const voters = ["a", "b", "c"].map((id) => ({
+  id,
+  address: `${id}:1`,
+  isVoter: true,
+}));
+
+/** Creates the start of voter `a` in a term, confirmed by both others. */
+function createConfirmedCore(term: number, votedFor: string): ConsensusCore {
+  const core = new ConsensusCore({
+    identity: { id: "a", bootCount: 2, bootId: "a2", folderMark: "" },
+    hardState: { ...emptyHardState, term, votedFor, groupId: "g" },
+    snapshot: emptySnapshotInfo,
+    entries: [{
+      index: 1,
+      term: 1,
+      timeMilliseconds: 0,
+      content: { kind: "members", members: voters },
+    }],
+    peers: new Map(),
+  }, {
+    address: "a:1",
+    initialMembers: [],
+    random: createSeededRandom(1),
+    time: { monotonicMilliseconds: 0, wallMilliseconds: 0 },
+    timing,
+  });
+  for (const from of ["b", "c"]) {
+    const verdict = "confirmed";
+    ask(core, { from, term }, {
+      kind: "confirmResponse",
+      bootId: "a2",
+      verdict,
+      reason: "",
+    });
+  }
+  return core;
+}
+
+/** Delivers a message and gets the answer, once all writes are done. */
+function ask(
+  core: ConsensusCore,
+  { from, term, boot = 1 }: { from: string; term: number; boot?: number },
+  message: Envelope["message"],
+): Envelope["message"] | undefined {
+  core.receive({
+    groupId: "g",
+    fromId: from,
+    fromAddress: `${from}:1`,
+    fromBootId: `${from}${boot}`,
+    toId: "a",
+    toAddress: "a:1",
+    term,
+    message,
+  });
+  const request = core.takeStorageRequest();
+  if (request !== undefined) {
+    core.onStored(request.sequence);
+  }
+  return core.takeMessages().at(-1)?.message;
+}
+
+function askConfirmation(
+  core: ConsensusCore,
+  options: { boot: number; startTerm: number; startLastIndex: number },
+): string {
+  const { boot, startTerm, startLastIndex } = options;
+  const answer = ask(core, { from: "b", term: startTerm, boot }, {
+    kind: "confirmRequest",
+    bootCount: boot,
+    startTerm,
+    startLastIndex,
+    startLastTerm: 1,
+  });
+  assert.ok(answer?.kind === "confirmResponse");
+  return answer.verdict;
+}
+
+const voteRequest = { kind: "voteRequest", lastIndex: 1, lastTerm: 1 } as const;
+
+for (
+  const { name, votedFor, term, isKnown, isGranted } of [
+    {
+      name: "in the term of the start",
+      votedFor: "",
+      term: 5,
+      isKnown: true,
+      isGranted: false,
+    },
+    {
+      name: "that is on the disk",
+      votedFor: "b",
+      term: 5,
+      isKnown: true,
+      isGranted: true,
+    },
+    {
+      name: "other than the one on the disk",
+      votedFor: "c",
+      term: 5,
+      isKnown: true,
+      isGranted: false,
+    },
+    {
+      name: "in a later term",
+      votedFor: "",
+      term: 6,
+      isKnown: true,
+      isGranted: true,
+    },
+    {
+      name: "for a start that it does not know",
+      votedFor: "",
+      term: 6,
+      isKnown: false,
+      isGranted: false,
+    },
+  ]
+) {
+  // Guards against a second vote in one term after a start with an older disk,
+  // and against a candidate whose own vote nobody remembers.
+  test(`a started instance ${isGranted ? "gives" : "refuses"} a vote ${name}`, () => {
+    const core = createConfirmedCore(5, votedFor);
+    if (isKnown) {
+      askConfirmation(core, { boot: 1, startTerm: 5, startLastIndex: 1 });
+    }
+    assert.deepEqual(ask(core, { from: "b", term }, voteRequest), {
+      kind: "voteResponse",
+      isGranted,
+    });
+  });
+}
+
+// Guards against a candidate on an older disk that votes again in its term.
+test("a voter remembers the term of the candidate it voted for", () => {
+  const core = createConfirmedCore(5, "");
+  askConfirmation(core, { boot: 1, startTerm: 5, startLastIndex: 1 });
+  ask(core, { from: "b", term: 6 }, voteRequest);
+  const start = { boot: 2, startTerm: 5, startLastIndex: 1 };
+  assert.equal(askConfirmation(core, start), "denied");
+});
+
+// Guards against a leader that counts itself while its follower cannot
+// remember what it was sent.
+test("a follower counts only for a leader whose start it knows", () => {
+  const core = createConfirmedCore(5, "");
+  const append = () => {
+    const answer = ask(core, { from: "b", term: 6 }, {
+      kind: "append",
+      previousIndex: 1,
+      previousTerm: 1,
+      entries: [{
+        index: 2,
+        term: 6,
+        timeMilliseconds: 0,
+        content: { kind: "empty" },
+      }],
+      commitIndex: 1,
+      round: 0,
+    });
+    assert.ok(answer?.kind === "appendResponse" && answer.isSuccess);
+    return answer.canVote;
+  };
+  assert.equal(append(), false);
+  askConfirmation(core, { boot: 1, startTerm: 6, startLastIndex: 1 });
+  assert.equal(append(), true);
+  const start = { boot: 2, startTerm: 6, startLastIndex: 1 };
+  assert.equal(askConfirmation(core, start), "denied");
+});
--- a/tests/support/control_group.ts
+++ b/tests/support/control_group.ts
@@ -1,6 +1,5 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -8,6 +7,7 @@
   type CommandLineIo,
   runCommandLine,
 } from "../../src/command_line/mod.ts";
+import { getFreePorts } from "./free_ports.ts";
 import { waitUntil } from "./wait_until.ts";
 
 const program = fileURLToPath(
@@ -18,15 +18,49 @@
 export class ControlProcess {
   readonly address: string;
   readonly #file: string;
+  readonly #dataFolder: string;
   #child: ChildProcess | undefined;
 
   constructor(address: string, file: string) {
     this.address = address;
     this.#file = file;
+    this.#dataFolder = `${file}.data`;
+  }
+
+  /** Writes the settings; a process that joins later has no members. */
+  writeSettings(members: readonly string[]): void {
+    const membersLine = members.length > 0
+      ? `members = ${JSON.stringify(members)}`
+      : "";
+    writeFileSync(
+      this.#file,
+      `data_folder = ${JSON.stringify(this.#dataFolder)}
+listen = "${this.address}"
+${membersLine}
+region = "Muntenia"
+availability_zone = "muntenia-a"
+`,
+    );
+  }
+
+  /** Starts an ended process again with an empty disk, outside the group. */
+  async startEmpty(): Promise<void> {
+    rmSync(this.#dataFolder, { recursive: true, force: true });
+    this.writeSettings([]);
+    this.start();
+    await this.waitUntilListening();
+  }
+
+  async waitUntilListening(): Promise<void> {
+    await waitUntil(
+      () => this.getLog().includes("event=listening"),
+      "the instance listens",
+    );
   }
 
   /** Starts the process; its log goes to a file beside its settings. */
   start(): void {
+    writeFileSync(`${this.#file}.log`, "");
     this.#child = spawn(process.execPath, [program, this.#file], {
       stdio: ["ignore", "ignore", "pipe"],
     });
@@ -87,10 +121,7 @@
   async startSpare(): Promise<ControlProcess> {
     const [address] = await findAddresses(1);
     const spare = this.#add(address as string, []);
-    await waitUntil(
-      () => spare.getLog().includes("event=listening"),
-      "the new instance listens",
-    );
+    await spare.waitUntilListening();
     return spare;
   }
 
@@ -155,42 +186,16 @@
   }
 
   #add(address: string, members: readonly string[]): ControlProcess {
-    const name = `${this.instances.length}`;
-    const file = join(this.#folder, `${name}.toml`);
-    writeFileSync(
-      file,
-      `data_folder = ${JSON.stringify(join(this.#folder, name))}
-listen = "${address}"
-${members.length > 0 ? `members = ${JSON.stringify(members)}` : ""}
-region = "Muntenia"
-availability_zone = "muntenia-a"
-`,
-    );
-    writeFileSync(`${file}.log`, "");
+    const file = join(this.#folder, `${this.instances.length}.toml`);
     const instance = new ControlProcess(address, file);
+    instance.writeSettings(members);
     this.instances.push(instance);
     instance.start();
     return instance;
   }
 }
 
-/** Finds ports that are free now. */
+/** Gets free addresses on loopback. */
 async function findAddresses(count: number): Promise<string[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer();
-          server.listen(0, "127.0.0.1", () => resolve(server));
-        }),
-    ),
-  );
-  return await Promise.all(servers.map((server) => {
-    const address = server.address();
-    const port = typeof address === "object" ? address?.port : undefined;
-    return new Promise<string>((resolve) =>
-      server.close(() => resolve(`127.0.0.1:${port}`))
-    );
-  }));
+  return (await getFreePorts(count)).map((port) => `127.0.0.1:${port}`);
 }
