--- a/src/document/environment_document.ts
+++ b/src/document/environment_document.ts
@@ -48,8 +48,6 @@
   readonly retryRatio: number;
   /** Time over which a new target ramps up, in milliseconds. */
   readonly warmUpMilliseconds: number;
-  /** Path of the target's load hint; absent for none. */
-  readonly loadPath?: string | undefined;
 }
 
 /** A pair of regions and what may be sent between them, each way. */
--- a/src/document/parse_document.ts
+++ b/src/document/parse_document.ts
@@ -137,7 +137,6 @@
       isInteger: true,
       fallback: 3000,
     }),
-    loadPath: reader.readText("load_path", { optional: true }),
   };
   reader.reportUnknownKeys();
   return service;
--- a/src/node/call_counters.ts
+++ b/src/node/call_counters.ts
@@ -10,6 +10,8 @@
   completed: number;
   /** Attempts that the target beside this node was given. */
   dispatched: number;
+  /** Calls with a key that their caller had sent to this node before. */
+  resent: number;
   /** Calls of this origin that were refused or failed. */
   readonly refused: Map<RefusalReason, number>;
   /** Attempts of any origin that the target's node refused or that failed. */
@@ -44,6 +46,7 @@
       className,
       completed: 0,
       dispatched: 0,
+      resent: 0,
       refused: new Map(),
       failedAttempts: new Map(),
       retried: new Map(),
@@ -60,6 +63,7 @@
       class: each.className,
       completed: each.completed,
       dispatched: each.dispatched,
+      resent: each.resent,
       refused: Object.fromEntries(each.refused),
       failedAttempts: Object.fromEntries(each.failedAttempts),
       retried: Object.fromEntries(each.retried),
@@ -73,6 +77,7 @@
       const tags = { service: each.service, class: each.className };
       this.#send("calls.completed", tags, each.completed);
       this.#send("attempts.dispatched", tags, each.dispatched);
+      this.#send("calls.resent", tags, each.resent);
       this.#sendReasons("calls.refused", tags, each.refused);
       this.#sendReasons("attempts.failed", tags, each.failedAttempts);
       this.#sendReasons("calls.retried", tags, each.retried);
--- a/src/node/claims_test.ts
+++ b/src/node/claims_test.ts
@@ -58,6 +58,8 @@
   assert.equal(second.status, 200);
   assert.equal(second.body, first.body);
   assert.equal(front.target.runs.length, 1);
+  const [counters] = front.node.state.counters.getStatus();
+  assert.equal(counters?.resent, 1);
 });
 
 test("sends with the same key at the same time join one call", async (context) => {
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -9,6 +9,7 @@
   systemClock,
 } from "../common/mod.ts";
 import type { EnvironmentDocument } from "../document/mod.ts";
+import { ResendCounter } from "../retries/mod.ts";
 import { Router, type RoutingTarget } from "../routing/mod.ts";
 import type { NodeSettings } from "../settings/mod.ts";
 import { type CrashReport, SuspectList } from "../suspects/mod.ts";
@@ -265,6 +266,7 @@
       ownTargetId: settings.nodeId,
     }),
     suspects: new SuspectList({ clock }),
+    resends: new ResendCounter({ clock }),
     ledger: options.ledger ?? absentLedger,
     view: undefined,
     levels: new LevelTable({ clock, classCount: 1 }),
--- a/src/node/node_state.ts
+++ b/src/node/node_state.ts
@@ -1,5 +1,6 @@
 import type { LevelTable } from "../admission/mod.ts";
 import type { Clock, Log, RandomSource } from "../common/mod.ts";
+import type { ResendCounter } from "../retries/mod.ts";
 import type { Router } from "../routing/mod.ts";
 import type { NodeSettings } from "../settings/mod.ts";
 import type { SuspectList } from "../suspects/mod.ts";
@@ -20,6 +21,8 @@
   readonly timers: DeadlineTimers;
   readonly router: Router;
   readonly suspects: SuspectList;
+  /** Counts the sends of each caller with the same key. */
+  readonly resends: ResendCounter;
   ledger: LedgerPort;
   /** The document in force; `undefined` until the first one. */
   view: DocumentView | undefined;
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -216,6 +216,9 @@
     this.#collector = undefined;
     this.#body = body;
     frameBody(this.details, body);
+    if (this.details.needsClaim) {
+      this.#countResend();
+    }
     if (this.details.needsClaim && this.#side.joinEarlier(this)) {
       this.#end();
       return;
@@ -224,6 +227,18 @@
     this.#attempt();
   }
 
+  #countResend(): void {
+    const { caller, key, plan, classIndex } = this.details;
+    const identity = `${plan.route.service}\n${key}`;
+    const counters = plan.counters[classIndex];
+    if (
+      this.#side.state.resends.record(caller, identity) > 0 &&
+      counters !== undefined
+    ) {
+      counters.resent++;
+    }
+  }
+
   /** Gets the caller, for the call that it joins. */
   takeCaller(): Caller {
     return this.#callers.takeFirst();
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -211,6 +211,8 @@
       service: details.plan.route.service,
       className: this.state.view?.getClassName(details.classIndex) ?? "",
       requestId: details.requestId,
+      caller: details.caller,
+      resends: this.state.resends.getResends(details.caller),
     });
   }
 
@@ -275,6 +277,8 @@
         service,
         className: "none",
         requestId: "",
+        caller: "",
+        resends: 0,
       });
     }
     writeFailure(response, failure, { requestId: "" });
--- a/src/node/refusal_log.ts
+++ b/src/node/refusal_log.ts
@@ -16,6 +16,9 @@
   readonly service: string;
   readonly className: string;
   readonly requestId: string;
+  readonly caller: string;
+  /** Resends of the caller in the last seconds. */
+  readonly resends: number;
 }
 
 /** Writes refusals to the log, at most one line a second for each kind. */
@@ -52,6 +55,8 @@
       disposition: failure.disposition,
       reason: failure.reason,
       request: refusal.requestId,
+      caller: refusal.caller,
+      resends: refusal.resends,
       message: failure.message,
       suppressed: entry?.suppressed ?? 0,
     });
