Let nodes with a token refuse calls of others on the node listener

Cause: whoever reached the node listener could send a dogwoodwalk-context header, and so choose class, caller and allowance.

--- a/src/bin/dogwoodwalk_node.ts
+++ b/src/bin/dogwoodwalk_node.ts
@@ -4,10 +4,11 @@
 import {
   createClientInterceptor,
   readTokenFile,
+  type Token,
 } from "../authentication/mod.ts";
 import { createLog, createMetrics, formatFinding } from "../common/mod.ts";
 import { parseDocument } from "../document/mod.ts";
-import { ControlLink, NodeProcess } from "../node/mod.ts";
+import { ControlLink, NodeProcess, PeerCredential } from "../node/mod.ts";
 import { type NodeSettings, parseNodeSettings } from "../settings/mod.ts";
 
 const program = new Command("dogwoodwalk-node")
@@ -30,8 +31,10 @@
   const log = createLog({
     base: { process: "node", node: settings.nodeId },
   });
+  const token = readToken(settings);
   const node = new NodeProcess(settings, {
     log,
+    peerCredential: token && new PeerCredential(token.reveal()),
     metrics: createMetrics({
       address: settings.statsd?.host,
       port: settings.statsd?.port,
@@ -45,7 +48,7 @@
   } catch (error) {
     fail(`Cannot listen: ${(error as Error).message}`, 1);
   }
-  const link = connectControl(node, settings);
+  const link = connectControl(node, settings, token);
   let isStopping = false;
   const stop = async (): Promise<void> => {
     if (isStopping) {
@@ -64,23 +67,26 @@
 function connectControl(
   node: NodeProcess,
   settings: NodeSettings,
+  token: Token | undefined,
 ): ControlLink | undefined {
   if (settings.controlAddresses.length === 0) {
     return undefined;
   }
-  const token = readTokenFile(settings.tokenFile);
-  if (token.kind === "error") {
-    fail(token.error, 2);
-  }
   return new ControlLink(node, {
-    interceptors: token.value === undefined
-      ? []
-      : [createClientInterceptor(token.value)],
+    interceptors: token === undefined ? [] : [createClientInterceptor(token)],
     nodeAddress: settings.nodeAddress ??
       `${settings.node.host}:${node.node.port}`,
   });
 }
 
+function readToken(settings: NodeSettings): Token | undefined {
+  const token = readTokenFile(settings.tokenFile);
+  if (token.kind === "error") {
+    fail(token.error, 2);
+  }
+  return token.value;
+}
+
 function applyFile(node: NodeProcess, documentFile: string): void {
   const document = parseDocument(readText(documentFile), documentFile);
   if (document.kind === "error") {
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -1,3 +1,4 @@
+export { PeerCredential } from "./peer_credential.ts";
 export {
   type NodeEvents,
   NodeProcess,
--- a/src/node/node_listener.ts
+++ b/src/node/node_listener.ts
@@ -10,6 +10,7 @@
 import { copyHeaders } from "./forwarded_headers.ts";
 import { InboundCall } from "./inbound_call.ts";
 import type { NodeState } from "./node_state.ts";
+import { peerHeader } from "./peer_credential.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestTarget } from "./request_target.ts";
 import type { TargetSide } from "./target_side.ts";
@@ -30,7 +31,13 @@
 
   /** Handles one request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const { view, settings, clock } = this.#state;
+    const { view, settings, clock, peerCredential } = this.#state;
+    const shown = request.headers[peerHeader] as string | undefined;
+    if (peerCredential?.isValid(shown) === false) {
+      const message = `${peerHeader} is absent or of another token`;
+      this.#refuse(response, "malformed-request", { message });
+      return;
+    }
     const text = request.headers["dogwoodwalk-context"];
     const decoded = decodeContext(typeof text === "string" ? text : "");
     if (decoded.kind === "error") {
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -23,6 +23,7 @@
 import { absentLedger, type LedgerPort } from "./ledger_port.ts";
 import { NodeListener } from "./node_listener.ts";
 import type { NodeState } from "./node_state.ts";
+import type { PeerCredential } from "./peer_credential.ts";
 import { OriginSide } from "./origin_side.ts";
 import { handleOutcomeQuery, outcomePath } from "./outcome_query.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
@@ -37,6 +38,8 @@
   readonly clock?: Clock;
   readonly random?: RandomSource;
   readonly ledger?: LedgerPort;
+  /** Expected of other nodes; absent without a token. */
+  readonly peerCredential?: PeerCredential | undefined;
   /** Time for the headers of a request, in milliseconds. */
   readonly headersMilliseconds?: number;
 }
@@ -267,6 +270,7 @@
     }),
     suspects: new SuspectList({ clock }),
     resends: new ResendCounter({ clock }),
+    peerCredential: options.peerCredential,
     ledger: options.ledger ?? absentLedger,
     view: undefined,
     levels: new LevelTable({ clock, classCount: 1 }),
--- a/src/node/node_state.ts
+++ b/src/node/node_state.ts
@@ -9,6 +9,7 @@
 import type { DeadlineTimers } from "./deadline_timers.ts";
 import type { DocumentView } from "./document_view.ts";
 import type { LedgerPort } from "./ledger_port.ts";
+import type { PeerCredential } from "./peer_credential.ts";
 
 /** What the parts of a node share. */
 export interface NodeState {
@@ -23,6 +24,8 @@
   readonly suspects: SuspectList;
   /** Counts the sends of each caller with the same key. */
   readonly resends: ResendCounter;
+  /** Shown to other nodes and expected of them; absent without a token. */
+  readonly peerCredential: PeerCredential | undefined;
   ledger: LedgerPort;
   /** The document in force; `undefined` until the first one. */
   view: DocumentView | undefined;
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -156,6 +156,7 @@
         this.state.clock.monotonicMilliseconds(),
       pool,
       memory: this.state.memory,
+      peerCredential: this.state.peerCredential,
       sink,
     });
   }
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -20,6 +20,7 @@
   type ExchangeFault,
   type ResponseHead,
 } from "./exchange.ts";
+import { type PeerCredential, peerHeader } from "./peer_credential.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 
 /** An attempt at the target of another node. */
@@ -31,6 +32,7 @@
   readonly remainingMilliseconds: number;
   readonly pool: ConnectionPool;
   readonly memory: BodyMemory;
+  readonly peerCredential: PeerCredential | undefined;
   readonly sink: AttemptSink;
 }
 
@@ -66,6 +68,9 @@
         entryIndex: details.entryIndex,
       }),
     );
+    if (options.peerCredential !== undefined) {
+      headers.push(peerHeader, options.peerCredential.value);
+    }
     this.#exchange = new Exchange({
       method: details.method,
       path: details.path,
--- a/tests/support/test_pair.ts
+++ b/tests/support/test_pair.ts
@@ -1,4 +1,4 @@
-import type { LedgerPort } from "../../src/node/mod.ts";
+import type { LedgerPort, PeerCredential } from "../../src/node/mod.ts";
 import { type StandInOptions, StandInTarget } from "./stand_in_target.ts";
 import { startTestNode, type TestNode } from "./test_node.ts";
 
@@ -16,6 +16,7 @@
   /** Further lines of the node's settings. */
   readonly extra?: string;
   readonly headersMilliseconds?: number;
+  readonly peerCredential?: PeerCredential;
 }
 
 /**
@@ -35,6 +36,7 @@
     ...(document && { document }),
     ...(extra && { extra }),
     ...(headersMilliseconds && { headersMilliseconds }),
+    peerCredential: options.peerCredential,
   });
   const target: StandInTarget = new StandInTarget({
     onCrash: () => void target.close(),
