--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -1,7 +1,18 @@
 import type { RandomSource } from "../common/mod.ts";
+import {
+  type ConsensusTiming,
+  type CoreEvent,
+  type CoreOptions,
+  type CoreRefusal,
+  type CoreTime,
+  defaultTiming,
+  type Role,
+  type SingleMemberChange,
+} from "./core_types.ts";
 import { EntryLog } from "./entry_log.ts";
 import type { EntryContent, LogEntry, SnapshotInfo } from "./log_entry.ts";
 import { getMajority, isVoter, type Member } from "./member.ts";
+import { applyMemberChange } from "./member_change.ts";
 import type { ConsensusMessage, Envelope } from "./message.ts";
 import {
   advanceMemory,
@@ -18,83 +29,6 @@
 } from "./persisted_state.ts";
 import { createProgress, type Progress } from "./progress.ts";
 
-/** Times and sizes of the protocol. */
-export interface ConsensusTiming {
-  readonly heartbeatMilliseconds: number;
-  /** Elections start after a random time from this to its double. */
-  readonly electionMilliseconds: number;
-  /** Silence after which an instance reports itself isolated. */
-  readonly isolationMilliseconds: number;
-  /** How long a started instance waits for the voters that are silent. */
-  readonly confirmationMilliseconds: number;
-}
-
-/** The times of the design page. */
-export const defaultTiming: ConsensusTiming = {
-  heartbeatMilliseconds: 250,
-  electionMilliseconds: 1000,
-  isolationMilliseconds: 1500,
-  confirmationMilliseconds: 1000,
-};
-
-/** The time at an input of the core. */
-export interface CoreTime {
-  readonly monotonicMilliseconds: number;
-  readonly wallMilliseconds: number;
-}
-
-/** Settings of the core. */
-export interface CoreOptions {
-  readonly address: string;
-  /** Addresses that form a new group; the first one founds it. */
-  readonly initialMembers: readonly string[];
-  readonly random: RandomSource;
-  readonly time: CoreTime;
-  readonly timing?: ConsensusTiming;
-}
-
-/** Part that an instance plays. */
-export type Role =
-  /** Has no group yet. */
-  | "unformed"
-  /** Started and not yet confirmed by the voters. */
-  | "recovering"
-  /** Found behind its own past; has to be replaced. */
-  | "denied"
-  | "non-voter"
-  | "follower"
-  | "candidate"
-  | "leader";
-
-/** What the owner of the core has to act on, in order. */
-export type CoreEvent =
-  | { readonly kind: "committed"; readonly entries: readonly LogEntry[] }
-  /** The state machine must be replaced; the snapshot is durable. */
-  | {
-    readonly kind: "restore";
-    readonly info: SnapshotInfo;
-    readonly data: Uint8Array;
-  }
-  | { readonly kind: "read"; readonly token: number; readonly index: number }
-  | { readonly kind: "readFailed"; readonly token: number }
-  | { readonly kind: "leadershipLost" }
-  | {
-    readonly kind: "notice";
-    readonly text: string;
-    readonly detail: string;
-  };
-
-/** Why the core refused a proposal. */
-export type CoreRefusal =
-  | { readonly kind: "not-leader" }
-  | { readonly kind: "member-change-refused"; readonly message: string };
-
-/** A change of the members that the core can append as one entry. */
-export type SingleMemberChange =
-  | { readonly kind: "add"; readonly id: string; readonly address: string }
-  | { readonly kind: "promote"; readonly id: string }
-  | { readonly kind: "remove"; readonly id: string };
-
 /** Appends that may be unacknowledged per member. */
 const maximumInFlight = 16;
 
@@ -363,45 +297,15 @@
     ) {
       return refuse("another change of members is under way");
     }
-    const members = [...this.members];
-    const position = members.findIndex((each) => each.id === change.id);
-    const member = members[position];
-    switch (change.kind) {
-      case "add":
-        if (member !== undefined) {
-          return refuse(`${change.id} is a member already`);
-        }
-        members.push({
-          id: change.id,
-          address: change.address,
-          isVoter: false,
-        });
-        break;
-      case "promote": {
-        if (member === undefined || member.isVoter) {
-          return refuse(`${change.id} is not a non-voter of the group`);
-        }
-        const progress = this.#progress.get(change.id);
-        if (
-          progress === undefined || !progress.isTrusted ||
-          progress.matchIndex + promotionDistance < this.#log.lastIndex ||
-          progress.matchIndex < this.#firstIndexOfTerm
-        ) {
-          return refuse(`${change.id} has not caught up`);
-        }
-        members[position] = { ...member, isVoter: true };
-        break;
-      }
-      case "remove":
-        if (member === undefined) {
-          return refuse(`${change.id} is not a member`);
-        }
-        members.splice(position, 1);
-        if (!members.some((each) => each.isVoter)) {
-          return refuse(`${change.id} is the last voter`);
-        }
-        break;
+    const changed = applyMemberChange(
+      this.members,
+      change,
+      (id) => this.#hasCaughtUp(id),
+    );
+    if (changed.kind === "error") {
+      return refuse(changed.error);
     }
+    const members = changed.value;
     const index = this.#appendOwn({ kind: "members", members });
     this.#updateProgressMembers();
     return { kind: "appended", index, term: this.term };
@@ -835,6 +739,13 @@
     );
   }
 
+  #hasCaughtUp(id: string): boolean {
+    const progress = this.#progress.get(id);
+    return progress !== undefined && progress.isTrusted &&
+      progress.matchIndex + promotionDistance >= this.#log.lastIndex &&
+      progress.matchIndex >= this.#firstIndexOfTerm;
+  }
+
   // --- Messages ---
 
   #senderOf(envelope: Envelope): { id: string; address: string } {
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -2,11 +2,8 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { createSeededRandom, getStableHash } from "../common/mod.ts";
-import {
-  ConsensusCore,
-  type ConsensusTiming,
-  type CoreEvent,
-} from "./consensus_core.ts";
+import { ConsensusCore } from "./consensus_core.ts";
+import type { ConsensusTiming, CoreEvent } from "./core_types.ts";
 import { emptySnapshotInfo, type LogEntry } from "./log_entry.ts";
 import { getMajority, type Member } from "./member.ts";
 import type { Envelope } from "./message.ts";
--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -8,4 +8,4 @@
 export type { StateMachine } from "./state_machine.ts";
 export type { Member, MemberChange } from "./member.ts";
 export { StorageError, type StorageErrorKind } from "./storage_error.ts";
-export type { ConsensusTiming, Role } from "./consensus_core.ts";
+export type { ConsensusTiming, Role } from "./core_types.ts";
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -8,14 +8,14 @@
   type Result,
   systemClock,
 } from "../common/mod.ts";
-import {
-  ConsensusCore,
-  type ConsensusTiming,
-  type CoreEvent,
-  type CoreRefusal,
-  type Role,
-  type SingleMemberChange,
-} from "./consensus_core.ts";
+import { ConsensusCore } from "./consensus_core.ts";
+import type {
+  ConsensusTiming,
+  CoreEvent,
+  CoreRefusal,
+  Role,
+  SingleMemberChange,
+} from "./core_types.ts";
 import { DurableStorage } from "./durable_storage.ts";
 import type { FileSystem } from "./file_system.ts";
 import { createGrpcTransport } from "./grpc_transport.ts";
