Use the usual terms in a few names and comments

Cause: the answer to a hello was called welcome, and some comments paraphrased confirmation and liveness. No change of behavior. Measured: the tests of consensus, control and admission pass.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -325,12 +325,12 @@
    * Checks whether a caller has its share of the queued calls of a class while
    * others wait.
    * @param use The caller.
-   * @param newcomer A caller that is about to wait too.
+   * @param arriving A caller that is about to wait too.
    */
-  #isOverQueueShare(use: CallerUse, newcomer: CallerUse | undefined): boolean {
+  #isOverQueueShare(use: CallerUse, arriving: CallerUse | undefined): boolean {
     const count = this.#queue.getClassCount(use.classIndex);
     const hasOthers = count > use.queued ||
-      (newcomer !== undefined && newcomer !== use);
+      (arriving !== undefined && arriving !== use);
     return hasOthers && use.queued >= Math.ceil(count * this.#callerShare);
   }
 
--- a/src/consensus/codec.ts
+++ b/src/consensus/codec.ts
@@ -150,10 +150,10 @@
   switch (message.kind) {
     case "hello":
       return { $case: "hello", hello: {} };
-    case "welcome":
+    case "helloResponse":
       return {
-        $case: "welcome",
-        welcome: {
+        $case: "helloResponse",
+        helloResponse: {
           isDenied: message.isDenied,
           firstEntry: message.firstEntry === undefined
             ? undefined
@@ -203,10 +203,10 @@
   switch (message?.$case) {
     case "hello":
       return { kind: "hello" };
-    case "welcome": {
-      const { isDenied, firstEntry } = message.welcome;
+    case "helloResponse": {
+      const { isDenied, firstEntry } = message.helloResponse;
       return {
-        kind: "welcome",
+        kind: "helloResponse",
         isDenied,
         firstEntry: firstEntry === undefined
           ? undefined
--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -93,7 +93,7 @@
   readonly #confirmations = new Set<string>();
   #nextConfirmAt = 0;
   readonly #hellos = new Map<string, { id: string; at: number }>();
-  #isWelcomeDenied = false;
+  #isMembershipDenied = false;
 
   #round = 0;
   /** True when reads wait for the next round to start. */
@@ -185,8 +185,8 @@
     return this.#role === "leader";
   }
   /** True when a hello was refused because the group has other members. */
-  get isWelcomeDenied(): boolean {
-    return this.#isWelcomeDenied;
+  get isMembershipDenied(): boolean {
+    return this.#isMembershipDenied;
   }
 
   /** Gets the part that this instance plays. */
@@ -368,7 +368,7 @@
     }
     switch (message.kind) {
       case "hello":
-      case "welcome":
+      case "helloResponse":
         return;
       case "confirmRequest":
         return this.#onConfirmRequest(envelope, message);
@@ -1042,7 +1042,7 @@
         each.id === this.identity.id && each.isVoter
       );
       if (!isMember && this.#log.membersIndex <= index) {
-        // Tells the others the commit index before it stops leading.
+        // Sends the commit index to the others before it steps down.
         this.#nextHeartbeatAt = this.#now;
         this.#tickLeader();
         this.#becomeFollower(this.term, undefined);
@@ -1373,7 +1373,7 @@
     const hasWaited = this.#now - this.#startedAt >=
       this.#timing.confirmationMilliseconds;
     // Only the leader that counted an acknowledgement remembers it. A copied
-    // folder may be older than that, so it needs the word of every voter.
+    // folder may be older than that, so it needs the confirmation of every voter.
     const { isMoved } = this.#hardState;
     if (
       confirmed + self >= getMajority(this.members) &&
@@ -1459,7 +1459,7 @@
   // --- Forming a group ---
 
   #tickUnformed(): void {
-    if (this.#initialMembers.length === 0 || this.#isWelcomeDenied) {
+    if (this.#initialMembers.length === 0 || this.#isMembershipDenied) {
       return;
     }
     if (this.#now >= this.#nextHeartbeatAt) {
@@ -1529,12 +1529,12 @@
       }
       return;
     }
-    if (message.kind === "welcome") {
+    if (message.kind === "helloResponse") {
       const { firstEntry } = message;
       const isMember = firstEntry?.content.kind === "members" &&
         firstEntry.content.members.some((each) => each.id === this.identity.id);
       if (message.isDenied) {
-        this.#isWelcomeDenied = true;
+        this.#isMembershipDenied = true;
         this.#events.push({
           kind: "notice",
           text: "group has other members",
@@ -1557,7 +1557,7 @@
     const isMember = this.members.some((each) => each.id === envelope.fromId);
     const firstEntry = this.#log.getEntry(1);
     this.#hold(envelope, {
-      kind: "welcome",
+      kind: "helloResponse",
       isDenied: !isMember,
       ...(isMember && firstEntry !== undefined ? { firstEntry } : {}),
     });
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -7,7 +7,7 @@
 export type ConsensusMessage =
   | { readonly kind: "hello" }
   | {
-    readonly kind: "welcome";
+    readonly kind: "helloResponse";
     readonly isDenied: boolean;
     readonly firstEntry?: LogEntry | undefined;
   }
--- a/src/membership/owner_register.ts
+++ b/src/membership/owner_register.ts
@@ -15,7 +15,7 @@
 const directMilliseconds = 4000;
 
 /**
- * Tells which processes of control instances live. An owner is named
+ * Tracks which processes of control instances are alive. An owner is named
  * `instance#boot`, so that a restarted instance, which knows no targets yet,
  * is not confused with its earlier process, whose targets are still moving.
  */
