--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -230,6 +230,21 @@
     return indexes;
   }
 
+  /**
+   * Gets how long each other member has been silent, as known to a leader. One
+   * that was never heard counts from the start of the leadership.
+   * @param nowMilliseconds Monotonic time.
+   */
+  getSilences(nowMilliseconds: number): ReadonlyMap<string, number> {
+    const silences = new Map<string, number>();
+    for (const [id, { heardAtMilliseconds }] of this.#progress) {
+      const since = Math.max(heardAtMilliseconds, this.#leaderSince);
+      silences.set(id, nowMilliseconds - since);
+    }
+    silences.delete(this.identity.id);
+    return silences;
+  }
+
   // --- Inputs ---
 
   /** Sets the time of the inputs that follow. */
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -59,6 +59,8 @@
   readonly members: readonly Member[];
   /** On the leader: the index up to which each member follows. */
   readonly matchIndexes: ReadonlyMap<string, number>;
+  /** On the leader: time since each other member was heard, in milliseconds. */
+  readonly silences: ReadonlyMap<string, number>;
   readonly snapshotIndex: number;
   readonly appliedIndex: number;
   readonly commitIndex: number;
@@ -255,6 +257,9 @@
       isolated: this.#isIsolated(),
       members: core.members,
       matchIndexes: core.isLeader ? core.getMatchIndexes() : new Map(),
+      silences: core.isLeader
+        ? core.getSilences(this.#clock.monotonicMilliseconds())
+        : new Map(),
       snapshotIndex: core.snapshotIndex,
       appliedIndex: this.#appliedIndex,
       commitIndex: core.commitIndex,
--- a/src/control/accepted_documents.ts
+++ b/src/control/accepted_documents.ts
@@ -1,17 +1,27 @@
 import type { DocumentHistory } from "../configuration/mod.ts";
-import { parseDocument } from "../document/mod.ts";
+import type { Finding, Result } from "../common/mod.ts";
+import type { EnvironmentDocument } from "../document/mod.ts";
 import type { AcceptedDocument } from "../session_server/mod.ts";
 
+/** Parses and checks the text of a document. */
+export type DocumentParser = (
+  text: string,
+  file: string,
+) => Result<EnvironmentDocument, Finding[]>;
+
 /** Parses the current document of each environment once per revision. */
 export class AcceptedDocuments {
   readonly #history: DocumentHistory;
+  readonly #parse: DocumentParser;
   readonly #parsed = new Map<string, AcceptedDocument>();
 
   /**
    * @param history The confirmed revisions.
+   * @param parse Reads the format of the documents.
    */
-  constructor(history: DocumentHistory) {
+  constructor(history: DocumentHistory, parse: DocumentParser) {
     this.#history = history;
+    this.#parse = parse;
   }
 
   /**
@@ -30,7 +40,7 @@
     }
     const { revision, digest } = current;
     const bytes = this.#history.getBytes(digest);
-    const parsed = parseDocument(
+    const parsed = this.#parse(
       new TextDecoder().decode(bytes),
       `${environment} revision ${revision}`,
     );
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -10,12 +10,15 @@
   isLoopbackHost,
   type Token,
 } from "../authentication/mod.ts";
-import type { Log, Metrics } from "../common/mod.ts";
-import { ForwardService } from "../protocol/generated/control.ts";
+import { type Log, type Metrics, systemClock } from "../common/mod.ts";
+import { parseDocument } from "../document/mod.ts";
+import { ForwardService, GroupService } from "../protocol/generated/control.ts";
 import { LedgerService } from "../protocol/generated/ledger.ts";
 import { OperatorService } from "../protocol/generated/operator.ts";
 import type { ControlSettings } from "../settings/mod.ts";
+import type { DocumentParser } from "./accepted_documents.ts";
 import { ControlStateMachine } from "./control_state_machine.ts";
+import { GroupKeeper } from "./group_keeper.ts";
 import { InForceMarker } from "./in_force_marker.ts";
 import { NodeServices } from "./node_services.ts";
 import { createLedgerService } from "./ledger_service.ts";
@@ -48,12 +51,22 @@
   readonly eventLog: Log;
   readonly metrics: Metrics;
   readonly openLog: OpenLog;
+  /** Parses the documents of operators; by default dogwoodwalk's own format. */
+  readonly parseDocument?: DocumentParser;
+  /** Whether only the fleet reaches the listener, so that no token is needed. */
+  readonly isNetworkPrivate?: boolean;
+  /**
+   * Addresses of instances that bring this one into the group; absent when
+   * operators change the group.
+   */
+  readonly groupContacts?: readonly string[];
 }
 
 /** A running control instance. */
 export interface RunningControl {
   readonly stateMachine: ControlStateMachine;
   readonly log: ReplicatedLog;
+  readonly proposer: Proposer;
   /** Port that it listens on. */
   readonly port: number;
   /** Refuses new calls, finishes those in flight and closes the files. */
@@ -69,7 +82,9 @@
   options: ControlOptions,
 ): Promise<RunningControl> {
   const { settings, token, eventLog, metrics } = options;
-  if (token === undefined && !isLoopbackHost(settings.listen.host)) {
+  const isExposed = !isLoopbackHost(settings.listen.host) &&
+    options.isNetworkPrivate !== true;
+  if (token === undefined && isExposed) {
     throw new Error(
       `Refusing to listen on ${settings.listen.host} without a token file`,
     );
@@ -87,6 +102,8 @@
     log,
     proposer,
     eventLog,
+    address: settings.address,
+    parseDocument: options.parseDocument ?? parseDocument,
     interceptors: createInterceptors(token),
   });
   nodes.host.addServices(server);
@@ -104,15 +121,28 @@
       now: () => new Date(),
     }),
   );
+  const keeper = options.groupContacts && new GroupKeeper({
+    log,
+    eventLog,
+    clock: systemClock,
+    address: settings.address,
+    contacts: options.groupContacts,
+    interceptors: createInterceptors(token),
+  });
+  if (keeper !== undefined) {
+    server.addService(GroupService, keeper.getService());
+  }
   const port = await listen(server, settings);
   eventLog.info("listening", { address: settings.address, port });
   const timers = startTimers({ stateMachine, log, proposer, nodes, options });
   return {
     stateMachine,
     log,
+    proposer,
     port,
     stop: async () => {
       timers.forEach(clearInterval);
+      keeper?.stop();
       nodes.stop();
       // The log needs the server until the last proposal has its result.
       const isDone = await proposer.stop(settings.stopLimitMilliseconds);
--- a/src/control/node_services.ts
+++ b/src/control/node_services.ts
@@ -7,7 +7,10 @@
   type ControlState,
   SessionHost,
 } from "../session_server/mod.ts";
-import { AcceptedDocuments } from "./accepted_documents.ts";
+import {
+  AcceptedDocuments,
+  type DocumentParser,
+} from "./accepted_documents.ts";
 import type {
   ControlStateMachine,
   StateChange,
@@ -24,6 +27,9 @@
   readonly log: ReplicatedLog;
   readonly proposer: Proposer;
   readonly eventLog: Log;
+  /** Address of this instance. */
+  readonly address: string;
+  readonly parseDocument: DocumentParser;
   readonly interceptors: readonly Interceptor[];
 }
 
@@ -43,7 +49,10 @@
   constructor(options: NodeServicesOptions) {
     this.#options = options;
     const { stateMachine, log, eventLog, interceptors } = options;
-    this.#documents = new AcceptedDocuments(stateMachine.history);
+    this.#documents = new AcceptedDocuments(
+      stateMachine.history,
+      options.parseDocument,
+    );
     this.#suspects = new SuspectCoordinator({
       clock: systemClock,
       isLeader: () => log.getStatus().role === "leader",
@@ -58,6 +67,7 @@
     const { id, bootCount } = log.getStatus();
     this.host = new SessionHost({
       instanceId: id,
+      address: options.address,
       boot: bootCount,
       state: this.#createState(),
       clock: systemClock,
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -136,6 +136,8 @@
   }[] = [];
   readonly #attempts = new Set<SessionConnection>();
   #current: SessionConnection | undefined;
+  /** Those of the settings, and those that control told. */
+  #controlAddresses: readonly string[];
   #candidates: string[] = [];
   #acceptsIsolated = false;
   #attemptTimer: NodeJS.Timeout | undefined;
@@ -164,6 +166,7 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#targets = new AnnouncedTargets(this.#clock);
+    this.#controlAddresses = options.controlAddresses;
     this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds / 4);
   }
 
@@ -226,9 +229,9 @@
   /** Gets the control addresses, the one of the session first. */
   getControlAddresses(): readonly string[] {
     const current = this.#current?.address;
-    return current === undefined ? this.#options.controlAddresses : [
+    return current === undefined ? this.#controlAddresses : [
       current,
-      ...this.#options.controlAddresses.filter((each) => each !== current),
+      ...this.#controlAddresses.filter((each) => each !== current),
     ];
   }
 
@@ -288,7 +291,7 @@
   /** Tries all instances, those that are known to be reachable first. */
   #startCycle(preferred: readonly string[]): void {
     this.#closeAttempts();
-    const others = shuffle(this.#options.controlAddresses, this.#random)
+    const others = shuffle(this.#controlAddresses, this.#random)
       .filter((address) => address !== this.#current?.address);
     this.#candidates = [
       ...others.filter((address) => preferred.includes(address)),
@@ -343,7 +346,7 @@
     }
     if (!this.#acceptsIsolated) {
       this.#acceptsIsolated = true;
-      this.#candidates = shuffle(this.#options.controlAddresses, this.#random);
+      this.#candidates = shuffle(this.#controlAddresses, this.#random);
       this.#tryNext();
       return;
     }
@@ -554,6 +557,14 @@
     if (answer.ledgerIndex > 0) {
       this.#options.onLedgerIndex?.(answer.ledgerIndex);
     }
+    if (answer.controlAddresses.length > 0) {
+      this.#controlAddresses = [
+        ...new Set([
+          ...answer.controlAddresses,
+          ...this.#options.controlAddresses,
+        ]),
+      ];
+    }
     this.#hasLease = true;
     clearTimeout(this.#leaseTimer);
     this.#leaseTimer = setTimeout(
--- a/src/document/document_part.ts
+++ b/src/document/document_part.ts
@@ -1,12 +1,14 @@
 import { CallGraph } from "./call_graph.ts";
 import type { EnvironmentDocument } from "./environment_document.ts";
+import { getRouteServices } from "./route_services.ts";
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
 /**
  * Gets the part of a document that concerns one service: itself, the services
- * that its calls can reach, and the links.
+ * that its calls can reach, those of the routes with a host, which every node
+ * accepts, and the links.
  * @param document The whole document.
  * @param service The service of the node that gets the part.
  * @returns A document with fewer services and routes.
@@ -17,6 +19,12 @@
 ): EnvironmentDocument {
   const kept = new Set(new CallGraph(document).getReachedFrom(service));
   kept.add(service);
+  const hostRoutes = document.routes.filter((route) =>
+    route.host !== undefined
+  );
+  for (const route of hostRoutes) {
+    getRouteServices(route).forEach((each) => kept.add(each));
+  }
   return {
     ...document,
     services: new Map(
--- a/src/document/environment_document.ts
+++ b/src/document/environment_document.ts
@@ -18,9 +18,27 @@
   readonly count: number;
 }
 
+/** A service that gets a part of the calls of a route. */
+export interface RoutePart {
+  readonly service: string;
+  /** Share relative to the other parts; positive. */
+  readonly weight: number;
+}
+
 /** A kind of call to a service. */
 export interface Route {
   readonly service: string;
+  /**
+   * Host by which every node accepts calls of the route, in lower case. A route
+   * without one is found by its service.
+   */
+  readonly host?: string | undefined;
+  /** Divides the calls over services; absent when all go to `service`. */
+  readonly split?: readonly RoutePart[] | undefined;
+  /** Most targets that one call may reach; absent for no limit of its own. */
+  readonly maximumTargets?: number | undefined;
+  /** Time in which a response has its full value, in milliseconds. */
+  readonly latencyGoalMilliseconds?: number | undefined;
   /** HTTP method in upper case, or `*`. */
   readonly method: string;
   /** Path that must match; a trailing `*` matches any rest. */
@@ -59,6 +77,16 @@
   readonly reservedShare: number;
 }
 
+/** What outside callers may send and how long they may stay idle. */
+export interface CallerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  /** Time for the headers of a request. */
+  readonly headerMilliseconds: number;
+  /** Time for which an idle connection is kept. */
+  readonly idleMilliseconds: number;
+}
+
 /** Limits of the claim ledger. */
 export interface LedgerRules {
   /** How long a key is remembered, in seconds. */
@@ -86,4 +114,6 @@
   readonly routes: readonly Route[];
   readonly links: readonly Link[];
   readonly ledger: LedgerRules;
+  /** Absent for the defaults of the listener. */
+  readonly callerLimits?: CallerLimits | undefined;
 }
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -1,4 +1,5 @@
 export type {
+  CallerLimits,
   DeclaredCall,
   EnvironmentDocument,
   KeyRule,
@@ -6,11 +7,13 @@
   Link,
   Objective,
   Route,
+  RoutePart,
   Service,
   ShedSignal,
 } from "./environment_document.ts";
 export { defaultLedgerRules, parseDocument } from "./parse_document.ts";
 export { CallGraph } from "./call_graph.ts";
+export { getRouteServices } from "./route_services.ts";
 export { RouteTable } from "./route_table.ts";
 export {
   decodeDocumentPart,
--- a/src/document/parse_document.ts
+++ b/src/document/parse_document.ts
@@ -1,13 +1,16 @@
 import { failed, type Finding, ok, type Result } from "../common/mod.ts";
 import { parseTomlFile, type ValueReader } from "../toml/mod.ts";
 import { CallGraph } from "./call_graph.ts";
+import { getRouteServices } from "./route_services.ts";
 import type {
+  CallerLimits,
   DeclaredCall,
   EnvironmentDocument,
   KeyRule,
   LedgerRules,
   Link,
   Route,
+  RoutePart,
   Service,
   ShedSignal,
 } from "./environment_document.ts";
@@ -75,6 +78,7 @@
     routes,
     links: reader.readTables("links").map(readLink),
     ledger: readLedgerRules(reader),
+    callerLimits: readCallerLimits(reader),
   };
   reader.reportUnknownKeys();
   checkReferences(reader, document);
@@ -172,8 +176,21 @@
     ["required", "optional", "none"],
     idempotent ? "none" : "optional",
   );
+  const split = readSplit(reader);
   const route: Route = {
-    service: reader.readText("service"),
+    service: split?.[0]?.service ?? reader.readText("service"),
+    host: reader.readText("host", { optional: true })?.toLowerCase(),
+    split,
+    maximumTargets: readOptionalNumber(
+      reader,
+      "maximum_targets",
+      maximumAttemptAllowance,
+    ),
+    latencyGoalMilliseconds: readOptionalNumber(
+      reader,
+      "latency_goal_ms",
+      maximumDeadlineMilliseconds,
+    ),
     method: reader.readText("method"),
     path: reader.readText("path"),
     classIndex: Math.max(classIndex, 0),
@@ -196,6 +213,54 @@
   return route;
 }
 
+function readOptionalNumber(
+  reader: ValueReader,
+  key: string,
+  maximum: number,
+): number | undefined {
+  return reader.hasKey(key)
+    ? reader.readNumber(key, { minimum: 1, maximum, isInteger: true })
+    : undefined;
+}
+
+function readSplit(reader: ValueReader): RoutePart[] | undefined {
+  if (!reader.hasKey("split")) {
+    return undefined;
+  }
+  if (reader.hasKey("service")) {
+    reader.addFinding("split", "Allowed only without service");
+  }
+  return reader.readTables("split").map((each) => {
+    const part: RoutePart = {
+      service: each.readText("service"),
+      weight: each.readNumber("weight", {
+        minimum: 1,
+        maximum: 1_000_000,
+        isInteger: true,
+      }),
+    };
+    each.reportUnknownKeys();
+    return part;
+  });
+}
+
+function readCallerLimits(top: ValueReader): CallerLimits | undefined {
+  const reader = top.readTable("caller_limits");
+  if (reader === undefined) {
+    return undefined;
+  }
+  const read = (key: string, maximum: number) =>
+    reader.readNumber(key, { minimum: 1, maximum, isInteger: true });
+  const limits: CallerLimits = {
+    headerBytes: read("header_bytes", 1024 * 1024),
+    bodyBytes: read("body_bytes", 1024 * 1024 * 1024),
+    headerMilliseconds: read("header_ms", maximumDeadlineMilliseconds),
+    idleMilliseconds: read("idle_ms", maximumDeadlineMilliseconds),
+  };
+  reader.reportUnknownKeys();
+  return limits;
+}
+
 function checkRouteText(reader: ValueReader, route: Route): void {
   if (route.path !== "" && !/^\/[^*?#\s]*\*?$/.test(route.path)) {
     reader.addFinding("path", "Expected a path such as /sheets or /sheets/*");
@@ -285,11 +350,13 @@
   document: EnvironmentDocument,
 ): void {
   document.routes.forEach((route, index) => {
-    if (route.service !== "" && !document.services.has(route.service)) {
-      reader.addFinding(
-        `routes.${index}.service`,
-        `Service "${route.service}" is not in services`,
-      );
+    for (const service of getRouteServices(route)) {
+      if (service !== "" && !document.services.has(service)) {
+        reader.addFinding(
+          `routes.${index}.service`,
+          `Service "${service}" is not in services`,
+        );
+      }
     }
     route.calls.forEach((call, callIndex) => {
       if (call.service !== "" && !document.services.has(call.service)) {
@@ -328,7 +395,9 @@
     if (reader === undefined) {
       return;
     }
-    const pattern = `${route.service} ${route.method} ${route.path}`;
+    const pattern = `${
+      route.host ?? route.service
+    } ${route.method} ${route.path}`;
     if (seen.has(pattern)) {
       reader.addFinding("path", "The route is given twice");
     }
--- a/src/document/route_table.ts
+++ b/src/document/route_table.ts
@@ -3,21 +3,29 @@
 /** Finds the route of a call. */
 export class RouteTable {
   readonly #routes = new Map<string, Route[]>();
+  readonly #hostRoutes = new Map<string, Route[]>();
 
   /**
    * @param document The document, or the part of it that a node has.
    */
   constructor(document: Pick<EnvironmentDocument, "routes">) {
     for (const route of document.routes) {
-      const routes = this.#routes.get(route.service) ?? [];
-      routes.push(route);
-      this.#routes.set(route.service, routes);
+      if (route.host === undefined) {
+        addRoute(this.#routes, route.service, route);
+      } else {
+        addRoute(this.#hostRoutes, route.host, route);
+      }
     }
-    for (const routes of this.#routes.values()) {
-      routes.sort(compareRoutes);
+    for (const table of [this.#routes, this.#hostRoutes]) {
+      table.forEach((routes) => routes.sort(compareRoutes));
     }
   }
 
+  /** Reports whether calls are accepted by their host. */
+  get hasHostRoutes(): boolean {
+    return this.#hostRoutes.size > 0;
+  }
+
   /**
    * Gets the most specific route that a call matches.
    * @param call Service, method in upper case, and path without its query.
@@ -26,11 +34,43 @@
   getRoute(
     call: { service: string; method: string; path: string },
   ): Route | undefined {
-    return this.#routes.get(call.service)?.find((route) =>
-      (route.method === "*" || route.method === call.method) &&
-      hasPath(route, call.path)
-    );
+    return findRoute(this.#routes.get(call.service), call);
   }
+
+  /**
+   * Gets the most specific route of a host that a call matches.
+   * @param call Host in lower case, method in upper case, and path without its
+   * query.
+   * @returns The route, or `undefined` when none matches.
+   */
+  getHostRoute(
+    call: { host: string; method: string; path: string },
+  ): Route | undefined {
+    return findRoute(this.#hostRoutes.get(call.host), call);
+  }
+}
+
+function addRoute(
+  table: Map<string, Route[]>,
+  key: string,
+  route: Route,
+): void {
+  const routes = table.get(key);
+  if (routes === undefined) {
+    table.set(key, [route]);
+  } else {
+    routes.push(route);
+  }
+}
+
+function findRoute(
+  routes: readonly Route[] | undefined,
+  call: { method: string; path: string },
+): Route | undefined {
+  return routes?.find((route) =>
+    (route.method === "*" || route.method === call.method) &&
+    hasPath(route, call.path)
+  );
 }
 
 function hasPath(route: Route, path: string): boolean {
--- a/src/node/announced_target.ts
+++ b/src/node/announced_target.ts
@@ -15,6 +15,10 @@
   readonly endpoint: Endpoint;
   /** Start of the target, in milliseconds since the epoch. */
   readonly incarnation: number;
+  /** Name of this start of the target, when it gives one. */
+  readonly instanceId?: string;
+  /** Calls that the target runs at once; the document's slots when absent. */
+  readonly slots?: number;
 }
 
 /** Settings of an {@link AnnouncedTarget}. */
--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -83,6 +83,20 @@
   "stopping",
 ]);
 
+const targetReasons: ReadonlySet<RefusalReason> = new Set([
+  "target-shed",
+  "target-reset",
+  "target-timeout",
+  "answer-incomplete",
+  "suspect",
+]);
+
+/** Reports whether the target itself was sent the call. */
+export function hasReachedTarget(failure: CallFailure): boolean {
+  return failure.disposition !== "not-run" ||
+    targetReasons.has(failure.reason);
+}
+
 /** Reports whether a reason means that the target takes no calls. */
 export function isAbsenceReason(reason: RefusalReason): boolean {
   return absenceReasons.has(reason);
--- a/src/node/call_entry.ts
+++ b/src/node/call_entry.ts
@@ -3,16 +3,12 @@
 import { getStableHash } from "../common/mod.ts";
 import { getBoundedCaller } from "../request/mod.ts";
 import type { CallDetails } from "./call_details.ts";
-import type { RoutePlan } from "./document_view.ts";
+import type { EnteredCall } from "./call_protocol.ts";
 import type { NodeState } from "./node_state.ts";
-import type { TargetCall } from "./target_call.ts";
 
 /** A request that enters at this node. */
 export interface CallEntry {
   readonly request: IncomingMessage;
-  /** The call of the target beside this node that made this one. */
-  readonly parent: TargetCall | undefined;
-  readonly key: string | undefined;
   /** Path with its query. */
   readonly path: string;
   /** Alternating names and values for the next hop. */
@@ -25,31 +21,37 @@
  * belongs to the request of its parent: identity, class and deadline are the
  * parent's.
  * @param state What the parts of the node share.
- * @param plan The route.
+ * @param entered What the protocol read.
  * @param entry The request.
  * @returns The details.
  */
 export function createCallDetails(
   state: NodeState,
-  plan: RoutePlan,
+  entered: EnteredCall,
   entry: CallEntry,
 ): CallDetails {
-  const { request, key } = entry;
+  const { plan, key } = entered;
   const { route } = plan;
-  const inherited = entry.parent?.details;
-  const requestId = inherited?.requestId ?? randomUUID();
+  const inherited = entered.parent?.details;
+  const requestId = entered.requestId ?? inherited?.requestId ?? randomUUID();
+  const now = state.clock.monotonicMilliseconds();
+  const deadlineMilliseconds = inherited?.deadlineMilliseconds ??
+    now + route.deadlineMilliseconds;
   return {
     plan,
     requestId,
     caller: inherited?.caller ?? getCaller(state, entry),
-    classIndex: inherited?.classIndex ?? route.classIndex,
+    classIndex: entered.classIndex ?? inherited?.classIndex ??
+      route.classIndex,
     depth: (inherited?.depth ?? 0) + 1,
     hash: inherited?.hash ?? getStableHash(requestId),
     // Each send enters here, also one that a target makes.
     entryIndex: state.ledger.knownIndex,
-    deadlineMilliseconds: inherited?.deadlineMilliseconds ??
-      state.clock.monotonicMilliseconds() + route.deadlineMilliseconds,
-    method: request.method ?? "",
+    deadlineMilliseconds: Math.min(
+      deadlineMilliseconds,
+      now + (entered.callerMilliseconds ?? Infinity),
+    ),
+    method: entry.request.method ?? "",
     path: entry.path,
     headers: entry.headers,
     key,
--- a/src/node/caller_group.ts
+++ b/src/node/caller_group.ts
@@ -1,7 +1,8 @@
 import type { ServerResponse } from "node:http";
 import type { CallFailure } from "../request/mod.ts";
 import type { StreamedResponse } from "./attempt.ts";
-import { writeFailure, writeHeld, writeStreamed } from "./caller_response.ts";
+import type { CallProtocol } from "./call_protocol.ts";
+import { writeHeld, writeStreamed } from "./caller_response.ts";
 import type { ResponseHead } from "./exchange.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 
@@ -15,15 +16,21 @@
 /** The callers of one call: the first, and resends that joined. */
 export class CallerGroup {
   #callers: Caller[];
+  readonly #protocol: CallProtocol;
   readonly #onAllLeft: () => void;
 
   /**
    * @param first The caller that made the call.
-   * @param onAllLeft Called when the last caller closed its connection.
+   * @param options How callers are told of failures, and what is called when
+   * the last caller closed its connection.
    */
-  constructor(first: Caller, onAllLeft: () => void) {
+  constructor(
+    first: Caller,
+    options: { protocol: CallProtocol; onAllLeft: () => void },
+  ) {
     this.#callers = [];
-    this.#onAllLeft = onAllLeft;
+    this.#protocol = options.protocol;
+    this.#onAllLeft = options.onAllLeft;
     this.add(first);
   }
 
@@ -54,11 +61,11 @@
   writeStreamed(streamed: StreamedResponse): void {
     const [first, ...others] = this.#callers;
     for (const { response } of others) {
-      writeFailure(response, {
+      this.#protocol.writeFailure(response, {
         disposition: "ran",
         reason: "claim-ran",
         message: getRefusalMessage("claim-ran"),
-      }, { requestId: "" });
+      }, "");
     }
     if (first === undefined) {
       streamed.onEnd(false, 0);
@@ -70,7 +77,7 @@
   /** Tells all callers of a refusal or failure. */
   writeFailure(failure: CallFailure, requestId: string): void {
     for (const { response } of this.#callers) {
-      writeFailure(response, failure, { requestId });
+      this.#protocol.writeFailure(response, failure, requestId);
     }
   }
 
--- a/src/node/connection_pool.ts
+++ b/src/node/connection_pool.ts
@@ -10,6 +10,12 @@
 /** How much earlier than the other side says an idle connection is closed. */
 const idleMarginMilliseconds = 1000;
 
+/**
+ * Time for a new connection. A machine that lost its power or is cut off does
+ * not refuse it, and the next target may have room.
+ */
+const connectMilliseconds = 500;
+
 interface IdleSocket {
   readonly socket: Socket;
   readonly expiresAt: number;
@@ -72,8 +78,10 @@
    * @param seconds The time that it announced.
    */
   noteKeepAlive(seconds: number): void {
-    const limit = Math.max(0, seconds * 1000 - idleMarginMilliseconds);
-    this.#idleLimitMilliseconds = Math.min(limit, idleLimitMilliseconds);
+    this.#idleLimitMilliseconds = Math.max(
+      0,
+      seconds * 1000 - idleMarginMilliseconds,
+    );
   }
 
   /** Gives a request its connection; called by ClientRequest. */
@@ -98,10 +106,21 @@
     }
   }
 
+  readonly #onIdleData = function (this: Socket): void {
+    this.destroy();
+  };
+
   #connect(): Socket {
     const socket = new Socket();
     socket.setNoDelay(true);
     socket.connect({ host: this.host, port: this.port });
+    const timer = setTimeout(() => {
+      if (socket.connecting) {
+        socket.destroy(createConnectTimeoutError());
+      }
+    }, connectMilliseconds);
+    socket.once("connect", () => clearTimeout(timer));
+    socket.once("close", () => clearTimeout(timer));
     this.#open.add(socket);
     socket.on("free", () => this.#onFree(socket));
     // Requests have their own listener; this one serves idle sockets.
@@ -124,6 +143,8 @@
       socket.destroy();
     } else {
       const expiresAt = performance.now() + this.#idleLimitMilliseconds;
+      // Bytes on an idle connection belong to no request.
+      socket.on("data", this.#onIdleData);
       this.#idle.push({ socket, expiresAt });
     }
   }
@@ -163,6 +184,7 @@
         idle.socket.writable && !idle.socket.destroyed &&
         idle.expiresAt > performance.now()
       ) {
+        idle.socket.off("data", this.#onIdleData);
         return idle.socket;
       }
       idle.socket.destroy();
@@ -180,3 +202,10 @@
 }
 
 function ignoreError(): void {}
+
+function createConnectTimeoutError(): Error {
+  return Object.assign(
+    new Error(`no connection within ${connectMilliseconds} ms`),
+    { code: "ETIMEDOUT", syscall: "connect" },
+  );
+}
--- a/src/node/document_view.ts
+++ b/src/node/document_view.ts
@@ -5,7 +5,9 @@
   RouteTable,
   type Service,
 } from "../document/mod.ts";
+import type { RandomSource } from "../common/mod.ts";
 import type { CallCounters, ClassCounters } from "./call_counters.ts";
+import { SplitPlans } from "./split_plans.ts";
 
 /** A route with everything about it that calls need, computed once. */
 export interface RoutePlan {
@@ -23,6 +25,7 @@
 export interface DocumentViewOptions {
   readonly revision: number;
   readonly counters: CallCounters;
+  readonly random?: RandomSource;
 }
 
 /** The document in force at a node. */
@@ -33,6 +36,8 @@
   readonly #graph: CallGraph;
   readonly #counters: CallCounters;
   readonly #plans = new Map<Route, RoutePlan>();
+  readonly #splits: SplitPlans;
+  readonly #foreignRoutes = new Map<string, Route>();
 
   /**
    * @param document The document, or the part for this node.
@@ -44,6 +49,15 @@
     this.#counters = options.counters;
     this.#routes = new RouteTable(document);
     this.#graph = new CallGraph(document);
+    this.#splits = new SplitPlans({
+      random: options.random ?? Math.random,
+      createPlan: (route) => this.#createPlan(route),
+    });
+  }
+
+  /** Reports whether calls are accepted by their host. */
+  get hasHostRoutes(): boolean {
+    return this.#routes.hasHostRoutes;
   }
 
   /** Reports whether the document has a service. */
@@ -66,6 +80,39 @@
     return this.#plans.get(route) ?? this.#createPlan(route);
   }
 
+  /**
+   * Gets the plan of the route that a call to a host matches. A route with a
+   * split gives its parts in turn, so that they keep their weights exactly.
+   * @param call Host in lower case, method in upper case, and path without its
+   * query.
+   * @returns The plan, or `undefined` when no route matches.
+   */
+  takeHostPlan(
+    call: { host: string; method: string; path: string },
+  ): RoutePlan | undefined {
+    const route = this.#routes.getHostRoute(call);
+    if (route === undefined) {
+      return undefined;
+    }
+    return route.split === undefined
+      ? this.#plans.get(route) ?? this.#createPlan(route)
+      : this.#splits.take(route);
+  }
+
+  /**
+   * Gets a plan for calls that another node sends to the target of a service
+   * and whose route only that node knows.
+   * @param service The service of the target beside this node.
+   */
+  getForeignPlan(service: string): RoutePlan | undefined {
+    const route = this.#foreignRoutes.get(service) ?? {
+      ...foreignRoute,
+      service,
+    };
+    this.#foreignRoutes.set(service, route);
+    return this.#plans.get(route) ?? this.#createPlan(route);
+  }
+
   /** Gets the name of a class, or its number when it has none. */
   getClassName(classIndex: number): string {
     return this.document.classes[classIndex] ?? String(classIndex);
@@ -89,3 +136,16 @@
     return plan;
   }
 }
+
+/** The node that a caller reached enforces deadline and allowance. */
+const foreignRoute: Route = {
+  service: "",
+  method: "*",
+  path: "/*",
+  classIndex: 0,
+  idempotent: false,
+  key: "none",
+  deadlineMilliseconds: 600_000,
+  attemptAllowance: 1,
+  calls: [],
+};
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -121,6 +121,11 @@
     this.#request.destroy();
   }
 
+  /** Keeps the connection of a complete response from being used again. */
+  discardConnection(): void {
+    this.#request.socket?.destroy();
+  }
+
   onBody(body: Buffer): void {
     this.#isDone = true;
     if (!this.#request.writableFinished && this.#isUnsent()) {
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -71,6 +71,11 @@
     });
   }
 
+  /** Changes how long an idle connection is kept. */
+  setIdleMilliseconds(milliseconds: number): void {
+    this.#server.keepAliveTimeout = milliseconds;
+  }
+
   /**
    * Ends each connection after its next response. An idle connection stays
    * open: closing it could cut a request that is on its way, and the sender
--- a/src/node/lifecycle_test.ts
+++ b/src/node/lifecycle_test.ts
@@ -66,7 +66,7 @@
   const front = await start(context, { serviceMilliseconds: 200 });
   const inFlight = sendCall({ port: front.outside, path: "/views/1" });
   await waitFor(() => front.target.running === 1);
-  const stopped = front.node.stop(20_000);
+  const stopped = front.node.stop({ limitMilliseconds: 20_000 });
   assert.equal(await getReason(front), "not-run stopping");
   assert.equal((await inFlight).status, 200);
   assert.deepEqual(await stopped, { cutOff: 0 });
@@ -77,7 +77,7 @@
   const inFlight = sendCall({ port: front.outside, path: "/views/1" });
   inFlight.catch(() => {});
   await waitFor(() => front.target.running === 1);
-  assert.ok((await front.node.stop(0)).cutOff > 0);
+  assert.ok((await front.node.stop({ limitMilliseconds: 0 })).cutOff > 0);
   await assert.rejects(inFlight);
   assert.ok(
     front.lines.some((line) => line.includes("cut off at the stop limit")),
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -15,3 +15,20 @@
   LedgerPort,
 } from "./ledger_port.ts";
 export { ControlLink, type ControlLinkOptions } from "./control_link.ts";
+export type {
+  ArrivedRequest,
+  CallProtocol,
+  DispatchedCall,
+  EnteredCall,
+  RefusedEntry,
+  ResponseVerdict,
+} from "./call_protocol.ts";
+export type { CallDetails } from "./call_details.ts";
+export type { ResponseHead } from "./exchange.ts";
+export { HttpListener } from "./http_listener.ts";
+export type {
+  AnnouncedTarget,
+  TargetAnnouncement,
+} from "./announced_target.ts";
+export { BodyCollector } from "./body_collector.ts";
+export { BodyMemory } from "./body_memory.ts";
--- a/src/node/node_listener.ts
+++ b/src/node/node_listener.ts
@@ -56,11 +56,10 @@
       return;
     }
     const method = request.method ?? "";
-    const plan = view.getPlan({
-      service: settings.service,
-      method,
-      path: target.routePath,
-    });
+    const { service } = settings;
+    const plan = view.hasHostRoutes
+      ? view.getForeignPlan(service)
+      : view.getPlan({ service, method, path: target.routePath });
     if (plan === undefined) {
       this.#refuse(response, "unknown-route", { context });
       return;
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -15,6 +15,7 @@
 import { type CrashReport, SuspectList } from "../suspects/mod.ts";
 import { handleAnnouncement } from "./announcements.ts";
 import { BodyMemory } from "./body_memory.ts";
+import type { CallProtocol } from "./call_protocol.ts";
 import { CallCounters } from "./call_counters.ts";
 import { writeFailure, writeJson } from "./caller_response.ts";
 import { DeadlineTimers } from "./deadline_timers.ts";
@@ -26,6 +27,7 @@
 import type { PeerCredential } from "./peer_credential.ts";
 import { OriginSide } from "./origin_side.ts";
 import { handleOutcomeQuery, outcomePath } from "./outcome_query.ts";
+import { productProtocol } from "./product_protocol.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { createStatus, type StatusSource } from "./status_page.ts";
 import { TargetSide } from "./target_side.ts";
@@ -40,6 +42,8 @@
   readonly ledger?: LedgerPort;
   /** Expected of other nodes; absent without a token. */
   readonly peerCredential?: PeerCredential | undefined;
+  /** How callers and the target speak; by default dogwoodwalk's own way. */
+  readonly protocol?: CallProtocol;
   /** Time for the headers of a request, in milliseconds. */
   readonly headersMilliseconds?: number;
 }
@@ -145,7 +149,11 @@
     state.view = new DocumentView(document, {
       revision,
       counters: state.counters,
+      random: state.random,
     });
+    if (document.callerLimits !== undefined) {
+      this.outside.setIdleMilliseconds(document.callerLimits.idleMilliseconds);
+    }
     for (const service of document.services.values()) {
       state.router.updateService(service.name, service);
     }
@@ -167,18 +175,27 @@
   /**
    * Stops: refuses new calls, waits for those in flight up to the limit, then
    * closes the listeners.
-   * @param limitMilliseconds The limit; that of the settings by default.
+   * @param options Limit of the whole stop, that of the settings by default,
+   * and the time for which calls are still accepted, in milliseconds.
    */
-  async stop(
-    limitMilliseconds = this.state.settings.stopLimitMilliseconds,
-  ): Promise<StopResult> {
+  async stop(options: {
+    limitMilliseconds?: number;
+    acceptMilliseconds?: number;
+  } = {}): Promise<StopResult> {
     const { state } = this;
-    state.isStopping = true;
+    const limitMilliseconds = options.limitMilliseconds ??
+      state.settings.stopLimitMilliseconds;
     state.log.info("stopping", { calls: this.callCount });
     this.outside.leave();
     this.node.leave();
     const start = performance.now();
     const end = start + limitMilliseconds;
+    if (options.acceptMilliseconds !== undefined) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, options.acceptMilliseconds)
+      );
+    }
+    state.isStopping = true;
     const quietAt = Math.min(end, start + leaveMilliseconds);
     while (
       performance.now() < quietAt ||
@@ -255,6 +272,7 @@
   const random = options.random ?? Math.random;
   return {
     settings,
+    protocol: options.protocol ?? productProtocol,
     clock,
     log: options.log,
     random,
--- a/src/node/node_state.ts
+++ b/src/node/node_state.ts
@@ -5,6 +5,7 @@
 import type { NodeSettings } from "../settings/mod.ts";
 import type { SuspectList } from "../suspects/mod.ts";
 import type { BodyMemory } from "./body_memory.ts";
+import type { CallProtocol } from "./call_protocol.ts";
 import type { CallCounters } from "./call_counters.ts";
 import type { DeadlineTimers } from "./deadline_timers.ts";
 import type { DocumentView } from "./document_view.ts";
@@ -14,6 +15,7 @@
 /** What the parts of a node share. */
 export interface NodeState {
   readonly settings: NodeSettings;
+  readonly protocol: CallProtocol;
   readonly clock: Clock;
   readonly log: Log;
   readonly random: RandomSource;
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -11,6 +11,7 @@
   type AttemptFailure,
   type AttemptSink,
   getOutcomeKind,
+  hasReachedTarget,
   isCapacityReason,
   type StreamedResponse,
 } from "./attempt.ts";
@@ -65,6 +66,7 @@
   #excluded: Set<string> | undefined;
   #attempts = 0;
   #mayHaveRun = false;
+  #reachedTargets = 0;
   #current: CurrentAttempt | undefined;
   #backOff: NodeJS.Timeout | undefined;
   #isEnded = false;
@@ -80,7 +82,10 @@
     this.#account = options.account;
     const { service } = options.details.plan;
     this.#budget = side.budgets.get(service.name, service.retryRatio);
-    this.#callers = new CallerGroup(options.caller, () => this.#onAllLeft());
+    this.#callers = new CallerGroup(options.caller, {
+      protocol: side.state.protocol,
+      onAllLeft: () => this.#onAllLeft(),
+    });
   }
 
   /** Reads the body and makes the first attempt. */
@@ -184,6 +189,9 @@
     if (failure.disposition !== "not-run") {
       this.#mayHaveRun = true;
     }
+    if (hasReachedTarget(failure)) {
+      this.#reachedTargets++;
+    }
     this.#decide(failure, current.choice.targetId);
   }
 
@@ -203,10 +211,9 @@
     if (!this.#isEnded) {
       this.#collector?.stop();
       const disposition = this.#cancelAttempt("cancelled");
-      const reason = "cancelled";
-      this.#tellFailure({
-        disposition: this.#mayHaveRun ? "unknown" : disposition,
-        reason,
+      this.fail({
+        disposition,
+        reason: "cancelled",
         message: "The request that made this call ended",
       });
     }
@@ -308,6 +315,7 @@
       attempts: this.#attempts,
       remainingAllowance: this.#account.remaining,
       mayHaveRun: this.#mayHaveRun,
+      reachedTargets: this.#reachedTargets,
     });
     if (decision.kind === "stop") {
       this.fail(failure);
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -1,16 +1,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { getImportance } from "../admission/mod.ts";
-import {
-  type CallFailure,
-  fieldLimits,
-  type RefusalReason,
-} from "../request/mod.ts";
+import type { CallFailure, RefusalReason } from "../request/mod.ts";
 import { AllowanceAccount } from "../retries/mod.ts";
 import type { RouteChoice } from "../routing/mod.ts";
 import { type Attempt, createFailure } from "./attempt.ts";
 import type { CallDetails } from "./call_details.ts";
 import { createCallDetails } from "./call_entry.ts";
-import { writeFailure } from "./caller_response.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
 import { copyHeaders } from "./forwarded_headers.ts";
 import { KeyedCalls } from "./keyed_calls.ts";
@@ -74,34 +69,28 @@
       this.#refuseEarly(response, "no-target", { isOutside, message });
       return;
     }
-    const plan = this.#getPlan(view, target, { request, isOutside });
-    if (plan === undefined) {
-      this.#refuseEarly(response, "unknown-route", { isOutside });
-      return;
-    }
-    const key = request.headers["idempotency-key"] as string | undefined;
-    if (key !== undefined && key.length > fieldLimits.keyLength) {
-      const message =
-        `The key is longer than ${fieldLimits.keyLength} characters`;
-      this.#refuseEarly(response, "malformed-request", { isOutside, message });
-      return;
-    }
-    const token = isOutside
-      ? undefined
-      : request.headers["dogwoodwalk-request"];
-    const parent = token === undefined
-      ? undefined
-      : this.#targetSide.getCall(String(token));
-    if (token !== undefined && parent === undefined) {
-      const message = "The request that made this call ended";
-      this.#refuseEarly(response, "cancelled", { isOutside, message });
+    const framing = copyHeaders(request.rawHeaders);
+    const entered = this.state.protocol.readEntry({
+      state: this.state,
+      view,
+      request,
+      target,
+      headers: framing.headers,
+      isOutside,
+      getCall: (token) => this.#targetSide.getCall(token),
+      getCallOfRequest: (id) => this.#targetSide.getCallOfRequest(id),
+    });
+    if (entered.kind === "refused") {
+      const { reason, message } = entered;
+      this.#refuseEarly(response, reason, {
+        isOutside,
+        ...(message === undefined ? {} : { message }),
+      });
       return;
     }
-    const framing = copyHeaders(request.rawHeaders);
-    const details = createCallDetails(this.state, plan, {
+    const { plan, parent } = entered;
+    const details = createCallDetails(this.state, entered, {
       request,
-      parent,
-      key,
       path: target.path,
       headers: framing.headers,
       isOutside,
@@ -111,8 +100,9 @@
       framing,
       request,
       caller: { response, isOutside },
-      account: parent?.account ??
-        new AllowanceAccount(plan.route.attemptAllowance),
+      account: parent !== undefined && entered.hasOwnAllowance !== true
+        ? parent.account
+        : new AllowanceAccount(plan.route.attemptAllowance),
       parent,
     });
     this.#calls.add(call);
@@ -222,22 +212,6 @@
     this.#pools.stop();
   }
 
-  #getPlan(
-    view: DocumentView,
-    target: { host: string; routePath: string },
-    options: { request: IncomingMessage; isOutside: boolean },
-  ): RoutePlan | undefined {
-    let service = target.host;
-    if (!view.hasService(service)) {
-      if (!options.isOutside) {
-        return undefined;
-      }
-      service = this.state.settings.service;
-    }
-    const method = options.request.method ?? "";
-    return view.getPlan({ service, method, path: target.routePath });
-  }
-
   #getRefusal(
     view: DocumentView,
     details: CallDetails,
@@ -282,6 +256,6 @@
         resends: 0,
       });
     }
-    writeFailure(response, failure, { requestId: "" });
+    this.state.protocol.writeFailure(response, failure, "");
   }
 }
--- /dev/null
+++ b/src/node/product_protocol.ts
@@ -0,0 +1,64 @@
+import { fieldLimits } from "../request/mod.ts";
+import type {
+  ArrivedRequest,
+  CallProtocol,
+  EnteredCall,
+  RefusedEntry,
+} from "./call_protocol.ts";
+import { writeFailure } from "./caller_response.ts";
+import type { RoutePlan } from "./document_view.ts";
+import { isShedSignal } from "./shed_signal.ts";
+
+/** Names the call of a target in the target's own calls. */
+const tokenHeader = "dogwoodwalk-request";
+
+/** The interface of dogwoodwalk itself. */
+export const productProtocol: CallProtocol = {
+  readEntry,
+  addTargetHeaders: (headers, { token }) => headers.push(tokenHeader, token),
+  judgeResponse: (head, { plan }) =>
+    isShedSignal(plan.service.shedSignal, head) ? "not-run" : "own",
+  writeFailure: (response, failure, requestId) =>
+    writeFailure(response, failure, { requestId }),
+};
+
+function readEntry(arrived: ArrivedRequest): EnteredCall | RefusedEntry {
+  const { request, isOutside } = arrived;
+  const plan = findPlan(arrived);
+  if (plan === undefined) {
+    return { kind: "refused", reason: "unknown-route" };
+  }
+  const key = request.headers["idempotency-key"] as string | undefined;
+  if (key !== undefined && key.length > fieldLimits.keyLength) {
+    const message =
+      `The key is longer than ${fieldLimits.keyLength} characters`;
+    return { kind: "refused", reason: "malformed-request", message };
+  }
+  const token = isOutside ? undefined : request.headers[tokenHeader];
+  const parent = token === undefined
+    ? undefined
+    : arrived.getCall(String(token));
+  if (token !== undefined && parent === undefined) {
+    const message = "The request that made this call ended";
+    return { kind: "refused", reason: "cancelled", message };
+  }
+  return { kind: "entered", plan, parent, key };
+}
+
+/** The host names the service; outside, it may be any other name too. */
+function findPlan(arrived: ArrivedRequest): RoutePlan | undefined {
+  const { state, view, target, request, isOutside } = arrived;
+  const method = request.method ?? "";
+  const { host, routePath: path } = target;
+  if (view.hasHostRoutes) {
+    const plan = view.takeHostPlan({ host, method, path });
+    if (plan !== undefined) {
+      return plan;
+    }
+  }
+  if (!view.hasService(host) && !isOutside) {
+    return undefined;
+  }
+  const service = view.hasService(host) ? host : state.settings.service;
+  return view.getPlan({ service, method, path });
+}
--- a/src/node/retry_step.ts
+++ b/src/node/retry_step.ts
@@ -1,6 +1,6 @@
 import { getRequestFingerprint } from "../request/mod.ts";
 import { decideRetry, type RetryDecision } from "../retries/mod.ts";
-import type { AttemptFailure } from "./attempt.ts";
+import { type AttemptFailure, hasReachedTarget } from "./attempt.ts";
 import { countReason } from "./call_counters.ts";
 import type { CallBody, CallDetails } from "./call_details.ts";
 import type { NodeState } from "./node_state.ts";
@@ -15,6 +15,8 @@
   readonly remainingAllowance: number;
   /** Whether this or an earlier attempt may have run. */
   readonly mayHaveRun: boolean;
+  /** Targets that were sent the call. */
+  readonly reachedTargets: number;
 }
 
 /**
@@ -35,7 +37,9 @@
   const decision = decide(state, failure, step);
   const counters = plan.counters[classIndex];
   if (decision.kind === "retry") {
-    budget.ratio.take();
+    if (hasReachedTarget(failure)) {
+      budget.ratio.take();
+    }
     counters && countReason(counters.retried, decision.reason);
   } else {
     counters && countReason(counters.notRetried, decision.reason);
@@ -54,6 +58,9 @@
     // A streamed body cannot be sent again.
     return { kind: "stop", reason: "not-retryable" };
   }
+  if (step.reachedTargets >= (plan.route.maximumTargets ?? Infinity)) {
+    return { kind: "stop", reason: "maximum-retries" };
+  }
   return decideRetry({
     disposition: step.mayHaveRun && failure.disposition === "not-run"
       ? "unknown"
@@ -65,7 +72,8 @@
     remainingAllowance: step.remainingAllowance,
     remainingMilliseconds: details.deadlineMilliseconds -
       state.clock.monotonicMilliseconds(),
-    hasRatioToken: budget.ratio.hasToken,
+    // A send that no target saw adds no load that the ratio bounds.
+    hasRatioToken: !hasReachedTarget(failure) || budget.ratio.hasToken,
     isServiceRefusing: budget.refusals.isMostlyRefusing,
   }, {
     objective: state.view?.document.objective ?? "goodput",
--- /dev/null
+++ b/src/node/split_plans.ts
@@ -0,0 +1,43 @@
+import type { RandomSource } from "../common/mod.ts";
+import type { Route } from "../document/mod.ts";
+import { WeightedRotation } from "../routing/mod.ts";
+import type { RoutePlan } from "./document_view.ts";
+
+/** Settings of {@link SplitPlans}. */
+export interface SplitPlansOptions {
+  readonly random: RandomSource;
+  createPlan(route: Route): RoutePlan | undefined;
+}
+
+/** Gives the parts of routes with a split in turn. */
+export class SplitPlans {
+  readonly #options: SplitPlansOptions;
+  readonly #rotations = new Map<
+    Route,
+    WeightedRotation<RoutePlan | undefined>
+  >();
+
+  /** @param options Random source, and what creates the plan of a part. */
+  constructor(options: SplitPlansOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Takes the plan of the part whose turn it is.
+   * @param route A route with a split.
+   * @returns The plan; `undefined` when the service of the part is unknown.
+   */
+  take(route: Route): RoutePlan | undefined {
+    let rotation = this.#rotations.get(route);
+    if (rotation === undefined) {
+      const { random, createPlan } = this.#options;
+      const parts = (route.split ?? []).map(({ service, weight }) => ({
+        item: createPlan({ ...route, service }),
+        weight,
+      }));
+      rotation = new WeightedRotation(parts, random);
+      this.#rotations.set(route, rotation);
+    }
+    return rotation.take();
+  }
+}
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -26,7 +26,6 @@
 import type { NodeState } from "./node_state.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { ServiceTime } from "./service_time.ts";
-import { isShedSignal } from "./shed_signal.ts";
 import type { TargetSide } from "./target_side.ts";
 
 /** A call to the target beside this node. */
@@ -185,9 +184,10 @@
   }
 
   onHeld(head: ResponseHead, body: Buffer): void {
-    if (isShedSignal(this.details.plan.service.shedSignal, head)) {
+    const verdict = this.#state.protocol.judgeResponse(head, this.details);
+    if (verdict !== "own") {
       this.#state.memory.release(body.length);
-      this.#onShed();
+      this.#onVerdict(verdict);
       return;
     }
     this.#claim?.complete(head, body);
@@ -204,9 +204,10 @@
     response: IncomingMessage,
     chunks: readonly Buffer[],
   ): void {
-    if (isShedSignal(this.details.plan.service.shedSignal, head)) {
+    const verdict = this.#state.protocol.judgeResponse(head, this.details);
+    if (verdict !== "own") {
       this.#exchange?.cancel();
-      this.#onShed();
+      this.#onVerdict(verdict);
       return;
     }
     this.#phase = "streaming";
@@ -275,10 +276,15 @@
       counters.dispatched++;
     }
     // The request line and headers are written by the constructor, so the
-    // token can be taken off the shared list again.
+    // target's own headers can be taken off the shared list again.
     const { headers } = details;
     const { length } = headers;
-    headers.push("dogwoodwalk-request", this.token);
+    this.#state.protocol.addTargetHeaders(headers, {
+      details,
+      token: this.token,
+      announcement: this.#side.target.announcement,
+      remainingMilliseconds: details.deadlineMilliseconds - this.#now(),
+    });
     this.#exchange = new Exchange({
       method: details.method,
       path: details.path,
@@ -294,6 +300,18 @@
     headers.length = length;
   }
 
+  #onVerdict(verdict: "not-run" | "foreign"): void {
+    if (verdict === "not-run") {
+      this.#onShed();
+      return;
+    }
+    // What follows on the connection may belong to any call.
+    this.#exchange?.discardConnection();
+    this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
+    const message = "The response belongs to another call";
+    this.#fail("unknown", "answer-incomplete", message);
+  }
+
   /**
    * A target that sheds a call because another service refused it is not
    * overloaded itself, so its concurrency limit stays.
--- a/src/node/target_side.ts
+++ b/src/node/target_side.ts
@@ -1,4 +1,5 @@
 import { AdmissionController, type AdmissionStatus } from "../admission/mod.ts";
+import type { Service } from "../document/mod.ts";
 import type { LoadHint, RefusalReason, ServiceLevel } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
 import type { CrashReport } from "../suspects/mod.ts";
@@ -28,6 +29,8 @@
   readonly #options: TargetSideOptions;
   /** Queued and running calls by their token. */
   readonly #calls = new Map<string, TargetCall>();
+  /** The same calls by the identity of their request. */
+  readonly #callsByRequest = new Map<string, TargetCall>();
   #controller: AdmissionController | undefined;
   #classCount = 0;
   #pool: ConnectionPool | undefined;
@@ -72,6 +75,11 @@
     return this.#calls.get(token);
   }
 
+  /** Gets the call that was admitted last for a request. */
+  getCallOfRequest(requestId: string): TargetCall | undefined {
+    return this.#callsByRequest.get(requestId);
+  }
+
   /** Applies the document in force. */
   updateDocument(): void {
     const { view, settings, clock } = this.#state;
@@ -85,7 +93,7 @@
     ) {
       this.#classCount = classes.length;
       this.#controller = new AdmissionController({
-        slots: service.slots,
+        slots: this.#getSlots(service),
         classCount: classes.length,
         objective,
         callerShare,
@@ -97,7 +105,7 @@
       }
     } else {
       this.#controller.updateOptions({
-        slots: service.slots,
+        slots: this.#getSlots(service),
         objective,
         callerShare,
       });
@@ -140,6 +148,7 @@
       call.refuse(decision.reason);
     } else {
       this.#calls.set(call.token, call);
+      this.#callsByRequest.set(details.requestId, call);
       if (decision.kind === "run") {
         call.start();
       }
@@ -152,14 +161,14 @@
     call: TargetCall,
     sample: Parameters<AdmissionController["finish"]>[1],
   ): void {
-    this.#calls.delete(call.token);
+    this.#forget(call);
     this.#controller?.finish(call.token, sample);
     this.#handleEvents();
   }
 
   /** Forgets a queued call. */
   onCancelled(call: TargetCall): void {
-    this.#calls.delete(call.token);
+    this.#forget(call);
     this.#controller?.cancel(call.token);
     this.#handleEvents();
   }
@@ -224,6 +233,14 @@
     this.#pool?.close();
   }
 
+  #forget(call: TargetCall): void {
+    this.#calls.delete(call.token);
+    const { requestId } = call.details;
+    if (this.#callsByRequest.get(requestId) === call) {
+      this.#callsByRequest.delete(requestId);
+    }
+  }
+
   #getRefusal(): RefusalReason | undefined {
     if (this.#state.isStopping) {
       return "stopping";
@@ -237,6 +254,10 @@
       : undefined;
   }
 
+  #getSlots(service: Service): number {
+    return this.target.announcement?.slots ?? service.slots;
+  }
+
   #createPool(endpoint: Endpoint): ConnectionPool {
     const { view, settings } = this.#state;
     const service = view?.document.services.get(settings.service);
@@ -258,6 +279,16 @@
     if (state === "ready" && sequence > 1) {
       this.crashes.onNewIncarnation();
     }
+    if (state === "ready") {
+      this.updateDocument();
+    } else if (previous === "ready") {
+      // Another target can take them now; here they would wait in vain.
+      for (const call of [...this.#calls.values()]) {
+        call.refuseIfQueued(
+          state === "draining" ? "target-draining" : "no-target",
+        );
+      }
+    }
     this.#options.onTargetChange();
   }
 
@@ -273,8 +304,10 @@
         if (event.kind === "run") {
           call?.start();
         } else {
-          this.#calls.delete(event.id);
-          call?.refuse(event.reason);
+          if (call !== undefined) {
+            this.#forget(call);
+            call.refuse(event.reason);
+          }
         }
       }
       events = controller.takeEvents();
--- a/src/request/context_codec.ts
+++ b/src/request/context_codec.ts
@@ -7,7 +7,8 @@
 
 const formatVersion = "1";
 const fieldCount = 8;
-const requestIdPattern = /^[A-Za-z0-9-]+$/;
+/** Visible ASCII without the separator. */
+const requestIdPattern = /^[!-:<-~]+$/;
 /** encodeURIComponent throws on these. */
 const loneSurrogates = /[\ud800-\udfff]/gu;
 const callerPattern = /^[A-Za-z0-9._~%!'()*-]*$/;
--- a/src/request/field_limits.ts
+++ b/src/request/field_limits.ts
@@ -1,6 +1,6 @@
 /** Largest values that a decoded header may carry. */
 export const fieldLimits = {
-  requestIdLength: 64,
+  requestIdLength: 128,
   callerLength: 128,
   classIndex: 15,
   /** The document allows the same deadline. */
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -1,4 +1,5 @@
 export { type RouteChoice, Router } from "./router.ts";
+export { type WeightedItem, WeightedRotation } from "./weighted_rotation.ts";
 export type {
   AttemptOutcome,
   LinkBytes,
--- /dev/null
+++ b/src/routing/weighted_rotation.ts
@@ -0,0 +1,48 @@
+import type { RandomSource } from "../common/mod.ts";
+
+/** An item and its share relative to the others. */
+export interface WeightedItem<Item> {
+  readonly item: Item;
+  /** Zero for an item that is never taken. */
+  readonly weight: number;
+}
+
+/**
+ * Gives items in turn so that each run of calls holds them in proportion to
+ * their weights (smooth weighted round robin). The start is random, or the few
+ * calls of each of many nodes would all go to the heaviest item.
+ */
+export class WeightedRotation<Item> {
+  readonly #items: readonly WeightedItem<Item>[];
+  readonly #credits: number[];
+  readonly #total: number;
+
+  /**
+   * @param items The items; at least one with a weight above zero.
+   * @param random Chooses the start.
+   */
+  constructor(items: readonly WeightedItem<Item>[], random: RandomSource) {
+    this.#items = items;
+    this.#total = items.reduce((sum, { weight }) => sum + weight, 0);
+    // Credits that add up to zero keep later shares exact.
+    const start = items.map(({ weight }) => (random() - 0.5) * weight);
+    const mean = start.reduce((sum, each) => sum + each, 0) / items.length;
+    this.#credits = start.map((each) => each - mean);
+  }
+
+  /** Takes the item whose turn it is. */
+  take(): Item {
+    let best = 0;
+    let bestCredit = -Infinity;
+    this.#items.forEach(({ weight }, index) => {
+      const credit = (this.#credits[index] ?? 0) + weight;
+      this.#credits[index] = credit;
+      if (weight > 0 && credit > bestCredit) {
+        best = index;
+        bestCredit = credit;
+      }
+    });
+    this.#credits[best] = bestCredit - this.#total;
+    return (this.#items[best] as WeightedItem<Item>).item;
+  }
+}
--- a/src/session_server/document_parts.ts
+++ b/src/session_server/document_parts.ts
@@ -4,6 +4,7 @@
   CallGraph,
   encodeDocumentPart,
   getDocumentPart,
+  getRouteServices,
 } from "../document/mod.ts";
 import type { AcceptedDocument } from "./control_state.ts";
 
@@ -21,6 +22,8 @@
   readonly #graph: CallGraph;
   readonly #parts = new Map<string, DocumentPart>();
   readonly #callers = new Map<string, string[]>();
+  /** Services that calls can enter for at every node. */
+  readonly #entered: readonly string[];
 
   constructor(accepted: AcceptedDocument) {
     this.accepted = accepted;
@@ -32,7 +35,11 @@
         this.#callers.set(callee, callers);
       }
     }
-    this.callText = JSON.stringify([...this.#callers]);
+    const entered = accepted.document.routes
+      .filter((route) => route.host !== undefined)
+      .flatMap(getRouteServices);
+    this.#entered = [...new Set(entered)].sort();
+    this.callText = JSON.stringify([[...this.#callers], this.#entered]);
   }
 
   /** Gets the part of a service's nodes. */
@@ -53,10 +60,15 @@
   }
 
   getCallees(service: string): readonly string[] {
-    return this.#graph.getDirectCallees(service);
+    const declared = this.#graph.getDirectCallees(service);
+    return this.#entered.length === 0
+      ? declared
+      : [...new Set([...declared, ...this.#entered])];
   }
 
   getCallers(service: string): readonly string[] {
-    return this.#callers.get(service) ?? [];
+    return this.#entered.includes(service)
+      ? [...this.accepted.document.services.keys()]
+      : this.#callers.get(service) ?? [];
   }
 }
--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -36,6 +36,7 @@
   #sentRevision: number;
   #partHash: string;
   #isRedirected = false;
+  #controlAddresses = "";
 
   /**
    * @param stream The stream.
@@ -64,6 +65,20 @@
     this.stream.write(encoded as unknown as ControlMessage);
   }
 
+  /**
+   * Gets the addresses to tell the node.
+   * @param addresses Those of all control instances.
+   * @returns The same, or none when the node knows them.
+   */
+  takeControlAddresses(addresses: readonly string[]): string[] {
+    const text = addresses.toSorted().join(" ");
+    if (text === this.#controlAddresses) {
+      return [];
+    }
+    this.#controlAddresses = text;
+    return [...addresses];
+  }
+
   /**
    * Sends a document unless the node has that revision or a higher one.
    * @param parts The document.
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -49,6 +49,8 @@
 /** Settings of a session host. */
 export interface SessionHostOptions {
   readonly instanceId: string;
+  /** Where nodes reach this instance; they are told no address without it. */
+  readonly address?: string;
   /** Start of this process; must grow with every start of the instance. */
   readonly boot: number;
   readonly state: ControlState;
@@ -310,6 +312,14 @@
     return this.#options.clock.monotonicMilliseconds();
   }
 
+  /** Gets the addresses of all instances, this one included. */
+  #getAddresses(): string[] {
+    const { address, state } = this.#options;
+    return address === undefined
+      ? []
+      : [address, ...state.getPeers().map((peer) => peer.address)];
+  }
+
   #getReachableAddresses(): string[] {
     return this.#exchange.getReachablePeers().map(({ address }) => address);
   }
@@ -518,6 +528,7 @@
         ledgerIndex: isAvailable ? this.#options.state.getLedgerIndex() : 0,
         linkShares: shares ?? [],
         revision: isAvailable ? parts?.accepted.revision ?? 0 : 0,
+        controlAddresses: session.takeControlAddresses(this.#getAddresses()),
       },
     });
   }
--- a/src/toml/value_reader.ts
+++ b/src/toml/value_reader.ts
@@ -143,11 +143,17 @@
   }
 
   /** Reads a list of texts. */
-  readTexts(key: string, options: { optional?: boolean } = {}): string[] {
+  readTexts(
+    key: string,
+    options: { optional?: boolean; allowsEmpty?: boolean } = {},
+  ): string[] {
     const value = this.#take(key);
     if (value === undefined && options.optional) {
       return [];
     }
+    if (options.allowsEmpty && Array.isArray(value) && value.length === 0) {
+      return [];
+    }
     if (
       !Array.isArray(value) || value.length === 0 ||
       value.some((each) => typeof each !== "string" || each === "")
@@ -161,6 +167,21 @@
     return value as string[];
   }
 
+  /** Reads a list of numbers. */
+  readNumbers(key: string): number[] {
+    const value = this.#take(key);
+    if (
+      !Array.isArray(value) || value.some((each) => typeof each !== "number")
+    ) {
+      this.addFinding(
+        key,
+        value === undefined ? "Missing key" : "Expected a list of numbers",
+      );
+      return [];
+    }
+    return value as number[];
+  }
+
   /** Reads a table; `undefined` when it is absent or not a table. */
   readTable(key: string): ValueReader | undefined {
     const value = this.#take(key);
--- a/tests/support/test_pair.ts
+++ b/tests/support/test_pair.ts
@@ -50,7 +50,7 @@
     ...node,
     target,
     close: async () => {
-      await node.node.stop(0);
+      await node.node.stop({ limitMilliseconds: 0 });
       await target.close().catch(() => {});
     },
   };
