Refuse calls for a service that left an address; log decisions; serve metrics

Ruled out: a wrong route at the sender; the manifest allowed its choice.

Change: the context between nodes names the service and the hash of the whole request.

The test that asked for one line a second and kind is replaced: the users now ask for a line a decision, so it checks each line and a bound on a flood.

--- a/src/common/metrics.ts
+++ b/src/common/metrics.ts
@@ -9,6 +9,8 @@
   increment(name: string, tags: MetricTags, by?: number): void;
   /** Sets a gauge. */
   gauge(name: string, value: number, tags: MetricTags): void;
+  /** Adds a time to a histogram, in milliseconds. */
+  observe(name: string, milliseconds: number, tags: MetricTags): void;
   /** Releases the socket. */
   close(): void;
 }
@@ -25,6 +27,7 @@
 export const discardedMetrics: Metrics = {
   increment: () => {},
   gauge: () => {},
+  observe: () => {},
   close: () => {},
 };
 
@@ -49,6 +52,8 @@
   return {
     increment: (name, tags, by = 1) => client.increment(name, by, { ...tags }),
     gauge: (name, value, tags) => client.gauge(name, value, { ...tags }),
+    observe: (name, milliseconds, tags) =>
+      client.histogram(name, milliseconds, { ...tags }),
     close: () => client.close(() => {}),
   };
 }
--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -18,3 +18,5 @@
   type LogFields,
   type LogOptions,
 } from "./log.ts";
+export { createLogOutput, type LogOutput } from "./log_output.ts";
+export { createPullMetrics, type PullMetrics } from "./pull_metrics.ts";
--- /dev/null
+++ b/src/control/group_rules_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  chooseMemberToRemove,
+  getJoinStep,
+  removalSilenceMilliseconds,
+} from "./group_rules.ts";
+
+function createGroup(options: {
+  voters: number;
+  silent?: readonly string[];
+  joining?: string;
+}) {
+  const members = Array.from({ length: options.voters }, (_, index) => ({
+    id: `m${index}`,
+    address: `10.0.0.${index}:7000`,
+    isVoter: true,
+  }));
+  if (options.joining !== undefined) {
+    const address = "10.0.0.9:7000";
+    members.push({ id: options.joining, address, isVoter: false });
+  }
+  const silences = new Map(
+    (options.silent ?? []).map((id) => [id, removalSilenceMilliseconds + 1]),
+  );
+  return { id: "m0", members, silences };
+}
+
+const joins = [
+  {
+    name: "a voter keeps its place",
+    group: createGroup({ voters: 3 }),
+    request: { id: "m1", address: "10.0.0.1:7000" },
+    kind: "none",
+  },
+  {
+    name: "a new instance is added",
+    group: createGroup({ voters: 3 }),
+    request: { id: "new", address: "10.0.0.7:7000" },
+    kind: "add",
+  },
+  {
+    name: "an instance that was added becomes a voter",
+    group: createGroup({ voters: 3, joining: "new" }),
+    request: { id: "new", address: "10.0.0.9:7000" },
+    kind: "promote",
+  },
+  {
+    name: "the lost disk at the same address goes first",
+    group: createGroup({ voters: 3 }),
+    request: { id: "new", address: "10.0.0.2:7000" },
+    kind: "remove",
+  },
+];
+
+for (const { name, group, request, kind } of joins) {
+  test(`getJoinStep: ${name}`, () => {
+    assert.equal(getJoinStep(group, request).kind, kind);
+  });
+}
+
+const removals = [
+  {
+    name: "nobody while all are heard",
+    group: createGroup({ voters: 5 }),
+    expected: undefined,
+  },
+  {
+    name: "a silent voter",
+    group: createGroup({ voters: 5, silent: ["m3"] }),
+    expected: "m3",
+  },
+  {
+    name: "nobody when the group would become too small",
+    group: createGroup({ voters: 3, silent: ["m2"] }),
+    expected: undefined,
+  },
+  {
+    name: "a silent instance that never became a voter",
+    group: createGroup({ voters: 3, joining: "new", silent: ["new"] }),
+    expected: "new",
+  },
+];
+
+for (const { name, group, expected } of removals) {
+  test(`chooseMemberToRemove: ${name}`, () => {
+    assert.equal(chooseMemberToRemove(group), expected);
+  });
+}
--- a/src/node/bad_input_test.ts
+++ b/src/node/bad_input_test.ts
@@ -98,26 +98,29 @@
   {
     name: "a negative deadline",
     to: "node",
-    text: `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;0;-1;1;1;0\r\n${end}`,
+    text:
+      `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;0;-1;1;1;0;front;7\r\n${end}`,
     expected: /400 [^]*deadline is out of range/,
   },
   {
     name: "an allowance of 10^9",
     to: "node",
     text:
-      `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;0;9;1000000000;1;0\r\n${end}`,
+      `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;0;9;1000000000;1;0;front;7\r\n${end}`,
     expected: /400 [^]*allowance is out of range/,
   },
   {
     name: "a class that the document does not have",
     to: "node",
-    text: `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;9;9;1;1;0\r\n${end}`,
+    text:
+      `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;9;9;1;1;0;front;7\r\n${end}`,
     expected: /400 [^]*malformed-request/,
   },
   {
     name: "a chain that is too deep",
     to: "node",
-    text: `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;0;9;1;60;0\r\n${end}`,
+    text:
+      `GET /views/1 HTTP/1.1\r\n${context}: 1;r;c;0;9;1;60;0;front;7\r\n${end}`,
     expected: /508 [^]*depth-exceeded/,
   },
   {
--- a/src/node/call_counters.ts
+++ b/src/node/call_counters.ts
@@ -56,6 +56,19 @@
     return counters;
   }
 
+  /**
+   * Records how long a call took.
+   * @param counters The counters of the call's service and class.
+   * @param milliseconds Time from its arrival to its response.
+   */
+  observeDuration(counters: ClassCounters, milliseconds: number): void {
+    const { service, className } = counters;
+    this.#metrics.observe("calls.duration_ms", milliseconds, {
+      service,
+      class: className,
+    });
+  }
+
   /** Gets all counters as plain objects. */
   getStatus(): Record<string, unknown>[] {
     return [...this.#all.values()].map((each) => ({
--- a/src/node/call_protocol.ts
+++ b/src/node/call_protocol.ts
@@ -68,6 +68,13 @@
 
 /** How callers outside and the target beside a node speak to it. */
 export interface CallProtocol {
+  /**
+   * Whether small responses to all calls are held until they are complete, so
+   * that one that breaks off becomes a failure with a reason.
+   */
+  readonly holdsResponses: boolean;
+  /** Whether the end of its connection may end a response. */
+  readonly acceptsUnframedResponses: boolean;
   /** Reads a request of a caller or of the target. */
   readEntry(arrived: ArrivedRequest): EnteredCall | RefusedEntry;
   /**
--- a/src/node/caller_group.ts
+++ b/src/node/caller_group.ts
@@ -34,11 +34,6 @@
     this.add(first);
   }
 
-  /** Reports whether one of the callers came by the outside listener. */
-  get hasOutside(): boolean {
-    return this.#callers.some((each) => each.isOutside);
-  }
-
   /** Adds a caller. */
   add(caller: Caller): void {
     this.#callers.push(caller);
--- a/src/node/caller_response.ts
+++ b/src/node/caller_response.ts
@@ -22,7 +22,8 @@
 ): void {
   const { headers } = head;
   const { length } = headers;
-  if (head.contentLength < 0 && head.isChunked) {
+  const hasBody = head.isChunked || options.body.length > 0;
+  if (head.contentLength < 0 && hasBody) {
     headers.push("Content-Length", String(options.body.length));
   }
   if (options.answer !== undefined) {
@@ -47,7 +48,7 @@
   options: { answer?: string | undefined },
 ): void {
   const { head } = streamed;
-  if (head.contentLength < 0 && head.isChunked) {
+  if (head.contentLength < 0 && hasStreamedBody(head)) {
     head.headers.push("Transfer-Encoding", "chunked");
   }
   if (options.answer !== undefined) {
@@ -66,6 +67,11 @@
   });
 }
 
+/** A response without framing ends with its connection. */
+function hasStreamedBody(head: ResponseHead): boolean {
+  return head.status !== 204 && head.status !== 304;
+}
+
 /**
  * Writes a refusal or failure.
  * @param response Where to write.
--- /dev/null
+++ b/src/node/decision_log_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createLog, ManualClock } from "../common/mod.ts";
+import { DecisionLog, type DecisionWeight } from "./decision_log.ts";
+
+function createDecisions() {
+  const clock = new ManualClock();
+  const lines: string[] = [];
+  const log = createLog({ write: (line) => lines.push(line) });
+  const decisions = new DecisionLog(log, clock);
+  const record = (weight: DecisionWeight, hash: number) =>
+    decisions.record({
+      requestId: `r-${hash}`,
+      hash,
+      weight,
+      event: "decided",
+      fields: { reason: "x" },
+    });
+  return { clock, lines, record };
+}
+
+test("a flood of refusals writes a bounded number of lines and counts the rest", () => {
+  const { clock, lines, record } = createDecisions();
+  for (let index = 0; index < 10_000; index++) {
+    record("failure", index);
+    clock.advance(1);
+  }
+  // The burst, then the rate over 10 s, then one line about the dropped ones.
+  assert.ok(lines.length <= 200 + 40 * 10 + 2, `${lines.length} lines`);
+  assert.ok(lines.length >= 400, `${lines.length} lines`);
+  record("failure", 1);
+  assert.ok(
+    lines.some((line) => /count=\d+ event="decisions dropped"/.test(line)),
+  );
+});
+
+const samples: { weight: DecisionWeight; hash: number; isWritten: boolean }[] =
+  [
+    { weight: "routine", hash: 64, isWritten: true },
+    { weight: "routine", hash: 65, isWritten: false },
+    { weight: "failure", hash: 65, isWritten: true },
+  ];
+
+for (const { weight, hash, isWritten } of samples) {
+  test(`a ${weight} decision about hash ${hash} is ${isWritten ? "" : "not "}written`, () => {
+    const { lines, record } = createDecisions();
+    record(weight, hash);
+    assert.equal(lines.length, isWritten ? 1 : 0);
+  });
+}
+
+test("routine decisions leave room for failures", () => {
+  const { lines, record } = createDecisions();
+  for (let index = 0; index < 1000; index++) {
+    record("routine", 0);
+  }
+  const routine = lines.length;
+  record("failure", 1);
+  assert.equal(lines.length, routine + 1);
+});
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -63,6 +63,8 @@
   readonly memory: BodyMemory;
   /** Whether a small response is held until it is complete. */
   readonly isHeld: boolean;
+  /** Whether the end of the connection may end the response. */
+  readonly acceptsUnframed?: boolean;
   readonly events: ExchangeEvents;
 }
 
@@ -164,7 +166,9 @@
     }
     if (head.status < 200 || head.status > 999) {
       this.#fail("incomplete", `the response has status ${head.status}`);
-    } else if (!this.#hasLength(head)) {
+    } else if (
+      !this.#hasLength(head) && this.#options.acceptsUnframed !== true
+    ) {
       this.#fail("incomplete", "the response has no length");
     } else if (this.#options.isHeld && head.contentLength <= heldBodyBytes) {
       this.#collector = new BodyCollector(response, this.#options.memory, this);
--- a/src/node/lifecycle_test.ts
+++ b/src/node/lifecycle_test.ts
@@ -84,15 +84,19 @@
   );
 });
 
-test("refusals are logged once a second with a count, successful calls never", async (context) => {
+test("each refusal has its line, successful calls are not logged by path", async (context) => {
   const front = await start(context);
   for (let index = 0; index < 5; index++) {
     await sendCall({ port: front.outside, path: "/nowhere" });
     await sendCall({ port: front.outside, path: "/views/1" });
   }
-  const refusals = front.lines.filter((line) => line.includes("refused"));
-  assert.ok(refusals.length >= 1 && refusals.length < 5);
-  assert.match(refusals[0] ?? "", /reason=unknown-route/);
+  const refusals = front.lines.filter((line) =>
+    line.includes("call not accepted")
+  );
+  assert.equal(refusals.length, 5);
+  for (const line of refusals) {
+    assert.match(line, /reason=unknown-route.*path=\/nowhere.*revision=1/);
+  }
   assert.equal(front.lines.some((line) => line.includes("/views/1")), false);
 });
 
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -26,9 +26,9 @@
 export type { CallDetails } from "./call_details.ts";
 export type { ResponseHead } from "./exchange.ts";
 export { HttpListener } from "./http_listener.ts";
-export type {
+export {
   AnnouncedTarget,
-  TargetAnnouncement,
+  type TargetAnnouncement,
 } from "./announced_target.ts";
 export { BodyCollector } from "./body_collector.ts";
 export { BodyMemory } from "./body_memory.ts";
--- a/src/node/node_listener.ts
+++ b/src/node/node_listener.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { getStableHash } from "../common/mod.ts";
 import {
   decodeContext,
   encodeAnswer,
@@ -46,6 +45,11 @@
       return;
     }
     const context = decoded.value;
+    if (context.service !== settings.service) {
+      // The address had another owner when the sender learned it.
+      this.#refuse(response, "no-target", { context });
+      return;
+    }
     const target = readRequestTarget(request);
     if (target === undefined) {
       this.#refuse(response, "malformed-request", { context });
@@ -82,7 +86,7 @@
         caller: context.caller,
         classIndex: context.classIndex,
         depth: context.depth,
-        hash: getStableHash(context.requestId),
+        hash: context.hash,
         entryIndex: context.entryIndex,
         deadlineMilliseconds: clock.monotonicMilliseconds() +
           context.remainingMilliseconds,
--- /dev/null
+++ b/src/node/node_listener_test.ts
@@ -0,0 +1,39 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { sendCall } from "../../tests/support/http_call.ts";
+import { startPair } from "../../tests/support/test_pair.ts";
+import { contextHeader, encodeContext } from "../request/mod.ts";
+
+const owners = [
+  { service: "front", status: 200 },
+  { service: "back", status: 503 },
+];
+
+// An address that another service took over got calls of its former owner.
+for (const { service, status } of owners) {
+  test(`a call for ${service} at a node of front gets ${status}`, async (context) => {
+    const pair = await startPair("front-1");
+    context.after(() => pair.close());
+    const response = await sendCall({
+      port: pair.node.node.port,
+      path: "/views/1",
+      headers: {
+        [contextHeader]: encodeContext({
+          requestId: "r-1",
+          caller: "",
+          classIndex: 1,
+          remainingMilliseconds: 5000,
+          allowance: 0,
+          depth: 1,
+          entryIndex: 0,
+          service,
+          hash: 7,
+        }),
+      },
+    });
+    assert.equal(response.status, status);
+    if (status === 503) {
+      assert.match(response.body, /not-run.*no-target/);
+    }
+  });
+}
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -18,6 +18,7 @@
 import type { CallProtocol } from "./call_protocol.ts";
 import { CallCounters } from "./call_counters.ts";
 import { writeFailure, writeJson } from "./caller_response.ts";
+import { DecisionLog } from "./decision_log.ts";
 import { DeadlineTimers } from "./deadline_timers.ts";
 import { DocumentView } from "./document_view.ts";
 import { HttpListener } from "./http_listener.ts";
@@ -276,6 +277,7 @@
     clock,
     log: options.log,
     random,
+    decisions: new DecisionLog(options.log, clock),
     counters: new CallCounters(metrics),
     memory: new BodyMemory(),
     timers: new DeadlineTimers(clock),
--- a/src/node/node_process_test.ts
+++ b/src/node/node_process_test.ts
@@ -33,7 +33,7 @@
     headers: {
       "x-call": "a",
       "dogwoodwalk-request": "forged",
-      "dogwoodwalk-context": "1;r;c;0;10;9;1;0",
+      "dogwoodwalk-context": "1;r;c;0;10;9;1;0;front;7",
     },
   });
   assert.equal(response.status, 200);
--- a/src/node/node_state.ts
+++ b/src/node/node_state.ts
@@ -7,6 +7,7 @@
 import type { BodyMemory } from "./body_memory.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import type { CallCounters } from "./call_counters.ts";
+import type { DecisionLog } from "./decision_log.ts";
 import type { DeadlineTimers } from "./deadline_timers.ts";
 import type { DocumentView } from "./document_view.ts";
 import type { LedgerPort } from "./ledger_port.ts";
@@ -19,6 +20,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly random: RandomSource;
+  /** Writes decisions that touch requests. */
+  readonly decisions: DecisionLog;
   readonly counters: CallCounters;
   readonly memory: BodyMemory;
   readonly timers: DeadlineTimers;
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -4,6 +4,7 @@
   type CallFailure,
   getClaimFingerprint,
 } from "../request/mod.ts";
+import type { LogFields } from "../common/mod.ts";
 import type { AllowanceAccount } from "../retries/mod.ts";
 import type { AttemptOutcome, RouteChoice } from "../routing/mod.ts";
 import {
@@ -20,6 +21,7 @@
 import { type CallBody, type CallDetails, frameBody } from "./call_details.ts";
 import { type Caller, CallerGroup } from "./caller_group.ts";
 import { createEarlierResponse } from "./claim.ts";
+import type { DecisionWeight } from "./decision_log.ts";
 import type { Expirable } from "./deadline_timers.ts";
 import type { ResponseHead } from "./exchange.ts";
 import { getFencedResult, needsFence } from "./final_fence.ts";
@@ -60,6 +62,7 @@
   readonly #account: AllowanceAccount;
   readonly #budget: ServiceBudget;
   readonly #callers: CallerGroup;
+  readonly #startedMilliseconds: number;
   #collector: BodyCollector | undefined;
   #body: CallBody | undefined;
   #claimFingerprint: string | undefined;
@@ -79,6 +82,7 @@
     this.#side = side;
     this.#options = options;
     this.details = options.details;
+    this.#startedMilliseconds = side.state.clock.monotonicMilliseconds();
     this.#account = options.account;
     const { service } = options.details.plan;
     this.#budget = side.budgets.get(service.name, service.retryRatio);
@@ -267,6 +271,12 @@
     this.#attempts++;
     const current: CurrentAttempt = { choice, handedDown, attempt: undefined };
     this.#current = current;
+    this.#record("routine", "attempt", {
+      attempt: this.#attempts,
+      target: choice.targetId,
+      remaining: this.#getRemaining(),
+      allowance: this.#account.remaining,
+    });
     const attempt = this.#side.startAttempt(choice, {
       details,
       body: this.#body as CallBody,
@@ -317,6 +327,18 @@
       mayHaveRun: this.#mayHaveRun,
       reachedTargets: this.#reachedTargets,
     });
+    this.#record("failure", "attempt failed", {
+      attempt: this.#attempts,
+      target: targetId,
+      disposition: failure.disposition,
+      reason: failure.reason,
+      message: failure.message,
+      decision: decision.kind,
+      because: decision.reason,
+      remaining: this.#getRemaining(),
+      load: failure.load &&
+        `${failure.load.running}+${failure.load.queued}/${failure.load.limit}`,
+    });
     if (decision.kind === "stop") {
       this.fail(failure);
       return;
@@ -332,8 +354,30 @@
     }
   }
 
+  #record(weight: DecisionWeight, event: string, fields: LogFields): void {
+    const { requestId, hash, plan } = this.details;
+    this.#side.state.decisions.record({
+      requestId,
+      hash,
+      weight,
+      event,
+      fields: { service: plan.route.service, ...fields },
+    });
+  }
+
+  /** Gets the time to the deadline, in whole milliseconds. */
+  #getRemaining(): number {
+    const now = this.#side.state.clock.monotonicMilliseconds();
+    return Math.round(this.details.deadlineMilliseconds - now);
+  }
+
   #onResponse(answer: Answer, bytes: number): void {
     const current = this.#current;
+    this.#record("routine", "call answered", {
+      attempt: this.#attempts,
+      target: current?.choice.targetId,
+      remaining: this.#getRemaining(),
+    });
     if (current !== undefined) {
       this.#finishAttempt(current, { kind: "completed", hint: answer.load });
       this.#account.settle(current.handedDown, answer.unused);
@@ -347,6 +391,11 @@
     const counters = this.details.plan.counters[this.details.classIndex];
     if (counters !== undefined) {
       counters.completed++;
+      const now = this.#side.state.clock.monotonicMilliseconds();
+      this.#side.state.counters.observeDuration(
+        counters,
+        now - this.#startedMilliseconds,
+      );
     }
   }
 
@@ -389,9 +438,10 @@
     const { plan, classIndex, requestId } = this.details;
     const counters = plan.counters[classIndex];
     counters && countReason(counters.refused, failure.reason);
-    if (this.#callers.hasOutside) {
-      this.#side.logRefusal(failure, this.details);
-    }
+    this.#side.logFailure(failure, {
+      details: this.details,
+      attempts: this.#attempts,
+    });
     this.#callers.writeFailure(failure, requestId);
   }
 
@@ -401,6 +451,10 @@
       this.#cancelAttempt("cancelled");
       const counters = this.details.plan.counters[this.details.classIndex];
       counters && countReason(counters.refused, "cancelled");
+      this.#record("failure", "caller left", {
+        attempts: this.#attempts,
+        remaining: this.#getRemaining(),
+      });
       this.#end();
     }
   }
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -12,14 +12,19 @@
 import { NodePools } from "./node_pools.ts";
 import type { NodeState } from "./node_state.ts";
 import { OriginCall } from "./origin_call.ts";
-import { RefusalLog } from "./refusal_log.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { RemoteAttempt } from "./remote_attempt.ts";
-import { readRequestTarget } from "./request_target.ts";
+import { readRequestTarget, type RequestTarget } from "./request_target.ts";
 import { RetryBudgets } from "./retry_budget.ts";
 import { TargetCall, type TargetCallOptions } from "./target_call.ts";
 import type { TargetSide } from "./target_side.ts";
 
+/** A call that got no response of its target. */
+export interface FailedCall {
+  readonly details: CallDetails;
+  readonly attempts: number;
+}
+
 /** Takes the calls of outside callers and of the target beside this node. */
 export class OriginSide {
   readonly state: NodeState;
@@ -28,7 +33,6 @@
   readonly #pools = new NodePools();
   readonly #keyed = new KeyedCalls();
   readonly #calls = new Set<OriginCall>();
-  readonly #refusals: RefusalLog;
 
   /**
    * @param state What the parts of the node share.
@@ -37,7 +41,6 @@
   constructor(state: NodeState, targetSide: TargetSide) {
     this.state = state;
     this.#targetSide = targetSide;
-    this.#refusals = new RefusalLog(state.log, state.clock);
   }
 
   /** Gets the number of calls under way. */
@@ -61,12 +64,12 @@
     const target = readRequestTarget(request);
     if (target === undefined) {
       const message = "The request target is malformed";
-      this.#refuseEarly(response, "malformed-request", { isOutside, message });
+      this.#refuseEarly(response, "malformed-request", { message });
       return;
     }
     if (view === undefined) {
       const message = "This node has no document yet";
-      this.#refuseEarly(response, "no-target", { isOutside, message });
+      this.#refuseEarly(response, "no-target", { target, message });
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
@@ -83,7 +86,7 @@
     if (entered.kind === "refused") {
       const { reason, message } = entered;
       this.#refuseEarly(response, reason, {
-        isOutside,
+        target,
         ...(message === undefined ? {} : { message }),
       });
       return;
@@ -147,6 +150,7 @@
       pool,
       memory: this.state.memory,
       peerCredential: this.state.peerCredential,
+      holdsResponses: this.state.protocol.holdsResponses,
       sink,
     });
   }
@@ -195,15 +199,29 @@
     }
   }
 
-  /** Writes a refusal that an outside caller sees to the log. */
-  logRefusal(failure: CallFailure, details: CallDetails): void {
-    this.#refusals.add({
-      failure,
-      service: details.plan.route.service,
-      className: this.state.view?.getClassName(details.classIndex) ?? "",
+  /** Writes a refusal or failure that a caller sees to the log. */
+  logFailure(failure: CallFailure, call: FailedCall): void {
+    const { details } = call;
+    const { state } = this;
+    state.decisions.record({
       requestId: details.requestId,
-      caller: details.caller,
-      resends: this.state.resends.getResends(details.caller),
+      hash: details.hash,
+      weight: "failure",
+      event: "call failed",
+      fields: {
+        service: details.plan.route.service,
+        class: state.view?.getClassName(details.classIndex),
+        disposition: failure.disposition,
+        reason: failure.reason,
+        message: failure.message,
+        attempts: call.attempts,
+        remaining: Math.round(
+          details.deadlineMilliseconds - state.clock.monotonicMilliseconds(),
+        ),
+        revision: state.view?.revision,
+        caller: details.caller,
+        resends: state.resends.getResends(details.caller),
+      },
     });
   }
 
@@ -239,23 +257,27 @@
   #refuseEarly(
     response: ServerResponse,
     reason: RefusalReason,
-    options: { isOutside: boolean; message?: string },
+    options: { target?: RequestTarget; message?: string },
   ): void {
     const message = options.message ?? getRefusalMessage(reason);
     const failure: CallFailure = { disposition: "not-run", reason, message };
     const { service } = this.state.settings;
     const counters = this.state.counters.get(service, "none");
     counters.refused.set(reason, (counters.refused.get(reason) ?? 0) + 1);
-    if (options.isOutside) {
-      this.#refusals.add({
-        failure,
-        service,
-        className: "none",
-        requestId: "",
-        caller: "",
-        resends: 0,
-      });
-    }
+    this.state.decisions.record({
+      requestId: "",
+      hash: 0,
+      weight: "failure",
+      event: "call not accepted",
+      fields: {
+        disposition: failure.disposition,
+        reason,
+        message,
+        host: options.target?.host,
+        path: options.target?.routePath,
+        revision: this.state.view?.revision,
+      },
+    });
     this.state.protocol.writeFailure(response, failure, "");
   }
 }
--- a/src/node/product_protocol.ts
+++ b/src/node/product_protocol.ts
@@ -14,6 +14,8 @@
 
 /** The interface of dogwoodwalk itself. */
 export const productProtocol: CallProtocol = {
+  holdsResponses: false,
+  acceptsUnframedResponses: false,
   readEntry,
   addTargetHeaders: (headers, { token }) => headers.push(tokenHeader, token),
   judgeResponse: (head, { plan }) =>
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -33,6 +33,8 @@
   readonly pool: ConnectionPool;
   readonly memory: BodyMemory;
   readonly peerCredential: PeerCredential | undefined;
+  /** Whether a small response to any call is held until it is complete. */
+  readonly holdsResponses: boolean;
   readonly sink: AttemptSink;
 }
 
@@ -66,6 +68,8 @@
         allowance: options.allowance,
         depth: details.depth,
         entryIndex: details.entryIndex,
+        service: details.plan.route.service,
+        hash: details.hash,
       }),
     );
     if (options.peerCredential !== undefined) {
@@ -80,7 +84,7 @@
     }, {
       pool: options.pool,
       memory: options.memory,
-      isHeld: isResponseHeld(details),
+      isHeld: options.holdsResponses || isResponseHeld(details),
       events: this,
     });
     headers.length = length;
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -8,6 +8,7 @@
   getRequestFingerprint,
   type RefusalReason,
 } from "../request/mod.ts";
+import type { LogFields } from "../common/mod.ts";
 import { AllowanceAccount } from "../retries/mod.ts";
 import type { Attempt, AttemptSink } from "./attempt.ts";
 import { countReason } from "./call_counters.ts";
@@ -17,6 +18,7 @@
   isResponseHeld,
 } from "./call_details.ts";
 import { Claim } from "./claim.ts";
+import type { DecisionWeight } from "./decision_log.ts";
 import {
   Exchange,
   type ExchangeEvents,
@@ -267,6 +269,11 @@
     }
   }
 
+  #record(weight: DecisionWeight, event: string, fields: LogFields): void {
+    const { requestId, hash } = this.details;
+    this.#state.decisions.record({ requestId, hash, weight, event, fields });
+  }
+
   #dispatch(): void {
     this.#phase = "running";
     this.serviceTime.start(this.#now());
@@ -275,6 +282,12 @@
     if (counters !== undefined) {
       counters.dispatched++;
     }
+    const { announcement } = this.#side.target;
+    this.#record("routine", "dispatched", {
+      instance: announcement?.instanceId,
+      incarnation: announcement?.incarnation,
+      remaining: Math.round(details.deadlineMilliseconds - this.#now()),
+    });
     // The request line and headers are written by the constructor, so the
     // target's own headers can be taken off the shared list again.
     const { headers } = details;
@@ -282,7 +295,7 @@
     this.#state.protocol.addTargetHeaders(headers, {
       details,
       token: this.token,
-      announcement: this.#side.target.announcement,
+      announcement,
       remainingMilliseconds: details.deadlineMilliseconds - this.#now(),
     });
     this.#exchange = new Exchange({
@@ -294,7 +307,8 @@
     }, {
       pool: this.#side.getPool(),
       memory: this.#state.memory,
-      isHeld: isResponseHeld(details),
+      isHeld: this.#state.protocol.holdsResponses || isResponseHeld(details),
+      acceptsUnframed: this.#state.protocol.acceptsUnframedResponses,
       events: this,
     });
     headers.length = length;
@@ -369,6 +383,19 @@
     if (counters !== undefined) {
       countReason(counters.failedAttempts, reason);
     }
+    const load = this.#side.getLoad();
+    this.#record("failure", "target call failed", {
+      disposition,
+      reason,
+      message,
+      class: this.#state.view?.getClassName(classIndex),
+      load: load && `${load.running}+${load.queued}/${load.limit}`,
+      target: this.#side.target.state,
+      age: Math.round(this.#side.target.getAgeMilliseconds()),
+      held: this.#exchange === undefined
+        ? undefined
+        : Math.round(this.serviceTime.get(this.#now())),
+    });
     if (this.#detachment !== undefined) {
       return;
     }
@@ -378,7 +405,7 @@
       message,
       unused: this.account.remaining,
       levels: this.#side.getLevels(),
-      load: this.#side.getLoad(),
+      load,
     });
   }
 
--- a/src/request/codec_test.ts
+++ b/src/request/codec_test.ts
@@ -20,6 +20,8 @@
   allowance: fc.nat(fieldLimits.allowance),
   depth: fc.integer({ min: 1, max: fieldLimits.depth }),
   entryIndex: fc.maxSafeNat(),
+  service: fc.stringMatching(/^[a-z0-9][a-z0-9-]{0,30}$/),
+  hash: fc.nat(fieldLimits.hash),
 }, { noNullPrototype: true });
 
 test("a context survives its header, whatever the caller is called", () => {
@@ -100,16 +102,18 @@
 });
 
 const malformed = [
-  { name: "negative deadline", text: "1;r;c;0;-5;1;1;0" },
-  { name: "allowance of 10^9", text: "1;r;c;0;10;1000000000;1;0" },
-  { name: "depth of 0", text: "1;r;c;0;10;1;0;0" },
-  { name: "class of 16", text: "1;r;c;16;10;1;1;0" },
-  { name: "unsafe ledger index", text: "1;r;c;0;10;1;1;9007199254740992" },
-  { name: "missing field", text: "1;r;c;0;10;1;1" },
-  { name: "newer format", text: "2;r;c;0;10;1;1;0" },
-  { name: "truncated escape in the caller", text: "1;r;%E0;0;10;1;1;0" },
-  { name: "line break in the identity", text: "1;r\n;c;0;10;1;1;0" },
-  { name: "oversized header", text: `1;r;${"c".repeat(9999)};0;10;1;1;0` },
+  { name: "negative deadline", text: "1;r;c;0;-5;1;1;0;s;7" },
+  { name: "allowance of 10^9", text: "1;r;c;0;10;1000000000;1;0;s;7" },
+  { name: "depth of 0", text: "1;r;c;0;10;1;0;0;s;7" },
+  { name: "class of 16", text: "1;r;c;16;10;1;1;0;s;7" },
+  { name: "unsafe ledger index", text: "1;r;c;0;10;1;1;9007199254740992;s;7" },
+  { name: "missing field", text: "1;r;c;0;10;1;1;0;s" },
+  { name: "newer format", text: "2;r;c;0;10;1;1;0;s;7" },
+  { name: "truncated escape in the caller", text: "1;r;%E0;0;10;1;1;0;s;7" },
+  { name: "line break in the identity", text: "1;r\n;c;0;10;1;1;0;s;7" },
+  { name: "service without a name", text: "1;r;c;0;10;1;1;0;;7" },
+  { name: "hash of 33 bits", text: "1;r;c;0;10;1;1;0;s;4294967296" },
+  { name: "oversized header", text: `1;r;${"c".repeat(9999)};0;10;1;1;0;s;7` },
 ];
 
 for (const { name, text } of malformed) {
--- a/src/request/context_codec.ts
+++ b/src/request/context_codec.ts
@@ -6,15 +6,16 @@
 export const contextHeader = "dogwoodwalk-context";
 
 const formatVersion = "1";
-const fieldCount = 8;
+const fieldCount = 10;
 /** Visible ASCII without the separator. */
 const requestIdPattern = /^[!-:<-~]+$/;
 /** encodeURIComponent throws on these. */
 const loneSurrogates = /[\ud800-\udfff]/gu;
+const servicePattern = /^[!-:<-~]+$/;
 const callerPattern = /^[A-Za-z0-9._~%!'()*-]*$/;
 
 /**
- * Encodes a context as `1;request;caller;class;remaining;allowance;depth;index`.
+ * Encodes a context as `1;request;caller;class;remaining;allowance;depth;index;service;hash`.
  * @param context The context; its values must be within the limits.
  * @returns The value of the header.
  */
@@ -23,7 +24,7 @@
     encodeCaller(context.caller)
   };${context.classIndex};${
     Math.max(0, Math.ceil(context.remainingMilliseconds))
-  };${context.allowance};${context.depth};${context.entryIndex}`;
+  };${context.allowance};${context.depth};${context.entryIndex};${context.service};${context.hash}`;
 }
 
 /**
@@ -87,6 +88,16 @@
   if (entryIndex < 0) {
     return failed("ledger index is out of range");
   }
+  const service = fields[8] as string;
+  if (
+    service.length > fieldLimits.serviceLength || !servicePattern.test(service)
+  ) {
+    return failed("service is malformed");
+  }
+  const hash = readWholeNumber(fields[9], fieldLimits.hash);
+  if (hash < 0) {
+    return failed("hash is out of range");
+  }
   return ok({
     requestId,
     caller,
@@ -95,6 +106,8 @@
     allowance,
     depth,
     entryIndex,
+    service,
+    hash,
   });
 }
 
--- a/src/request/field_limits.ts
+++ b/src/request/field_limits.ts
@@ -8,6 +8,7 @@
   /** The document allows the same allowance. */
   allowance: 10_000,
   depth: 64,
+  hash: 2 ** 32 - 1,
   /** 16 classes of 128 buckets. */
   level: 16 * 128,
   levelEntries: 64,
--- a/src/request/request_context.ts
+++ b/src/request/request_context.ts
@@ -14,4 +14,8 @@
   readonly depth: number;
   /** Ledger index that was known where the call was sent. */
   readonly entryIndex: number;
+  /** Service that must run the call; its address may have a new owner. */
+  readonly service: string;
+  /** Stable hash of the identity of the whole request. */
+  readonly hash: number;
 }
--- a/src/retries/decide_retry.ts
+++ b/src/retries/decide_retry.ts
@@ -69,6 +69,7 @@
 
 /** Reasons that concern one target, where another one can do better. */
 const immediateReasons: ReadonlySet<RefusalReason> = new Set([
+  "no-target",
   "target-draining",
   "target-unreachable",
   "node-unreachable",
@@ -77,6 +78,7 @@
 
 /** Reasons that can be gone after a while. */
 const delayedReasons: ReadonlySet<RefusalReason> = new Set([
+  "deadline-too-short",
   "queue-full",
   "evicted",
   "target-shed",
--- a/src/routing/weighted_rotation.ts
+++ b/src/routing/weighted_rotation.ts
@@ -7,6 +7,9 @@
   readonly weight: number;
 }
 
+/** Most turns that are skipped for a random start. */
+const longestStart = 1000;
+
 /**
  * Gives items in turn so that each run of calls holds them in proportion to
  * their weights (smooth weighted round robin). The start is random, or the few
@@ -24,10 +27,11 @@
   constructor(items: readonly WeightedItem<Item>[], random: RandomSource) {
     this.#items = items;
     this.#total = items.reduce((sum, { weight }) => sum + weight, 0);
-    // Credits that add up to zero keep later shares exact.
-    const start = items.map(({ weight }) => (random() - 0.5) * weight);
-    const mean = start.reduce((sum, each) => sum + each, 0) / items.length;
-    this.#credits = start.map((each) => each - mean);
+    this.#credits = items.map(() => 0);
+    const steps = Math.floor(random() * Math.min(this.#total, longestStart));
+    for (let step = 0; step < steps; step++) {
+      this.take();
+    }
   }
 
   /** Takes the item whose turn it is. */
