--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -69,6 +69,8 @@
   readonly proposer: Proposer;
   /** Port that it listens on. */
   readonly port: number;
+  /** Replaces the addresses of instances that bring this one into the group. */
+  setGroupContacts(contacts: readonly string[]): void;
   /** Refuses new calls, finishes those in flight and closes the files. */
   stop(): Promise<void>;
 }
@@ -140,6 +142,7 @@
     log,
     proposer,
     port,
+    setGroupContacts: (contacts) => keeper?.setContacts(contacts),
     stop: async () => {
       timers.forEach(clearInterval);
       keeper?.stop();
--- a/src/control/group_keeper.ts
+++ b/src/control/group_keeper.ts
@@ -51,8 +51,11 @@
   readonly #options: GroupKeeperOptions;
   readonly #timer: NodeJS.Timeout;
   readonly #clients = new Map<string, GroupClient>();
+  #settingsContacts: readonly string[];
   #contacts: readonly string[];
   #heardAt: number;
+  /** Named by the instance that was asked last. */
+  #leaderAddress: string | undefined;
   #nextContact = 0;
   #isAsking = false;
   #isChanging = false;
@@ -60,6 +63,7 @@
   /** @param options The group's log, and where to ask. */
   constructor(options: GroupKeeperOptions) {
     this.#options = options;
+    this.#settingsContacts = options.contacts;
     this.#contacts = options.contacts;
     this.#heardAt = options.clock.monotonicMilliseconds();
     this.#timer = setInterval(() => this.#check(), checkMilliseconds);
@@ -75,6 +79,12 @@
     };
   }
 
+  /** Replaces the addresses of the settings. */
+  setContacts(contacts: readonly string[]): void {
+    this.#settingsContacts = contacts;
+    this.#contacts = mergeAddresses(contacts, this.#contacts);
+  }
+
   /** Stops asking and closes the connections. */
   stop(): void {
     clearInterval(this.#timer);
@@ -90,7 +100,7 @@
       this.#heardAt = now;
       this.#contacts = mergeAddresses(
         status.members.map((each) => each.address),
-        this.#options.contacts,
+        this.#settingsContacts,
       );
     }
     if (status.role === "leader") {
@@ -102,13 +112,22 @@
     }
   }
 
+  /** Asks the leader when it is known, else one instance after the other. */
   #askNext(status: ConsensusStatus): void {
-    const others = this.#contacts.filter((each) =>
-      each !== this.#options.address
-    );
-    const address = others[this.#nextContact++ % Math.max(1, others.length)];
-    if (address !== undefined && !this.#isAsking) {
-      this.#ask(address, status.id);
+    if (this.#isAsking) {
+      return;
+    }
+    const { address } = this.#options;
+    const leaderAddress = this.#leaderAddress ?? status.leader?.address;
+    this.#leaderAddress = undefined;
+    if (leaderAddress !== undefined && leaderAddress !== address) {
+      this.#ask(leaderAddress, status.id);
+      return;
+    }
+    const others = this.#contacts.filter((each) => each !== address);
+    const next = others[this.#nextContact++ % Math.max(1, others.length)];
+    if (next !== undefined) {
+      this.#ask(next, status.id);
     }
   }
 
@@ -129,14 +148,11 @@
   }
 
   #onAnswer(answer: JoinAnswer): void {
-    const leaders = answer.refusal?.controlAddresses ?? [];
-    this.#contacts = mergeAddresses(leaders, [
-      ...answer.memberAddresses,
-      ...this.#options.contacts,
-    ]);
-    if (leaders.length > 0) {
-      this.#nextContact = 0;
-    }
+    this.#leaderAddress = answer.refusal?.controlAddresses[0];
+    this.#contacts = mergeAddresses(
+      answer.memberAddresses,
+      this.#settingsContacts,
+    );
   }
 
   #onJoin(request: JoinRequest): JoinAnswer {
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -136,7 +136,10 @@
   }[] = [];
   readonly #attempts = new Set<SessionConnection>();
   #current: SessionConnection | undefined;
-  /** Those of the settings, and those that control told. */
+  #settingsAddresses: readonly string[];
+  /** Addresses that control told. */
+  #toldAddresses: readonly string[] = [];
+  /** Both, those that control told first. */
   #controlAddresses: readonly string[];
   #candidates: string[] = [];
   #acceptsIsolated = false;
@@ -166,6 +169,7 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#targets = new AnnouncedTargets(this.#clock);
+    this.#settingsAddresses = options.controlAddresses;
     this.#controlAddresses = options.controlAddresses;
     this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds / 4);
   }
@@ -200,6 +204,12 @@
     });
   }
 
+  /** Replaces the addresses of the settings. */
+  setControlAddresses(addresses: readonly string[]): void {
+    this.#settingsAddresses = addresses;
+    this.#updateControlAddresses();
+  }
+
   /**
    * Asks for the targets of a service to which the document declares no call
    * of the node's service.
@@ -558,12 +568,8 @@
       this.#options.onLedgerIndex?.(answer.ledgerIndex);
     }
     if (answer.controlAddresses.length > 0) {
-      this.#controlAddresses = [
-        ...new Set([
-          ...answer.controlAddresses,
-          ...this.#options.controlAddresses,
-        ]),
-      ];
+      this.#toldAddresses = answer.controlAddresses;
+      this.#updateControlAddresses();
     }
     this.#hasLease = true;
     clearTimeout(this.#leaseTimer);
@@ -577,6 +583,12 @@
     }
   }
 
+  #updateControlAddresses(): void {
+    this.#controlAddresses = [
+      ...new Set([...this.#toldAddresses, ...this.#settingsAddresses]),
+    ];
+  }
+
   /** Falls back to the shares that control counts without a lease. */
   #onLeaseEnd(): void {
     this.#hasLease = false;
--- a/src/node/connection_pool.ts
+++ b/src/node/connection_pool.ts
@@ -16,6 +16,35 @@
  */
 const connectMilliseconds = 500;
 
+/** Interval at which idle connections are closed. */
+const sweepMilliseconds = 1000;
+
+/**
+ * Closes idle connections of all pools of the process. One timer for all keeps
+ * a quiet node from waking up for each node that it knows.
+ */
+class IdleSweep {
+  readonly #pools = new Set<ConnectionPool>();
+  #timer: NodeJS.Timeout | undefined;
+
+  add(pool: ConnectionPool): void {
+    this.#pools.add(pool);
+    this.#timer ??= setInterval(() => {
+      this.#pools.forEach((each) => each.closeIdle());
+    }, sweepMilliseconds).unref();
+  }
+
+  remove(pool: ConnectionPool): void {
+    this.#pools.delete(pool);
+    if (this.#pools.size === 0) {
+      clearInterval(this.#timer);
+      this.#timer = undefined;
+    }
+  }
+}
+
+const idleSweep = new IdleSweep();
+
 interface IdleSocket {
   readonly socket: Socket;
   readonly expiresAt: number;
@@ -45,7 +74,6 @@
   readonly #open = new Set<Socket>();
   readonly #idle: IdleSocket[] = [];
   readonly #waiting: ClientRequest[] = [];
-  readonly #sweep: NodeJS.Timeout;
   #idleLimitMilliseconds = idleLimitMilliseconds;
 
   /**
@@ -56,8 +84,7 @@
     this.port = options.port;
     this.#limit = options.limit;
     this.maxSockets = Number.POSITIVE_INFINITY;
-    this.#sweep = setInterval(() => this.#closeIdle(), 500);
-    this.#sweep.unref();
+    idleSweep.add(this);
   }
 
   /** Gets the number of open connections, idle ones included. */
@@ -99,7 +126,7 @@
 
   /** Closes all idle connections, and others when their request ends. */
   close(): void {
-    clearInterval(this.#sweep);
+    idleSweep.remove(this);
     this.#idleLimitMilliseconds = 0;
     for (const { socket } of this.#idle.splice(0)) {
       socket.destroy();
@@ -193,7 +220,8 @@
     return undefined;
   }
 
-  #closeIdle(): void {
+  /** Closes the connections that have been idle for too long. */
+  closeIdle(): void {
     const now = performance.now();
     while (this.#idle[0] !== undefined && this.#idle[0].expiresAt <= now) {
       this.#idle.shift()?.socket.destroy();
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -121,6 +121,11 @@
     }
   }
 
+  /** Replaces the control addresses of the settings. */
+  setControlAddresses(addresses: readonly string[]): void {
+    this.#session.setControlAddresses(addresses);
+  }
+
   /** Ends the session and the ledger client. */
   async stop(): Promise<void> {
     await this.#session.stop();
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -97,6 +97,13 @@
   closeNow(): void {
     this.#server.closeAllConnections();
   }
+
+  /** Refuses new connections and ends the open ones. */
+  async end(): Promise<void> {
+    const closed = this.close();
+    this.closeNow();
+    await closed;
+  }
 }
 
 /** Tells the sender of a malformed or half-sent request what is wrong. */
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -38,6 +38,14 @@
   readonly sink: AttemptSink;
 }
 
+/**
+ * Time that the other node ends a call before this one does, so that its
+ * refusal arrives in time: a round trip between regions takes 25 ms.
+ */
+const hopMilliseconds = 30;
+/** Largest part of the time left that the hop may take. */
+const largestHopShare = 0.1;
+
 const faults: Readonly<
   Record<ExchangeFault, { disposition: Disposition; reason: RefusalReason }>
 > = {
@@ -64,7 +72,11 @@
         requestId: details.requestId,
         caller: details.caller,
         classIndex: details.classIndex,
-        remainingMilliseconds: options.remainingMilliseconds,
+        remainingMilliseconds: options.remainingMilliseconds -
+          Math.min(
+            hopMilliseconds,
+            options.remainingMilliseconds * largestHopShare,
+          ),
         allowance: options.allowance,
         depth: details.depth,
         entryIndex: details.entryIndex,
--- a/tests/support/wait_until.ts
+++ b/tests/support/wait_until.ts
@@ -5,12 +5,12 @@
  * @param what What is waited for, for the error message.
  */
 export async function waitUntil(
-  condition: () => boolean,
+  condition: () => boolean | Promise<boolean>,
   what: string,
   limitMilliseconds = 30_000,
 ): Promise<void> {
   const end = performance.now() + limitMilliseconds;
-  while (!condition()) {
+  while (!(await condition())) {
     if (performance.now() > end) {
       throw new Error(`Waited ${limitMilliseconds} ms in vain until ${what}`);
     }
