Shed at the entry for services deeper in the chain; estimate hold times by class

Change: hold times are kept by class. Routes with a host learn which services their calls reach, and a request is refused where it enters when one of them would refuse its calls.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -37,7 +37,10 @@
   readonly #callers: CallerTable;
   readonly #limit: ConcurrencyLimit;
   readonly #level: AdmissionLevel;
+  /** Of all classes, for the time that a call waits. */
   readonly #holdTime = new HoldTime();
+  /** By class: a short call must not be refused because others take long. */
+  readonly #classHoldTimes: readonly HoldTime[];
   readonly #entries = new Map<string, AdmissionEntry>();
   readonly #runningByClass: Uint32Array;
   #slots: number;
@@ -61,6 +64,10 @@
     this.#queue = new AdmissionQueue(options.classCount);
     this.#callers = new CallerTable(options.classCount);
     this.#runningByClass = new Uint32Array(options.classCount);
+    this.#classHoldTimes = Array.from(
+      { length: options.classCount },
+      () => new HoldTime(),
+    );
     this.#limit = new ConcurrencyLimit(options.slots, {
       classCount: options.classCount,
       nowMilliseconds: now,
@@ -226,7 +233,8 @@
     }
     if (
       this.#holdTime.isFresh(now) &&
-      remainingMilliseconds < this.#getExpectedWait(entry) + this.#holdTime.mean
+      remainingMilliseconds <
+        this.#getExpectedWait(entry) + this.#getExpectedHold(entry, now)
     ) {
       this.#onTurnedAway(entry);
       return "deadline-too-short";
@@ -339,6 +347,17 @@
     return entry.use.running + 1 > Math.ceil(running * this.#callerShare);
   }
 
+  /** Gets how long a call holds its slot; 0 when nothing recent is known. */
+  #getExpectedHold(entry: AdmissionEntry, now: number): number {
+    const holdTime = this.#classHoldTimes[entry.classIndex];
+    return holdTime?.isFresh(now) ? holdTime.mean : 0;
+  }
+
+  #recordHold(entry: AdmissionEntry, held: number, now: number): void {
+    this.#holdTime.record(held, now);
+    this.#classHoldTimes[entry.classIndex]?.record(held, now);
+  }
+
   #getExpectedWait(entry: AdmissionEntry): number {
     if (this.#running < this.#limit.value && this.#queue.length === 0) {
       return 0;
@@ -411,7 +430,7 @@
         return;
       }
       const remaining = entry.deadlineMilliseconds - now;
-      if (this.#holdTime.isFresh(now) && remaining < this.#holdTime.mean) {
+      if (remaining < this.#getExpectedHold(entry, now)) {
         this.#onTurnedAway(entry);
         this.#refuse(entry, "deadline-too-short");
         continue;
@@ -465,7 +484,7 @@
   ): void {
     const held = now - (entry.startedMilliseconds ?? now);
     if (sample.kind === "completed") {
-      this.#holdTime.record(held, now);
+      this.#recordHold(entry, held, now);
       this.#limit.onCompleted(
         entry.classIndex,
         sample.serviceMilliseconds,
@@ -473,9 +492,9 @@
       );
     } else if (sample.kind !== "cancelled") {
       this.#limit.onOverload(now);
-    } else if (held > this.#holdTime.mean) {
+    } else if (held > (this.#classHoldTimes[entry.classIndex]?.mean ?? 0)) {
       // A cancelled call would have held its slot at least this long.
-      this.#holdTime.record(held, now);
+      this.#recordHold(entry, held, now);
     }
   }
 }
--- a/src/admission/admission_controller_test.ts
+++ b/src/admission/admission_controller_test.ts
@@ -253,6 +253,20 @@
   assert.equal(controller.offer({ ...late, id: "again" }).kind, "run");
 });
 
+test("a short call is not refused because calls of another class take long", () => {
+  const { clock, controller } = createController({ slots: 4 });
+  for (let index = 0; index < 20; index++) {
+    const long = createRequest({ classIndex: 1, remainingMilliseconds: 9000 });
+    assert.equal(controller.offer(long).kind, "run");
+    clock.advance(600);
+    controller.finish(long.id, completed);
+    const short = createRequest({ classIndex: 0, remainingMilliseconds: 300 });
+    assert.equal(controller.offer(short).kind, "run");
+    clock.advance(15);
+    controller.finish(short.id, completed);
+  }
+});
+
 test("a queued call is dropped when its deadline passes, at the stated wake time", () => {
   const { clock, controller } = createController({ slots: 1 });
   controller.offer(createRequest({}));
--- a/src/node/call_protocol.ts
+++ b/src/node/call_protocol.ts
@@ -73,8 +73,8 @@
    * that one that breaks off becomes a failure with a reason.
    */
   readonly holdsResponses: boolean;
-  /** Whether the end of its connection may end a response. */
-  readonly acceptsUnframedResponses: boolean;
+  /** Gets the class of the calls that a target makes for a call. */
+  getNestedClassIndex(classIndex: number): number;
   /** Reads a request of a caller or of the target. */
   readEntry(arrived: ArrivedRequest): EnteredCall | RefusedEntry;
   /**
--- a/src/node/caller_response.ts
+++ b/src/node/caller_response.ts
@@ -22,8 +22,7 @@
 ): void {
   const { headers } = head;
   const { length } = headers;
-  const hasBody = head.isChunked || options.body.length > 0;
-  if (head.contentLength < 0 && hasBody) {
+  if (head.contentLength < 0 && head.isChunked) {
     headers.push("Content-Length", String(options.body.length));
   }
   if (options.answer !== undefined) {
@@ -48,7 +47,7 @@
   options: { answer?: string | undefined },
 ): void {
   const { head } = streamed;
-  if (head.contentLength < 0 && hasStreamedBody(head)) {
+  if (head.contentLength < 0 && head.isChunked) {
     head.headers.push("Transfer-Encoding", "chunked");
   }
   if (options.answer !== undefined) {
@@ -67,11 +66,6 @@
   });
 }
 
-/** A response without framing ends with its connection. */
-function hasStreamedBody(head: ResponseHead): boolean {
-  return head.status !== 204 && head.status !== 304;
-}
-
 /**
  * Writes a refusal or failure.
  * @param response Where to write.
--- a/src/node/document_view.ts
+++ b/src/node/document_view.ts
@@ -17,6 +17,8 @@
   readonly need: number;
   /** The route's service first, then all that its calls reach. */
   readonly reached: readonly string[];
+  /** Further services that calls of the route turned out to reach. */
+  readonly learned: Set<string>;
   /** Counters by class index. */
   readonly counters: readonly ClassCounters[];
 }
@@ -128,6 +130,7 @@
       service,
       need: this.#graph.getRouteNeed(route),
       reached: [route.service, ...this.#graph.getReachedServices(route)],
+      learned: new Set<string>(),
       counters: this.document.classes.map((name) =>
         this.#counters.get(route.service, name)
       ),
@@ -140,6 +143,7 @@
 /** The node that a caller reached enforces deadline and allowance. */
 const foreignRoute: Route = {
   service: "",
+  host: "",
   method: "*",
   path: "/*",
   classIndex: 0,
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -63,8 +63,6 @@
   readonly memory: BodyMemory;
   /** Whether a small response is held until it is complete. */
   readonly isHeld: boolean;
-  /** Whether the end of the connection may end the response. */
-  readonly acceptsUnframed?: boolean;
   readonly events: ExchangeEvents;
 }
 
@@ -166,9 +164,7 @@
     }
     if (head.status < 200 || head.status > 999) {
       this.#fail("incomplete", `the response has status ${head.status}`);
-    } else if (
-      !this.#hasLength(head) && this.#options.acceptsUnframed !== true
-    ) {
+    } else if (!this.#hasLength(head)) {
       this.#fail("incomplete", "the response has no length");
     } else if (this.#options.isHeld && head.contentLength <= heldBodyBytes) {
       this.#collector = new BodyCollector(response, this.#options.memory, this);
@@ -209,7 +205,8 @@
 
   /**
    * A response whose end is only the end of its connection cannot be told from
-   * one that broke off.
+   * one that broke off: libuv reports a reset that follows the last bytes at
+   * once as a regular end.
    */
   #hasLength(head: ResponseHead): boolean {
     return head.contentLength >= 0 || head.isChunked ||
--- a/src/node/heard_levels.ts
+++ b/src/node/heard_levels.ts
@@ -1,6 +1,10 @@
 import type { LevelTable } from "../admission/mod.ts";
+import type { RoutePlan } from "./document_view.ts";
 import type { Answer, ServiceLevel } from "../request/mod.ts";
 
+/** Services that are remembered for a route beside the declared ones. */
+const maximumLearned = 32;
+
 /** The part of an answer or failure that states levels. */
 export type StatedLevels = Pick<Answer, "levels" | "load">;
 
@@ -10,22 +14,30 @@
  * because the others were heard here.
  * @param table The levels that this node heard.
  * @param answer What was stated.
- * @param options Services of the route, its own first, and who answered.
+ * @param options The route, and who answered.
  */
 export function recordLevels(
   table: LevelTable,
   answer: StatedLevels,
-  options: { reached: readonly string[]; isOwnTarget: boolean },
+  options: { plan: RoutePlan; isOwnTarget: boolean },
 ): void {
   if (answer.load === undefined) {
     return; // the callee's admission did not see the call
   }
-  const { reached, isOwnTarget } = options;
+  const { plan, isOwnTarget } = options;
+  const { reached, learned } = plan;
   const count = isOwnTarget ? 1 : reached.length;
   for (let index = 0; index < count; index++) {
     const service = reached[index] as string;
     table.record(service, getLevel(answer.levels, service));
   }
+  if (isOwnTarget) {
+    return;
+  }
+  learnServices(plan, answer.levels.map((each) => each.service));
+  for (const service of learned) {
+    table.record(service, getLevel(answer.levels, service));
+  }
 }
 
 function getLevel(levels: readonly ServiceLevel[], service: string): number {
@@ -36,3 +48,39 @@
   }
   return 0;
 }
+
+/**
+ * Remembers services that calls of a route reach. Routes with a host do not
+ * declare them; the others do.
+ * @param plan The route.
+ * @param services What was heard.
+ */
+export function learnServices(
+  { route, reached, learned }: RoutePlan,
+  services: Iterable<string>,
+): void {
+  if (route.host === undefined) {
+    return;
+  }
+  for (const service of services) {
+    if (!reached.includes(service) && learned.size < maximumLearned) {
+      learned.add(service);
+    }
+  }
+}
+
+/**
+ * Gets the levels that concern the calls of a target. A node with host routes
+ * also hears of services that only its clients' calls reach.
+ * @param table The levels that this node heard.
+ * @param plan The route by which the target was called.
+ */
+export function getRelevantLevels(
+  table: LevelTable,
+  { route, learned }: RoutePlan,
+): readonly ServiceLevel[] {
+  const entries = table.getEntries();
+  return route.host === undefined
+    ? entries
+    : entries.filter(({ service }) => learned.has(service));
+}
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -14,6 +14,7 @@
 import { type CallBody, type CallDetails, frameBody } from "./call_details.ts";
 import { writeFailure, writeHeld, writeStreamed } from "./caller_response.ts";
 import type { Expirable } from "./deadline_timers.ts";
+import { getRelevantLevels } from "./heard_levels.ts";
 import type { ResponseHead } from "./exchange.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
 import type { NodeState } from "./node_state.ts";
@@ -148,7 +149,8 @@
   }
 
   #encode(answer: Answer): string {
-    const heard = this.#state.levels.getEntries();
+    const { plan } = this.#options.details;
+    const heard = getRelevantLevels(this.#state.levels, plan);
     return encodeAnswer(
       heard.length === 0
         ? answer
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -26,7 +26,11 @@
 import type { ResponseHead } from "./exchange.ts";
 import { getFencedResult, needsFence } from "./final_fence.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
-import { recordLevels, type StatedLevels } from "./heard_levels.ts";
+import {
+  learnServices,
+  recordLevels,
+  type StatedLevels,
+} from "./heard_levels.ts";
 import type { OriginSide } from "./origin_side.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
@@ -417,9 +421,13 @@
   #recordLevels(answer: StatedLevels, { choice }: CurrentAttempt): void {
     const { levels, settings } = this.#side.state;
     recordLevels(levels, answer, {
-      reached: this.details.plan.reached,
+      plan: this.details.plan,
       isOwnTarget: choice.targetId === settings.nodeId,
     });
+    const { parent } = this.#options;
+    if (parent !== undefined) {
+      learnServices(parent.details.plan, this.details.plan.learned);
+    }
   }
 
   #refuse(
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -6,6 +6,7 @@
 import { type Attempt, createFailure } from "./attempt.ts";
 import type { CallDetails } from "./call_details.ts";
 import { createCallDetails } from "./call_entry.ts";
+import { learnServices } from "./heard_levels.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
 import { copyHeaders } from "./forwarded_headers.ts";
 import { KeyedCalls } from "./keyed_calls.ts";
@@ -92,6 +93,9 @@
       return;
     }
     const { plan, parent } = entered;
+    if (parent !== undefined) {
+      learnServices(parent.details.plan, [plan.route.service]);
+    }
     const details = createCallDetails(this.state, entered, {
       request,
       path: target.path,
@@ -248,12 +252,34 @@
     if (this.state.isStopping) {
       return "stopping";
     }
-    const importance = getImportance(classIndex, hash);
-    return this.state.levels.shouldShed(plan.reached, importance)
+    return this.#shouldShed(plan, { classIndex, hash })
       ? "shed-early"
       : undefined;
   }
 
+  /**
+   * Reports whether a service on the way would refuse the call. Services that
+   * are reached by calls of targets see the call under their class.
+   */
+  #shouldShed(
+    plan: RoutePlan,
+    call: { classIndex: number; hash: number },
+  ): boolean {
+    const { levels, protocol } = this.state;
+    const importance = getImportance(call.classIndex, call.hash);
+    if (levels.shouldShed(plan.reached, importance)) {
+      return true;
+    }
+    if (plan.learned.size === 0) {
+      return false;
+    }
+    const nested = protocol.getNestedClassIndex(call.classIndex);
+    return levels.shouldShed(
+      [...plan.learned],
+      getImportance(nested, call.hash),
+    );
+  }
+
   #refuseEarly(
     response: ServerResponse,
     reason: RefusalReason,
--- a/src/node/product_protocol.ts
+++ b/src/node/product_protocol.ts
@@ -15,7 +15,7 @@
 /** The interface of dogwoodwalk itself. */
 export const productProtocol: CallProtocol = {
   holdsResponses: false,
-  acceptsUnframedResponses: false,
+  getNestedClassIndex: (classIndex) => classIndex,
   readEntry,
   addTargetHeaders: (headers, { token }) => headers.push(tokenHeader, token),
   judgeResponse: (head, { plan }) =>
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -308,7 +308,6 @@
       pool: this.#side.getPool(),
       memory: this.#state.memory,
       isHeld: this.#state.protocol.holdsResponses || isResponseHeld(details),
-      acceptsUnframed: this.#state.protocol.acceptsUnframedResponses,
       events: this,
     });
     headers.length = length;
