--- /dev/null
+++ b/src/node/heard_levels_test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { LevelTable } from "../admission/mod.ts";
+import { discardedMetrics, ManualClock } from "../common/mod.ts";
+import { parseTestDocument } from "../../tests/support/test_node.ts";
+import { CallCounters } from "./call_counters.ts";
+import { DocumentView, type RoutePlan } from "./document_view.ts";
+import {
+  getRelevantLevels,
+  learnServices,
+  recordLevels,
+} from "./heard_levels.ts";
+
+function createPlan(host: string | undefined): RoutePlan {
+  const document = parseTestDocument();
+  const counters = new CallCounters(discardedMetrics);
+  const view = new DocumentView(document, { revision: 1, counters });
+  const plan = view.getPlan({ service: "back", method: "GET", path: "/1" });
+  counters.close();
+  assert.ok(plan !== undefined);
+  return { ...plan, route: { ...plan.route, host }, learned: new Set() };
+}
+
+function createTable(): LevelTable {
+  return new LevelTable({ clock: new ManualClock(), classCount: 4 });
+}
+
+const load = { running: 1, queued: 0, limit: 4 };
+
+test("a route with a host learns the services whose levels answers state", () => {
+  const table = createTable();
+  const plan = createPlan("pay.example");
+  const levels = [{ service: "deep", level: 200 }];
+  recordLevels(table, { levels, load }, { plan, isOwnTarget: false });
+  assert.deepEqual([...plan.learned], ["deep"]);
+  const leastImportant = 3 * 128 + 127;
+  // The first one passes as a probe.
+  table.shouldShed([...plan.learned], leastImportant);
+  assert.ok(table.shouldShed([...plan.learned], leastImportant));
+  // News without a level open the service again.
+  for (let index = 0; index < 100; index++) {
+    recordLevels(table, { levels: [], load }, { plan, isOwnTarget: false });
+  }
+  assert.deepEqual(table.getEntries(), []);
+});
+
+test("a route that declares its calls learns nothing", () => {
+  const plan = createPlan(undefined);
+  learnServices(plan, ["deep"]);
+  assert.equal(plan.learned.size, 0);
+});
+
+// A node whose clients call an overloaded service stated its level to callers
+// of the target beside it, which then refused requests without need.
+test("answers state only levels of services that calls of the target reach", () => {
+  const table = createTable();
+  table.record("deep", 100);
+  table.record("other", 100);
+  const plan = createPlan("pay.example");
+  learnServices(plan, ["deep"]);
+  const services = getRelevantLevels(table, plan).map((each) => each.service);
+  assert.deepEqual(services, ["deep"]);
+});
--- a/tests/module_boundaries_test.ts
+++ b/tests/module_boundaries_test.ts
@@ -82,3 +82,30 @@
     assert.deepEqual(violations, []);
   });
 }
+
+test("the platform's adapter uses slices only through their mod.ts", () => {
+  const violations: string[] = [];
+  const adapter = readdirSync("platform", { recursive: true, encoding: "utf8" })
+    .filter((file) => file.endsWith(".ts"));
+  for (const file of adapter) {
+    const text = readFileSync(`platform/${file}`, "utf8");
+    for (const specifier of getImports(text)) {
+      const path = posix.normalize(
+        posix.join("platform", posix.dirname(file), specifier),
+      );
+      if (path.startsWith("src/") && !/^src\/[a-z_]+\/mod\.ts$/.test(path)) {
+        violations.push(`${file} imports ${path}`);
+      }
+    }
+  }
+  assert.deepEqual(violations, []);
+});
+
+test("nothing outside the adapter knows the platform's names", () => {
+  const names = /x-attempt-id|x-server-seal|x-deadline-ms|Config\.Replace/i;
+  const violations = files.filter((file) =>
+    names.test(readSource(file)) ||
+    /from "[./]*\/platform\//.test(readSource(file))
+  );
+  assert.deepEqual(violations, []);
+});
