--- a/src/control_client/control_session_test.ts
+++ b/src/control_client/control_session_test.ts
@@ -93,3 +93,20 @@
     "the lease of a stopped node ends",
   );
 });
+
+test("a node learns of control instances that its settings do not name", async () => {
+  const first = await startControlInstances(1, { address: "10.0.0.1:7000" });
+  cleanUps.push(() => first.forEach((each) => each.kill()));
+  first.forEach((each) => {
+    each.peers = [{ instanceId: "other", address: "10.0.0.2:7000" }];
+  });
+  const node = startNode(first, { nodeId: "n1" });
+  await waitUntil(
+    () => node.session.getControlAddresses().includes("10.0.0.2:7000"),
+    "the node knows the other instance",
+  );
+  node.session.setControlAddresses(["10.0.0.3:7000"]);
+  const addresses = node.session.getControlAddresses();
+  assert.ok(addresses.includes("10.0.0.2:7000"));
+  assert.ok(addresses.includes("10.0.0.3:7000"));
+});
--- a/src/document/parse_document_test.ts
+++ b/src/document/parse_document_test.ts
@@ -145,3 +145,54 @@
     "roster-registry",
   ]);
 });
+
+const hostRoutes = `${strikeFund}
+[[routes]]
+host = "Pay.example"
+split = [
+  { service = "${parseStrikeFund().routes[0]?.service}", weight = 9 },
+  { service = "${parseStrikeFund().routes.at(-1)?.service}", weight = 1 },
+]
+method = "*"
+path = "/pay/*"
+class = "${parseStrikeFund().classes[0]}"
+idempotent = false
+deadline_ms = 2000
+attempt_allowance = 50
+maximum_targets = 2
+`;
+
+test("a route with a host is found by it, and each node has its services", () => {
+  const result = parseDocument(hostRoutes, "hosts.toml");
+  assert.equal(
+    result.kind,
+    "ok",
+    result.kind === "error" ? result.error.map(formatFinding).join("\n") : "",
+  );
+  if (result.kind !== "ok") {
+    return;
+  }
+  const table = new RouteTable(result.value);
+  const call = { host: "pay.example", method: "POST", path: "/pay/1" };
+  const route = table.getHostRoute(call);
+  assert.equal(route?.split?.length, 2);
+  assert.equal(route?.maximumTargets, 2);
+  assert.equal(table.getHostRoute({ ...call, host: "x.example" }), undefined);
+  for (const service of result.value.services.keys()) {
+    const part = getDocumentPart(result.value, service);
+    for (const { service: used } of route?.split ?? []) {
+      assert.ok(part.services.has(used), `${service} lacks ${used}`);
+    }
+  }
+});
+
+test("a split to an unknown service is a finding", () => {
+  const result = parseDocument(
+    hostRoutes.replace(
+      /service = "[^"]*", weight = 9/,
+      'service = "x", weight = 9',
+    ),
+    "hosts.toml",
+  );
+  assert.equal(result.kind, "error");
+});
--- a/tests/support/fake_ledger.ts
+++ b/tests/support/fake_ledger.ts
@@ -21,6 +21,8 @@
   isUnavailable = false;
   readonly claims: ClaimOptions[] = [];
   readonly releases: string[] = [];
+  /** Keys of which earlier sends were denied. */
+  readonly fencedKeys: string[] = [];
   readonly #entries = new Map<string, Entry>();
   readonly #fences = new Map<string, number>();
   /** Resolves before each claim is granted; a test can hold it back. */
@@ -76,6 +78,7 @@
   }
 
   fence(options: LedgerKey): Promise<FenceOutcome> {
+    this.fencedKeys.push(options.key);
     if (this.isUnavailable) {
       return Promise.resolve({ kind: "unavailable" });
     }
