Let bulky calls wait in their zone instead of leaving it

Ruled out: never leaving the zone; sheets would be lost while it has no target.

Change: a call of 16 KiB or more stays in its zone up to twice the slots.

--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -17,6 +17,10 @@
 
 /** Load at which a target is saturated, so that farther ones are considered. */
 const saturatedLoad = 1;
+/** Calls of this size are bulky: their bytes cost more than a short wait. */
+const bulkyBytes = 16 * 1024;
+/** Load up to which a bulky call stays in the zone and waits there. */
+const bulkySaturatedLoad = 2;
 /** Load below which a target of another region has room. */
 const farRoomLoad = 0.8;
 
@@ -121,9 +125,10 @@
       random: this.#random,
     };
     const inZone = view.zone.choose(options);
-    if (
-      inZone !== undefined && inZone.getLoad(view.rule, now) <= saturatedLoad
-    ) {
+    const zoneLoad = (request.expectedBytes ?? 0) >= bulkyBytes
+      ? bulkySaturatedLoad
+      : saturatedLoad;
+    if (inZone !== undefined && inZone.getLoad(view.rule, now) <= zoneLoad) {
       return this.#start(inZone);
     }
     const inRegion = view.region.choose(options);
--- a/src/routing/router_test.ts
+++ b/src/routing/router_test.ts
@@ -67,6 +67,22 @@
   assert.ok(!chosen.slice(15).includes("far"), "the far target had no room");
 });
 
+test("a bulky call waits in its zone where a small one leaves it", () => {
+  const { router, choose } = createRouter([inZone, inRegion]);
+  for (let index = 0; index < 4; index++) {
+    assert.equal(choose(), "zone");
+  }
+  const request = { service: "s", classIndex: 1, excluded: nothing };
+  const bulky = { ...request, expectedBytes: 60_000 };
+  assert.equal(getName(router.choose(bulky)), "zone");
+  assert.equal(getName(router.choose(request)), "region");
+  // Twice the slots are in use, so the zone cannot serve it soon.
+  for (let index = 0; index < 3; index++) {
+    assert.equal(getName(router.choose(bulky)), "zone");
+  }
+  assert.equal(getName(router.choose(bulky)), "region");
+});
+
 const refusals = [
   { name: "no view", targets: [], expected: "no-target" },
   {
