Send fewer calls to a target that answers with failures

Ruled out: lost targets (22 no-target of 192 failures), full queues (6 to 10 of 36 slots in use).

Change: the share of responses with status 500 or more counts as load of the target, and fades when none comes.

--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -159,7 +159,7 @@
   }
 
   onHeld(answer: Answer, head: ResponseHead, body: Buffer): void {
-    this.#onResponse(answer, body.length);
+    this.#onResponse(answer, { status: head.status, bytes: body.length });
     this.#end();
     this.#callers.writeHeld(head, body);
     this.#side.state.memory.release(body.length);
@@ -167,7 +167,7 @@
 
   onStream(answer: Answer, streamed: StreamedResponse): void {
     const link = this.#current?.choice.link;
-    this.#onResponse(answer, 0);
+    this.#onResponse(answer, { status: streamed.head.status, bytes: 0 });
     this.#stopTimers();
     this.#side.state.timers.add(this.details.deadlineMilliseconds, this);
     this.#callers.writeStreamed({
@@ -375,7 +375,10 @@
     return Math.round(this.details.deadlineMilliseconds - now);
   }
 
-  #onResponse(answer: Answer, bytes: number): void {
+  #onResponse(
+    answer: Answer,
+    { status, bytes }: { status: number; bytes: number },
+  ): void {
     const current = this.#current;
     this.#record("routine", "call answered", {
       attempt: this.#attempts,
@@ -383,7 +386,11 @@
       remaining: this.#getRemaining(),
     });
     if (current !== undefined) {
-      this.#finishAttempt(current, { kind: "completed", hint: answer.load });
+      this.#finishAttempt(current, {
+        kind: "completed",
+        hint: answer.load,
+        isError: status >= 500,
+      });
       this.#account.settle(current.handedDown, answer.unused);
       const { link } = current.choice;
       if (link !== undefined) {
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -175,6 +175,9 @@
     if (outcome.hint !== undefined) {
       state.onHint(outcome.hint, now);
     }
+    if (outcome.isError !== undefined) {
+      state.onResponse(outcome.isError, now);
+    }
     if (outcome.kind === "completed" || outcome.kind === "refused") {
       state.onSuccess(now);
     } else if (outcome.kind !== "cancelled") {
--- a/src/routing/router_test.ts
+++ b/src/routing/router_test.ts
@@ -83,6 +83,22 @@
   assert.equal(getName(router.choose(bulky)), "region");
 });
 
+// A target whose own calls failed kept all requests of its zone while others
+// of the region served theirs.
+test("calls leave a zone whose target answers with failures, and return", () => {
+  const { clock, router, choose } = createRouter([inZone, inRegion]);
+  const respond = (isError: boolean): string => {
+    const target = choose();
+    router.onFinish(target, { kind: "completed", isError });
+    return target;
+  };
+  const chosen = Array.from({ length: 40 }, () => respond(true));
+  assert.equal(chosen[0], "zone");
+  assert.ok(chosen.includes("region"));
+  clock.advance(20_000);
+  assert.equal(respond(false), "zone");
+});
+
 const refusals = [
   { name: "no view", targets: [], expected: "no-target" },
   {
--- a/src/routing/routing_types.ts
+++ b/src/routing/routing_types.ts
@@ -65,6 +65,8 @@
     /** The caller left; says nothing about the target. */
     | "cancelled";
   readonly hint?: LoadHint | undefined;
+  /** Whether the response states a failure of the target, status 500 or more. */
+  readonly isError?: boolean;
   /** `reservedBytes` of the choice, when the call crossed a link. */
   readonly reservedBytes?: number | undefined;
 }
--- a/src/routing/target_state.ts
+++ b/src/routing/target_state.ts
@@ -12,6 +12,15 @@
  */
 const loadPerFailure = 0.5;
 const failureHalfLifeMilliseconds = 1000;
+/** Weight of one response in the share of responses that state a failure. */
+const errorWeight = 1 / 16;
+/** The share loses half of its effect in this time without a response. */
+const errorHalfLifeMilliseconds = 2000;
+/**
+ * Load of a target all of whose responses state a failure. A third of them
+ * makes an idle target look half full.
+ */
+const loadOfErrors = 1.5;
 const firstEjectionMilliseconds = 1000;
 const longestEjectionMilliseconds = 30_000;
 
@@ -32,6 +41,8 @@
   ejectedUntilMilliseconds = 0;
   #ejections = 0;
   #failedMilliseconds = -Infinity;
+  #errorShare = 0;
+  #respondedMilliseconds = -Infinity;
   /** Calls of an earlier incarnation, whose failures say nothing. */
   #earlierCalls = 0;
   #readyMilliseconds: number;
@@ -64,7 +75,8 @@
     const calls = 1 +
       Math.max(this.inFlight, this.#getHintedCalls(nowMilliseconds));
     return calls / (limit * this.#getWeight(rule, nowMilliseconds)) +
-      this.#getFailureLoad(nowMilliseconds);
+      this.#getFailureLoad(nowMilliseconds) +
+      loadOfErrors * this.#getErrorShare(nowMilliseconds);
   }
 
   /** Takes over the calls in flight at an earlier incarnation. */
@@ -81,6 +93,13 @@
     this.#hintMilliseconds = nowMilliseconds;
   }
 
+  /** Records whether a response of the target stated a failure of its own. */
+  onResponse(isError: boolean, nowMilliseconds: number): void {
+    const share = this.#getErrorShare(nowMilliseconds);
+    this.#errorShare = share + errorWeight * ((isError ? 1 : 0) - share);
+    this.#respondedMilliseconds = nowMilliseconds;
+  }
+
   /** Records a call that shows the target works. */
   onSuccess(nowMilliseconds: number): void {
     this.consecutiveFailures = 0;
@@ -145,6 +164,14 @@
       0.5 ** (age / failureHalfLifeMilliseconds);
   }
 
+  #getErrorShare(nowMilliseconds: number): number {
+    if (this.#errorShare === 0) {
+      return 0;
+    }
+    const age = nowMilliseconds - this.#respondedMilliseconds;
+    return this.#errorShare * 0.5 ** (age / errorHalfLifeMilliseconds);
+  }
+
   #getWeight(rule: ServiceRule, nowMilliseconds: number): number {
     const age = nowMilliseconds - this.#readyMilliseconds;
     return age >= rule.warmUpMilliseconds
