Let calls that come too late to a free target leave its level alone

Nodes had the manifest and control 1.5 s after it; later failures are calls refused as deadline-too-short with load=0+0/15 and requests refused as shed-early, transfers among them: late calls raised the level of services with free slots, and the entry shed for it.

Ruled out: missing manifests, views and leaders; the log shows all of them by 35.8 s.

Change: a refusal for too little time counts for the level only when the call would have waited.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -231,12 +231,15 @@
     if (entry.isSuspect && this.#queuedSuspects >= this.#getSuspectLimit()) {
       return "suspect";
     }
+    const wait = this.#getExpectedWait(entry);
     if (
       this.#holdTime.isFresh(now) &&
-      remainingMilliseconds <
-        this.#getExpectedWait(entry) + this.#getExpectedHold(entry, now)
+      remainingMilliseconds < wait + this.#getExpectedHold(entry, now)
     ) {
-      this.#onTurnedAway(entry);
+      // A call that comes too late to a free target says nothing about it.
+      if (wait > 0) {
+        this.#onTurnedAway(entry);
+      }
       return "deadline-too-short";
     }
     if (this.#queue.length >= this.#getQueueLimit()) {
--- a/src/admission/admission_controller_test.ts
+++ b/src/admission/admission_controller_test.ts
@@ -267,6 +267,29 @@
   }
 });
 
+// Late calls raised the level of a service with free slots, and requests were
+// shed where they entered although nothing was overloaded.
+test("calls that come too late to a free target do not raise its level", () => {
+  const { clock, controller } = createController({ slots: 4 });
+  for (let index = 0; index < 3; index++) {
+    controller.offer(createRequest({ remainingMilliseconds: 1e6 }));
+  }
+  for (let index = 0; index < 200; index++) {
+    const served = createRequest({});
+    assert.equal(controller.offer(served).kind, "run");
+    clock.advance(50);
+    controller.finish(served.id, completed);
+    for (let each = 0; each < 3; each++) {
+      const late = createRequest({ remainingMilliseconds: 10 });
+      assert.deepEqual(controller.offer(late), {
+        kind: "refused",
+        reason: "deadline-too-short",
+      });
+    }
+    assert.equal(controller.getLevel(), 0);
+  }
+});
+
 test("a queued call is dropped when its deadline passes, at the stated wake time", () => {
   const { clock, controller } = createController({ slots: 1 });
   controller.offer(createRequest({}));
