Give no refusal on a connection with a request under way; log beliefs

The parser's refusals (400, 408) were written on a connection whose earlier request, or whose own body, was already on its way to a target, and said not-run. Ejections, views, suspects, admission and an unanswered request for a place left no log line, a shed request not the levels that decided it.

Ruled out: refusing after the earlier response; an upload under way has none.

Change: such a connection is closed, which promises nothing. Header time, idle time and the length of bodies of the document hold at the outside listener.

Before: the new test got 400 not-run for a chunked POST under way.

--- a/src/admission/level_table.ts
+++ b/src/admission/level_table.ts
@@ -80,7 +80,7 @@
    * @param importance `getImportance` of the call.
    * @returns Whether to refuse the call.
    */
-  shouldShed(services: readonly string[], importance: number): boolean {
+  shouldShed(services: Iterable<string>, importance: number): boolean {
     if (this.#entries.size === 0) {
       return false;
     }
--- a/src/control/group_keeper.ts
+++ b/src/control/group_keeper.ts
@@ -142,6 +142,12 @@
         this.#isAsking = false;
         if (error === null) {
           this.#onAnswer(answer);
+        } else {
+          const reason = error.details;
+          this.#options.eventLog.warn("place not answered", {
+            address,
+            reason,
+          });
         }
       },
     );
--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -83,18 +83,10 @@
   "stopping",
 ]);
 
-const targetReasons: ReadonlySet<RefusalReason> = new Set([
-  "target-shed",
-  "target-reset",
-  "target-timeout",
-  "answer-incomplete",
-  "suspect",
-]);
-
 /** Reports whether the target itself was sent the call. */
 export function hasReachedTarget(failure: CallFailure): boolean {
   return failure.disposition !== "not-run" ||
-    targetReasons.has(failure.reason);
+    failure.reason === "target-shed";
 }
 
 /** Reports whether a reason means that the target takes no calls. */
--- a/src/node/bad_input_test.ts
+++ b/src/node/bad_input_test.ts
@@ -149,3 +149,22 @@
     assert.equal(front.node.state.memory.held, 0);
   });
 }
+
+// A refusal by the parser took the place of the response to an earlier request
+// of the connection, or called an upload not-run whose bytes were on their way.
+test("bytes that are not HTTP behind a request under way get no response", async (context) => {
+  const pair = await startPair("front-1", { headersMilliseconds: 500 });
+  context.after(() => pair.close());
+  const received = await new Promise<string>((resolve) => {
+    const socket = connect(pair.outside, "127.0.0.1");
+    let text = "";
+    socket.on("data", (chunk) => text += chunk);
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(text));
+    socket.write(
+      "POST /plain HTTP/1.1\r\nHost: front\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        "not a chunk\r\n\r\n",
+    );
+  });
+  assert.equal(received, "");
+});
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -74,12 +74,20 @@
           to: each.toRegion,
           bytesPerSecond: each.bytesPerSecond,
         }))),
-      onSuspects: (update) =>
+      onSuspects: (update) => {
+        state.log.info("suspects changed", {
+          suspects: update.suspects.length,
+          cleared: update.cleared.length,
+          quarantined: update.hasQuarantined
+            ? update.quarantined.length
+            : undefined,
+        });
         state.suspects.applyUpdate({
           suspects: update.suspects,
           cleared: update.cleared,
           quarantined: update.hasQuarantined ? update.quarantined : undefined,
-        }),
+        });
+      },
       onDrainRequest: (targetId) => {
         if (targetId === settings.nodeId) {
           node.targetSide.target.drain();
--- a/src/node/decision_log.ts
+++ b/src/node/decision_log.ts
@@ -1,4 +1,5 @@
 import type { Clock, Log, LogFields } from "../common/mod.ts";
+import type { LoadHint, ServiceLevel } from "../request/mod.ts";
 
 /** Lines a second that are written on average. */
 const linesPerSecond = 40;
@@ -52,16 +53,11 @@
     this.#reportedAt = this.#refilledAt;
   }
 
-  /** Reports whether a routine decision about a request is written. */
-  isSampled(hash: number): boolean {
-    return hash % sampledRequests === 0;
-  }
-
   /** Writes a decision, or counts it as dropped. */
   record(decision: Decision): void {
     const { requestId, weight, event, fields } = decision;
     const isFailure = weight === "failure";
-    if (!isFailure && !this.isSampled(decision.hash)) {
+    if (!isFailure && decision.hash % sampledRequests !== 0) {
       return;
     }
     this.#refill();
@@ -93,3 +89,13 @@
     }
   }
 }
+
+/** Formats the load of a target as `running+queued/limit`. */
+export function formatLoad(load: LoadHint | undefined): string | undefined {
+  return load && `${load.running}+${load.queued}/${load.limit}`;
+}
+
+/** Formats admission levels as `service:level`, separated by commas. */
+export function formatLevels(levels: readonly ServiceLevel[]): string {
+  return levels.map(({ service, level }) => `${service}:${level}`).join(",");
+}
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -4,7 +4,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
 import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
 
@@ -29,6 +30,8 @@
 export class HttpListener {
   readonly #server: Server;
   readonly #endpoint: Endpoint;
+  /** Requests of each connection that were handed over and not answered. */
+  readonly #underWay = new WeakMap<object, number>();
   #isLeaving = false;
 
   /** @param options Address and handler. */
@@ -45,9 +48,18 @@
       if (this.#isLeaving) {
         response.shouldKeepAlive = false;
       }
+      this.#track(request, response);
       options.handle(request, response);
     });
-    this.#server.on("clientError", onClientError);
+    this.#server.on("clientError", (error, socket) => {
+      if ((this.#underWay.get(socket) ?? 0) > 0) {
+        // A refusal would be taken for the response of that request, or deny
+        // one whose body is on its way to a target.
+        socket.destroy();
+      } else {
+        refuseClient(error, socket);
+      }
+    });
   }
 
   /** Gets the port, once it listens. */
@@ -71,9 +83,12 @@
     });
   }
 
-  /** Changes how long an idle connection is kept. */
-  setIdleMilliseconds(milliseconds: number): void {
-    this.#server.keepAliveTimeout = milliseconds;
+  /** Changes how long clients may stay idle or take for their headers. */
+  setLimits(
+    limits: { idleMilliseconds: number; headerMilliseconds: number },
+  ): void {
+    this.#server.keepAliveTimeout = limits.idleMilliseconds;
+    this.#server.headersTimeout = limits.headerMilliseconds;
   }
 
   /**
@@ -98,6 +113,14 @@
     this.#server.closeAllConnections();
   }
 
+  #track(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    const change = (by: number) =>
+      this.#underWay.set(socket, (this.#underWay.get(socket) ?? 0) + by);
+    change(1);
+    response.once("close", () => change(-1));
+  }
+
   /** Refuses new connections and ends the open ones. */
   async end(): Promise<void> {
     const closed = this.close();
@@ -107,10 +130,7 @@
 }
 
 /** Tells the sender of a malformed or half-sent request what is wrong. */
-function onClientError(
-  error: Error & { code?: string },
-  socket: Socket | import("node:stream").Duplex,
-): void {
+function refuseClient(error: Error & { code?: string }, socket: Duplex): void {
   if (!socket.writable || error.code === "ECONNRESET") {
     socket.destroy();
     return;
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -30,5 +30,3 @@
   AnnouncedTarget,
   type TargetAnnouncement,
 } from "./announced_target.ts";
-export { BodyCollector } from "./body_collector.ts";
-export { BodyMemory } from "./body_memory.ts";
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -153,7 +153,7 @@
       random: state.random,
     });
     if (document.callerLimits !== undefined) {
-      this.outside.setIdleMilliseconds(document.callerLimits.idleMilliseconds);
+      this.outside.setLimits(document.callerLimits);
     }
     for (const service of document.services.values()) {
       state.router.updateService(service.name, service);
@@ -165,6 +165,11 @@
 
   /** Applies the targets of a service. */
   updateView(service: string, targets: readonly RoutingTarget[]): void {
+    this.state.log.info("targets known", {
+      service,
+      targets: targets.length,
+      draining: targets.filter((each) => each.isDraining).length,
+    });
     this.#views.update(service, targets);
   }
 
@@ -287,6 +292,12 @@
       region: settings.region,
       availabilityZone: settings.availabilityZone,
       ownTargetId: settings.nodeId,
+      onEjected: (target, milliseconds) =>
+        options.log.warn("target ejected", {
+          target: target.targetId,
+          incarnation: target.incarnation,
+          milliseconds,
+        }),
     }),
     suspects: new SuspectList({ clock }),
     resends: new ResendCounter({ clock }),
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -21,7 +21,11 @@
 import { type CallBody, type CallDetails, frameBody } from "./call_details.ts";
 import { type Caller, CallerGroup } from "./caller_group.ts";
 import { createEarlierResponse } from "./claim.ts";
-import type { DecisionWeight } from "./decision_log.ts";
+import {
+  type DecisionWeight,
+  formatLevels,
+  formatLoad,
+} from "./decision_log.ts";
 import type { Expirable } from "./deadline_timers.ts";
 import type { ResponseHead } from "./exchange.ts";
 import { getFencedResult, needsFence } from "./final_fence.ts";
@@ -340,8 +344,7 @@
       decision: decision.kind,
       because: decision.reason,
       remaining: this.#getRemaining(),
-      load: failure.load &&
-        `${failure.load.running}+${failure.load.queued}/${failure.load.limit}`,
+      load: formatLoad(failure.load),
     });
     if (decision.kind === "stop") {
       this.fail(failure);
@@ -381,6 +384,7 @@
   ): void {
     const current = this.#current;
     this.#record("routine", "call answered", {
+      status,
       attempt: this.#attempts,
       target: current?.choice.targetId,
       remaining: this.#getRemaining(),
@@ -453,9 +457,20 @@
     const { plan, classIndex, requestId } = this.details;
     const counters = plan.counters[classIndex];
     counters && countReason(counters.refused, failure.reason);
-    this.#side.logFailure(failure, {
-      details: this.details,
+    const { view, levels, resends } = this.#side.state;
+    this.#record("failure", "call failed", {
+      class: view?.getClassName(classIndex),
+      disposition: failure.disposition,
+      reason: failure.reason,
+      message: failure.message,
       attempts: this.#attempts,
+      remaining: this.#getRemaining(),
+      revision: view?.revision,
+      levels: failure.reason === "shed-early"
+        ? formatLevels(levels.getEntries())
+        : undefined,
+      caller: this.details.caller,
+      resends: resends.getResends(this.details.caller),
     });
     this.#callers.writeFailure(failure, requestId);
   }
--- a/src/node/origin_side.ts
+++ b/src/node/origin_side.ts
@@ -20,12 +20,6 @@
 import { TargetCall, type TargetCallOptions } from "./target_call.ts";
 import type { TargetSide } from "./target_side.ts";
 
-/** A call that got no response of its target. */
-export interface FailedCall {
-  readonly details: CallDetails;
-  readonly attempts: number;
-}
-
 /** Takes the calls of outside callers and of the target beside this node. */
 export class OriginSide {
   readonly state: NodeState;
@@ -92,6 +86,12 @@
       });
       return;
     }
+    const bodyBytes = view.document.callerLimits?.bodyBytes ?? Infinity;
+    if (framing.contentLength > bodyBytes) {
+      const message = `The body is larger than ${bodyBytes} bytes`;
+      this.#refuseEarly(response, "too-large", { target, message });
+      return;
+    }
     const { plan, parent } = entered;
     if (parent !== undefined) {
       learnServices(parent.details.plan, [plan.route.service]);
@@ -203,32 +203,6 @@
     }
   }
 
-  /** Writes a refusal or failure that a caller sees to the log. */
-  logFailure(failure: CallFailure, call: FailedCall): void {
-    const { details } = call;
-    const { state } = this;
-    state.decisions.record({
-      requestId: details.requestId,
-      hash: details.hash,
-      weight: "failure",
-      event: "call failed",
-      fields: {
-        service: details.plan.route.service,
-        class: state.view?.getClassName(details.classIndex),
-        disposition: failure.disposition,
-        reason: failure.reason,
-        message: failure.message,
-        attempts: call.attempts,
-        remaining: Math.round(
-          details.deadlineMilliseconds - state.clock.monotonicMilliseconds(),
-        ),
-        revision: state.view?.revision,
-        caller: details.caller,
-        resends: state.resends.getResends(details.caller),
-      },
-    });
-  }
-
   /** Closes idle connections to other nodes. */
   stop(): void {
     this.#pools.stop();
@@ -270,14 +244,8 @@
     if (levels.shouldShed(plan.reached, importance)) {
       return true;
     }
-    if (plan.learned.size === 0) {
-      return false;
-    }
     const nested = protocol.getNestedClassIndex(call.classIndex);
-    return levels.shouldShed(
-      [...plan.learned],
-      getImportance(nested, call.hash),
-    );
+    return levels.shouldShed(plan.learned, getImportance(nested, call.hash));
   }
 
   #refuseEarly(
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -18,7 +18,7 @@
   isResponseHeld,
 } from "./call_details.ts";
 import { Claim } from "./claim.ts";
-import type { DecisionWeight } from "./decision_log.ts";
+import { type DecisionWeight, formatLoad } from "./decision_log.ts";
 import {
   Exchange,
   type ExchangeEvents,
@@ -99,6 +99,16 @@
     });
   }
 
+  /** Writes what admission decided. */
+  recordAdmission(decision: "run" | "queued"): void {
+    this.#record("routine", "admission", {
+      decision,
+      class: this.#state.view?.getClassName(this.details.classIndex),
+      load: formatLoad(this.#side.getLoad()),
+      remaining: Math.round(this.details.deadlineMilliseconds - this.#now()),
+    });
+  }
+
   /** Starts the call; called when it was admitted. */
   start(): void {
     if (!this.details.needsClaim) {
@@ -388,7 +398,7 @@
       reason,
       message,
       class: this.#state.view?.getClassName(classIndex),
-      load: load && `${load.running}+${load.queued}/${load.limit}`,
+      load: formatLoad(load),
       target: this.#side.target.state,
       age: Math.round(this.#side.target.getAgeMilliseconds()),
       held: this.#exchange === undefined
--- a/src/node/target_side.ts
+++ b/src/node/target_side.ts
@@ -149,6 +149,7 @@
     } else {
       this.#calls.set(call.token, call);
       this.#callsByRequest.set(details.requestId, call);
+      call.recordAdmission(decision.kind);
       if (decision.kind === "run") {
         call.start();
       }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -58,6 +58,7 @@
   readonly #region: string;
   readonly #availabilityZone: string;
   readonly #ownTargetId: string | undefined;
+  readonly #onEjected: RouterOptions["onEjected"];
   readonly #links = new LinkTable();
   readonly #views = new Map<string, ServiceView>();
   readonly #targets = new Map<string, KnownTarget>();
@@ -69,6 +70,7 @@
     this.#region = options.region;
     this.#availabilityZone = options.availabilityZone;
     this.#ownTargetId = options.ownTargetId;
+    this.#onEjected = options.onEjected;
     this.updateLinks(options.links ?? []);
   }
 
@@ -182,7 +184,12 @@
       state.onSuccess(now);
     } else if (outcome.kind !== "cancelled") {
       if (state.onFailure(outcome.kind === "unreachable", now)) {
+        const wasUsable = state.phase === "usable";
         view.eject(state, now);
+        if (wasUsable && state.phase === "ejected") {
+          const milliseconds = state.ejectedUntilMilliseconds - now;
+          this.#onEjected?.(state.target, milliseconds);
+        }
       }
     }
   }
--- a/src/routing/routing_types.ts
+++ b/src/routing/routing_types.ts
@@ -91,4 +91,6 @@
   /** Target beside this node. */
   readonly ownTargetId?: string | undefined;
   readonly links?: readonly LinkRule[];
+  /** Called when a target gets no calls for a time, in milliseconds. */
+  onEjected?(target: RoutingTarget, milliseconds: number): void;
 }
