--- a/src/session_server/instance_exchange.ts
+++ b/src/session_server/instance_exchange.ts
@@ -67,12 +67,16 @@
     this.#timer = setInterval(() => this.#pushAll(), pushIntervalMilliseconds);
   }
 
-  /** Passes on what a node reported of crashes. */
+  /**
+   * Passes on what a node reported of crashes. It goes out at once: until all
+   * nodes know, the request may crash another target.
+   */
   addCrashNews(news: CrashNews): void {
     this.#updatePeers();
     for (const peer of this.#peers.values()) {
       if (peer.crashNews.length < maximumCrashNews) {
         peer.crashNews.push(news);
+        this.#push(peer);
       }
     }
   }
@@ -199,6 +203,9 @@
         forget(peer.nodes, sent.nodes);
         peer.crashNews.splice(0, sent.crashNews);
         peer.wanted = answer.wanted;
+        if (peer.crashNews.length > 0) {
+          this.#push(peer);
+        }
       },
     );
   }
