Send views to nodes that connected before the document was known

Cause: after a power loss of all machines, nodes open their sessions before the instance knows the document again. When a renewal or an availability change read the new revision first, the later announcement found no new calls, and sessions that were open kept views of their own service only.

Ruled out: overload after the restart. The endpoints were idle, and the refusals were no-target, not deadline-too-short or queue-full.

Change: the host remembers which calls the views of open sessions follow, and not which revision it read last.

The two new tests fail without the change.

--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -110,6 +110,8 @@
   });
   readonly #sessions = new SessionRegistry();
   readonly #parts = new Map<string, DocumentParts>();
+  /** Calls that the views of open sessions follow, by environment. */
+  readonly #viewedCalls = new Map<string, string>();
   readonly #expireTimer: NodeJS.Timeout;
   readonly #rebalanceTimer: NodeJS.Timeout;
   #flushTimer: NodeJS.Timeout | undefined;
@@ -173,13 +175,14 @@
    * @param environment The environment.
    */
   onDocumentAccepted(environment: string): void {
-    const previous = this.#parts.get(environment);
     const parts = this.#getParts(environment);
     if (parts === undefined || !this.#isAvailable()) {
       return;
     }
     const encode = createDocumentEncoder();
-    const hasNewCalls = parts.callText !== previous?.callText;
+    // Other messages can read a revision before it is announced here.
+    const hasNewCalls = parts.callText !== this.#viewedCalls.get(environment);
+    this.#viewedCalls.set(environment, parts.callText);
     if (hasNewCalls) {
       this.#planner.clear();
     }
--- a/src/session_server/session_host_test.ts
+++ b/src/session_server/session_host_test.ts
@@ -2,7 +2,10 @@
 import { readFileSync } from "node:fs";
 import { after, test } from "node:test";
 import { parseDocument } from "../document/mod.ts";
-import { startControlInstances } from "../../tests/support/control_instance.ts";
+import {
+  type ControlInstance,
+  startControlInstances,
+} from "../../tests/support/control_instance.ts";
 import { SessionNode } from "../../tests/support/session_node.ts";
 import { waitUntil } from "../../tests/support/wait_until.ts";
 
@@ -58,3 +61,71 @@
     "both catch up",
   );
 });
+
+// Nodes connect to an instance that starts before it knows a document. When
+// another message made the instance read the document first, they were sent no
+// views of the services that it lets them call.
+const readFirst: readonly {
+  readonly name: string;
+  readonly acceptLater: (control: ControlInstance) => Promise<void>;
+}[] = [
+  {
+    name: "by a renewal before it is announced",
+    acceptLater: async (control) => {
+      control.documents.set("trial", createFirstDocument());
+      const node = startNode(control, { nodeId: "n3" });
+      await waitUntil(() => node.revisions.includes(1), "revision 1 arrives");
+      control.host.onDocumentAccepted("trial");
+    },
+  },
+  {
+    name: "while the instance is isolated",
+    acceptLater: (control) => {
+      control.setAvailability("isolated");
+      control.accept("trial", createFirstDocument());
+      control.setAvailability("available");
+      return Promise.resolve();
+    },
+  },
+];
+
+for (const { name, acceptLater } of readFirst) {
+  test(`nodes get the views of a document that was read ${name}`, async () => {
+    const [control] = await startControlInstances(1);
+    assert.ok(control !== undefined);
+    after(() => control.kill());
+    const caller = startNode(control, { nodeId: "n1" });
+    const callee = startNode(control, { nodeId: "n2", service: "retailers" });
+    callee.announce("ready");
+    await waitUntil(
+      () => callee.views.get("retailers")?.length === 1,
+      "the target is known",
+    );
+    await waitUntil(
+      () => caller.session.getStatus().connected,
+      "the caller is connected",
+    );
+    await acceptLater(control);
+    await waitUntil(
+      () => caller.views.get("retailers")?.length === 1,
+      "the caller knows the target that the document lets it call",
+    );
+  });
+}
+
+function createFirstDocument() {
+  assert.ok(document !== undefined);
+  return { revision: 1, digest: "d1", document };
+}
+
+function startNode(
+  control: ControlInstance,
+  identity: { nodeId: string; service?: string },
+): SessionNode {
+  const node = new SessionNode({
+    controlAddresses: [control.address],
+    identity,
+  });
+  after(() => void node.session.stop());
+  return node;
+}
