--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -1,4 +1,6 @@
 import type { RandomSource } from "../common/mod.ts";
+import { createGroupId, GroupFounding } from "./group_founding.ts";
+import { IncomingSnapshot } from "./incoming_snapshot.ts";
 import {
   type ConsensusTiming,
   type CoreEvent,
@@ -14,13 +16,9 @@
 import { getMajority, isVoter, type Member } from "./member.ts";
 import { applyMemberChange } from "./member_change.ts";
 import type { ConsensusMessage, Envelope } from "./message.ts";
-import {
-  advanceMemory,
-  emptyPosition,
-  judgeStart,
-  type LogPosition,
-  type PeerMemory,
-} from "./peer_memory.ts";
+import { PeerBook } from "./peer_book.ts";
+import { emptyPosition, type LogPosition } from "./peer_memory.ts";
+import { type PendingRead, PendingReads } from "./pending_reads.ts";
 import type {
   HardState,
   Identity,
@@ -28,6 +26,8 @@
   StorageRequest,
 } from "./persisted_state.ts";
 import { createProgress, type Progress } from "./progress.ts";
+import { StartConfirmation } from "./start_confirmation.ts";
+import { WriteBuffer } from "./write_buffer.ts";
 
 /** Appends that may be unacknowledged per member. */
 const maximumInFlight = 16;
@@ -38,20 +38,10 @@
 /** A non-voter this close to the leader's log may become a voter. */
 const promotionDistance = 256;
 
-/** Bounds what is remembered; far above 7 instances and their replacements. */
-const maximumPeers = 256;
-
 /** Time without progress after which a leader sends again. */
 const resendMilliseconds = 1000;
 
-type PendingRead = {
-  token: number;
-  /** Empty for a read of this instance. */
-  fromId: string;
-  fromAddress: string;
-  index: number;
-  round: number;
-};
+type ReadOrigin = Pick<PendingRead, "token" | "fromId" | "fromAddress">;
 
 /**
  * The replication protocol without socket, file or clock: messages, times and
@@ -60,17 +50,16 @@
 export class ConsensusCore {
   readonly identity: Identity;
   readonly #address: string;
-  readonly #initialMembers: readonly string[];
+  readonly #founding: GroupFounding;
   readonly #random: RandomSource;
   readonly #timing: ConsensusTiming;
   #now: number;
   #wall: number;
-  readonly #startedAt: number;
 
   #hardState: HardState;
   #snapshot: SnapshotInfo;
   readonly #log: EntryLog;
-  readonly #peers: Map<string, PeerMemory>;
+  readonly #peers: PeerBook;
   #commitIndex: number;
   /** Highest index handed out as committed. */
   #deliveredIndex: number;
@@ -86,44 +75,18 @@
   #leaderSince = 0;
   #firstIndexOfTerm = 0;
 
-  readonly #startState: LogPosition & { readonly term: number };
-  /** True once a majority of the voters confirmed this start. */
-  #isConfirmed: boolean;
-  /** Voters that confirmed this start. */
-  readonly #confirmations = new Set<string>();
-  #nextConfirmAt = 0;
-  readonly #hellos = new Map<string, { id: string; at: number }>();
+  readonly #confirmation: StartConfirmation;
   #isMembershipDenied = false;
 
   #round = 0;
   /** True when reads wait for the next round to start. */
   #isRoundDue = false;
-  #reads: PendingRead[] = [];
-  readonly #forwardedReads = new Map<number, number>();
-  #incoming:
-    | { info: SnapshotInfo; chunks: Uint8Array[]; size: number }
-    | undefined;
+  readonly #reads = new PendingReads();
+  readonly #incoming = new IncomingSnapshot();
 
   #messages: Envelope[] = [];
   #events: CoreEvent[] = [];
-  /** Messages that wait for the next write. */
-  #held: Envelope[] = [];
-  #pendingHardState = false;
-  #pendingPeers = false;
-  /** Memory of peers that goes out with the next write or heartbeat. */
-  #arePeersDirty = false;
-  #pendingFrom: number | undefined;
-  #pendingSnapshot: { info: SnapshotInfo; data: Uint8Array } | undefined;
-  #restore: { info: SnapshotInfo; data: Uint8Array } | undefined;
-  #sequence = 0;
-  #inWrite: {
-    sequence: number;
-    held: Envelope[];
-    term: number;
-    lastIndex: number;
-    lastTerm: number;
-    restore: { info: SnapshotInfo; data: Uint8Array } | undefined;
-  } | undefined;
+  readonly #writes = new WriteBuffer();
 
   /**
    * @param state What the data folder holds.
@@ -132,28 +95,35 @@
   constructor(state: PersistedState, options: CoreOptions) {
     this.identity = state.identity;
     this.#address = options.address;
-    this.#initialMembers = options.initialMembers;
     this.#random = options.random;
     this.#timing = options.timing ?? defaultTiming;
     this.#now = options.time.monotonicMilliseconds;
     this.#wall = options.time.wallMilliseconds;
-    this.#startedAt = this.#now;
     this.#hardState = state.hardState;
     this.#snapshot = state.snapshot;
     this.#log = new EntryLog(state.snapshot, state.entries);
-    this.#peers = new Map(state.peers);
+    this.#peers = new PeerBook(state.peers);
     this.#commitIndex = state.snapshot.index;
     this.#deliveredIndex = state.snapshot.index;
     this.#durableIndex = this.#log.lastIndex;
     this.#heardLeaderAt = this.#now;
-    this.#startState = {
-      term: state.hardState.term,
-      lastTerm: this.#log.lastTerm,
-      lastIndex: this.#log.lastIndex,
-    };
-    // An identity that was made in this start has no past to fall behind.
-    this.#isConfirmed = state.hardState.groupId === "" &&
-      state.identity.bootCount === 1;
+    this.#founding = new GroupFounding({
+      identity: state.identity,
+      address: options.address,
+      initialMembers: options.initialMembers,
+      helloMilliseconds: this.#timing.isolationMilliseconds,
+    });
+    this.#confirmation = new StartConfirmation({
+      start: {
+        term: state.hardState.term,
+        lastTerm: this.#log.lastTerm,
+        lastIndex: this.#log.lastIndex,
+      },
+      isNewIdentity: state.hardState.groupId === "" &&
+        state.identity.bootCount === 1,
+      nowMilliseconds: this.#now,
+      waitMilliseconds: this.#timing.confirmationMilliseconds,
+    });
     this.#resetElectionTimer();
     this.#updateConfirmation();
   }
@@ -203,7 +173,7 @@
     if (!isVoter(this.members, this.identity.id)) {
       return "non-voter";
     }
-    if (!this.#isConfirmed) {
+    if (!this.#confirmation.isConfirmed) {
       return "recovering";
     }
     return this.#role === "follower" ? "follower" : "candidate";
@@ -268,11 +238,8 @@
     ) {
       this.#startPreVote();
     }
-    for (const [token, deadline] of this.#forwardedReads) {
-      if (this.#now >= deadline) {
-        this.#forwardedReads.delete(token);
-        this.#events.push({ kind: "readFailed", token });
-      }
+    for (const token of this.#reads.takeExpired(this.#now)) {
+      this.#events.push({ kind: "readFailed", token });
     }
   }
 
@@ -336,7 +303,7 @@
     } else if (this.#leader === undefined) {
       this.#events.push({ kind: "readFailed", token });
     } else {
-      this.#forwardedReads.set(token, this.#now + resendMilliseconds);
+      this.#reads.addForwarded(token, this.#now + resendMilliseconds);
       this.#send(this.#leader, { kind: "readRequest", token });
     }
   }
@@ -355,7 +322,7 @@
     }
     const info = this.#log.describeSnapshot(index);
     this.#snapshot = info;
-    this.#pendingSnapshot = { info, data: options.data };
+    this.#writes.addSnapshot({ info, data: options.data });
     this.#log.discardTo(Math.max(0, index - options.keepEntries));
   }
 
@@ -371,10 +338,7 @@
     }
     if (this.groupId === "") {
       if (message.kind === "hello") {
-        this.#hellos.set(envelope.fromAddress, {
-          id: envelope.fromId,
-          at: this.#now,
-        });
+        this.#founding.onHello(envelope, this.#now);
       }
       return;
     }
@@ -408,7 +372,7 @@
       case "readRequest":
         return this.#onReadRequest(envelope, message.token);
       case "readResponse":
-        if (this.#forwardedReads.delete(message.token)) {
+        if (this.#reads.removeForwarded(message.token)) {
           this.#events.push(
             message.isConfirmed
               ? { kind: "read", token: message.token, index: message.index }
@@ -421,15 +385,11 @@
 
   /** Takes in that a write is durable. */
   onStored(sequence: number): void {
-    const write = this.#inWrite;
-    if (write === undefined || write.sequence !== sequence) {
-      throw new Error(`Write ${sequence} was not requested`);
-    }
-    this.#inWrite = undefined;
+    const write = this.#writes.finishOrThrow(sequence);
     if (this.#log.getTerm(write.lastIndex) === write.lastTerm) {
       this.#durableIndex = Math.max(
         this.#snapshot.index,
-        Math.min(write.lastIndex, (this.#pendingFrom ?? Infinity) - 1),
+        Math.min(write.lastIndex, (this.#writes.from ?? Infinity) - 1),
       );
     }
     if (write.restore !== undefined) {
@@ -470,10 +430,7 @@
       }
     }
     this.#isRoundDue = false;
-    if (!this.#hasPendingWrite() && this.#inWrite === undefined) {
-      this.#messages.push(...this.#held);
-      this.#held = [];
-    }
+    this.#messages.push(...this.#writes.takeHeld(this.#peers));
     const messages = this.#messages;
     this.#messages = [];
     return messages;
@@ -488,56 +445,25 @@
 
   /** Takes the next write; none while one is under way. */
   takeStorageRequest(): StorageRequest | undefined {
-    if (this.#inWrite !== undefined || !this.#hasPendingWrite()) {
-      return undefined;
-    }
-    const sequence = ++this.#sequence;
-    const snapshot = this.#pendingSnapshot;
-    const from = snapshot !== undefined
-      ? this.#log.baseIndex + 1
-      : this.#pendingFrom;
-    const entries = from === undefined ? [] : this.#log.getEntries(from);
-    const request: StorageRequest = {
-      sequence,
-      entries,
-      ...(this.#pendingHardState ? { hardState: this.#hardState } : {}),
-      ...(snapshot === undefined ? {} : { snapshot }),
-      ...(this.#pendingPeers || this.#arePeersDirty || snapshot !== undefined
-        ? { peers: new Map(this.#peers) }
-        : {}),
-    };
-    this.#inWrite = {
-      sequence,
-      held: this.#held,
-      term: this.term,
+    return this.#writes.take({
+      hardState: this.#hardState,
+      peers: this.#peers,
       lastIndex: this.#log.lastIndex,
       lastTerm: this.#log.lastTerm,
-      restore: this.#restore,
-    };
-    this.#held = [];
-    this.#pendingHardState = false;
-    this.#pendingPeers = false;
-    this.#arePeersDirty = false;
-    this.#pendingFrom = undefined;
-    this.#pendingSnapshot = undefined;
-    this.#restore = undefined;
-    return request;
+      baseIndex: this.#log.baseIndex,
+      getEntries: (from) => this.#log.getEntries(from),
+    });
   }
 
   // --- Terms and roles ---
 
-  #hasPendingWrite(): boolean {
-    return this.#pendingHardState || this.#pendingFrom !== undefined ||
-      this.#pendingSnapshot !== undefined || this.#pendingPeers;
-  }
-
   #setHardState(change: Partial<HardState>): void {
     this.#hardState = { ...this.#hardState, ...change };
-    this.#pendingHardState = true;
+    this.#writes.addHardState();
   }
 
   #canVote(): boolean {
-    return this.#isConfirmed && !this.#hardState.isRegressed;
+    return this.#confirmation.isConfirmed && !this.#hardState.isRegressed;
   }
 
   #resetElectionTimer(): void {
@@ -595,15 +521,12 @@
     const wasLeader = this.#role === "leader";
     if (term > this.term) {
       this.#setHardState({ term, votedFor: "" });
-      this.#incoming = undefined;
+      this.#incoming.clear();
     }
     this.#role = "follower";
     this.#leader = leader;
     if (wasLeader) {
-      for (const read of this.#reads) {
-        this.#failRead(read);
-      }
-      this.#reads = [];
+      this.#reads.takeAll().forEach((read) => this.#failRead(read));
       this.#progress.clear();
       this.#resetElectionTimer();
       this.#events.push({ kind: "leadershipLost" });
@@ -695,7 +618,7 @@
     const { votedFor } = this.#hardState;
     // A vote of the start's term that is not on the disk may have been given
     // before the disk went back, so a new one could be the second.
-    const isFree = votedFor === "" && this.term > this.#startState.term;
+    const isFree = votedFor === "" && this.term > this.#confirmation.start.term;
     const isGranted = this.#canVote() && this.#role !== "leader" &&
       (isFree || votedFor === envelope.fromId) &&
       this.#isUpToDate(message) &&
@@ -736,7 +659,7 @@
     this.#leader = { id: this.identity.id, address: this.#address };
     this.#leaderSince = this.#now;
     this.#progress.clear();
-    this.#reads = [];
+    this.#reads.takeAll();
     this.#updateProgressMembers();
     this.#firstIndexOfTerm = this.#appendOwn({ kind: "empty" });
     this.#nextHeartbeatAt = this.#now;
@@ -803,7 +726,7 @@
     },
     message: ConsensusMessage,
   ): void {
-    this.#held.push(this.#createEnvelope(to, message, this.term));
+    this.#writes.hold(this.#createEnvelope(to, message, this.term));
   }
 
   // --- Leader ---
@@ -816,7 +739,7 @@
       timeMilliseconds: Math.max(this.#wall, this.#log.lastTimeMilliseconds),
       content,
     }]);
-    this.#pendingFrom = Math.min(this.#pendingFrom ?? index, index);
+    this.#writes.addEntries(index);
     return index;
   }
 
@@ -872,7 +795,7 @@
       return;
     }
     this.#nextHeartbeatAt = this.#now + this.#timing.heartbeatMilliseconds;
-    this.#pendingPeers ||= this.#arePeersDirty;
+    this.#peers.makeDue();
     this.#sendHeartbeats();
   }
 
@@ -1012,7 +935,7 @@
     }
     progress.heardAtMilliseconds = this.#now;
     progress.isTrusted = canVote &&
-      this.#knowsStart(envelope);
+      this.#peers.knowsStart(envelope);
     return progress;
   }
 
@@ -1066,7 +989,7 @@
   }
 
   #deliverCommitted(): void {
-    if (this.#restore !== undefined || this.#inWrite?.restore !== undefined) {
+    if (this.#writes.isRestoring) {
       return;
     }
     if (this.#commitIndex > this.#deliveredIndex) {
@@ -1098,7 +1021,7 @@
         isSuccess,
         index,
         round: message.round,
-        canVote: this.#canVote() && this.#knowsStart(envelope),
+        canVote: this.#canVote() && this.#peers.knowsStart(envelope),
       });
     let { previousIndex, previousTerm, entries } = message;
     // Entries up to the base are committed and in a snapshot.
@@ -1126,7 +1049,7 @@
       }
       this.#log.truncateFrom(first.index);
       this.#log.append(added);
-      this.#pendingFrom = Math.min(this.#pendingFrom ?? Infinity, first.index);
+      this.#writes.addEntries(first.index);
       this.#durableIndex = Math.min(this.#durableIndex, first.index - 1);
       this.#updateConfirmation();
     }
@@ -1185,38 +1108,26 @@
         index: info.index,
         nextOffset,
         isInstalled,
-        canVote: this.#canVote() && this.#knowsStart(envelope),
+        canVote: this.#canVote() && this.#peers.knowsStart(envelope),
       });
     if (info.index <= this.#commitIndex) {
       return respond(0, true);
     }
-    if (this.#incoming?.info.index !== info.index || message.offset === 0) {
-      this.#incoming = { info, chunks: [], size: 0 };
-    }
-    const incoming = this.#incoming;
-    if (message.offset !== incoming.size) {
-      return respond(incoming.size, false);
+    const { nextOffset, data } = this.#incoming.add(message);
+    if (data === undefined) {
+      return respond(nextOffset, false);
     }
-    incoming.chunks.push(message.data);
-    incoming.size += message.data.length;
-    if (!message.isLast) {
-      return respond(incoming.size, false);
-    }
-    const data = Buffer.concat(incoming.chunks);
-    this.#incoming = undefined;
     this.#log.reset(info);
     this.#snapshot = info;
     this.#commitIndex = info.index;
     this.#durableIndex = info.index;
-    this.#pendingSnapshot = { info, data };
-    this.#pendingFrom = undefined;
-    this.#restore = { info, data };
+    this.#writes.addRestore({ info, data });
     this.#rememberNow(envelope, {
       lastTerm: info.term,
       lastIndex: info.index,
     });
     this.#updateConfirmation();
-    respond(incoming.size, true);
+    respond(nextOffset, true);
   }
 
   #onSnapshotResponse(
@@ -1245,10 +1156,8 @@
 
   // --- Reads ---
 
-  #startRead(
-    read: { token: number; fromId: string; fromAddress: string },
-  ): void {
-    this.#reads.push({
+  #startRead(read: ReadOrigin): void {
+    this.#reads.add({
       ...read,
       // Until an entry of this term is committed, earlier leaders may have
       // committed more than this one knows.
@@ -1268,9 +1177,7 @@
   }
 
   #completeReads(): void {
-    if (
-      this.#reads.length === 0 || this.#commitIndex < this.#firstIndexOfTerm
-    ) {
+    if (this.#reads.isEmpty || this.#commitIndex < this.#firstIndexOfTerm) {
       return;
     }
     const round = this.#getMajorityValue((id) => {
@@ -1280,9 +1187,9 @@
       const progress = this.#progress.get(id);
       return progress?.isTrusted ? progress.round : 0;
     });
-    const done = this.#reads.filter((each) => each.round <= round);
-    this.#reads = this.#reads.filter((each) => each.round > round);
-    for (const { token, fromId, fromAddress, index } of done) {
+    for (
+      const { token, fromId, fromAddress, index } of this.#reads.takeDone(round)
+    ) {
       if (fromId === "") {
         this.#events.push({ kind: "read", token, index });
       } else {
@@ -1296,9 +1203,7 @@
     }
   }
 
-  #failRead(
-    read: { token: number; fromId: string; fromAddress: string },
-  ): void {
+  #failRead(read: ReadOrigin): void {
     if (read.fromId === "") {
       this.#events.push({ kind: "readFailed", token: read.token });
       return;
@@ -1315,16 +1220,7 @@
 
   /** Keeps what a peer promised; false when its start is not confirmed here. */
   #remember(envelope: Envelope, position: LogPosition): boolean {
-    const memory = this.#peers.get(envelope.fromId);
-    if (memory === undefined || !this.#knowsStart(envelope)) {
-      return false;
-    }
-    const advanced = advanceMemory(memory, { term: this.term, ...position });
-    if (advanced !== memory) {
-      this.#peers.set(envelope.fromId, advanced);
-      this.#arePeersDirty = true;
-    }
-    return true;
+    return this.#peers.remember(envelope, { term: this.term, ...position });
   }
 
   /**
@@ -1333,21 +1229,19 @@
    */
   #rememberNow(envelope: Envelope, position: LogPosition): boolean {
     const isKnown = this.#remember(envelope, position);
-    this.#pendingPeers ||= this.#arePeersDirty;
+    this.#peers.makeDue();
     return isKnown;
   }
 
-  /** Reports whether promises of this start of the sender can be kept. */
-  #knowsStart(envelope: Envelope): boolean {
-    return this.#peers.get(envelope.fromId)?.bootId === envelope.fromBootId;
-  }
-
   #tickConfirmation(): void {
     this.#updateConfirmation();
-    if (this.#now < this.#nextConfirmAt || this.#hardState.isRegressed) {
+    const { heartbeatMilliseconds } = this.#timing;
+    if (
+      this.#hardState.isRegressed ||
+      !this.#confirmation.takeQuestion(this.#now, heartbeatMilliseconds)
+    ) {
       return;
     }
-    this.#nextConfirmAt = this.#now + this.#timing.heartbeatMilliseconds;
     // Non-voters too: one that does not know this start cannot be promoted by
     // this instance as leader.
     for (const member of this.members) {
@@ -1366,46 +1260,42 @@
    * candidates and leaders count only starts that they confirmed themselves.
    */
   #askConfirmation(peer: { id: string; address: string }): void {
-    if (!this.#confirmations.has(peer.id)) {
+    if (!this.#confirmation.has(peer.id)) {
+      const { start } = this.#confirmation;
       this.#send(peer, {
         kind: "confirmRequest",
         bootCount: this.identity.bootCount,
-        startTerm: this.#startState.term,
-        startLastIndex: this.#startState.lastIndex,
-        startLastTerm: this.#startState.lastTerm,
+        startTerm: start.term,
+        startLastIndex: start.lastIndex,
+        startLastTerm: start.lastTerm,
       });
     }
   }
 
   #updateConfirmation(): void {
-    if (this.#isConfirmed || this.groupId === "") {
+    if (this.groupId === "") {
       return;
     }
-    const others = this.#otherVoters();
-    const self = isVoter(this.members, this.identity.id) ? 1 : 0;
-    const confirmed =
-      others.filter((each) => this.#confirmations.has(each.id)).length;
-    const hasWaited = this.#now - this.#startedAt >=
-      this.#timing.confirmationMilliseconds;
-    // Only the leader that counted an acknowledgement remembers it. A copied
-    // folder may be older than that, so it needs the confirmation of every voter.
     const { isMoved } = this.#hardState;
-    if (
-      confirmed + self >= getMajority(this.members) &&
-      (confirmed === others.length || (hasWaited && !isMoved))
-    ) {
-      this.#isConfirmed = true;
-      if (isMoved) {
-        this.#setHardState({ isMoved: false });
-      }
-      this.#events.push({
-        kind: "notice",
-        text: "start confirmed",
-        detail: `by ${confirmed} of ${others.length} other voters`,
-      });
-      if (others.length === 0) {
-        this.#electionAt = this.#now;
-      }
+    const decided = this.#confirmation.decide({
+      members: this.members,
+      ownId: this.identity.id,
+      isMoved,
+      nowMilliseconds: this.#now,
+    });
+    if (decided === undefined) {
+      return;
+    }
+    if (isMoved) {
+      this.#setHardState({ isMoved: false });
+    }
+    this.#events.push({
+      kind: "notice",
+      text: "start confirmed",
+      detail: `by ${decided.confirmed} of ${decided.others} other voters`,
+    });
+    if (decided.others === 0) {
+      this.#electionAt = this.#now;
     }
   }
 
@@ -1413,22 +1303,16 @@
     envelope: Envelope,
     message: Extract<ConsensusMessage, { kind: "confirmRequest" }>,
   ): void {
-    const known = this.#peers.get(envelope.fromId);
     // A member that this instance has not heard of yet is judged like any
     // other: its vote counts only where it is known as a voter, and refusing
     // it here could leave a group without a majority of confirmed starts.
-    const { verdict, reason, memory } = judgeStart(known, {
+    const { verdict, reason } = this.#peers.judge(envelope.fromId, {
       bootCount: message.bootCount,
       bootId: envelope.fromBootId,
       term: message.startTerm,
       lastIndex: message.startLastIndex,
       lastTerm: message.startLastTerm,
-    });
-    if (memory !== known) {
-      this.#forgetFormerMembers();
-      this.#peers.set(envelope.fromId, memory);
-      this.#pendingPeers = true;
-    }
+    }, (id) => this.#isMember(id));
     this.#hold(envelope, {
       kind: "confirmResponse",
       bootId: envelope.fromBootId,
@@ -1437,15 +1321,8 @@
     });
   }
 
-  #forgetFormerMembers(): void {
-    if (this.#peers.size < maximumPeers) {
-      return;
-    }
-    for (const id of this.#peers.keys()) {
-      if (!this.members.some((each) => each.id === id)) {
-        this.#peers.delete(id);
-      }
-    }
+  #isMember(id: string): boolean {
+    return this.members.some((each) => each.id === id);
   }
 
   #onConfirmResponse(
@@ -1467,61 +1344,38 @@
       }
       return;
     }
-    this.#confirmations.add(envelope.fromId);
+    this.#confirmation.add(envelope.fromId);
     this.#updateConfirmation();
   }
 
   // --- Forming a group ---
 
   #tickUnformed(): void {
-    if (this.#initialMembers.length === 0 || this.#isMembershipDenied) {
+    if (this.#isMembershipDenied) {
       return;
     }
     if (this.#now >= this.#nextHeartbeatAt) {
       this.#nextHeartbeatAt = this.#now + this.#timing.heartbeatMilliseconds;
-      for (const address of this.#initialMembers) {
-        if (address !== this.#address) {
-          this.#send({ id: "", address }, { kind: "hello" });
-        }
+      for (const address of this.#founding.getOtherAddresses()) {
+        this.#send({ id: "", address }, { kind: "hello" });
       }
     }
-    if (this.#initialMembers[0] !== this.#address) {
-      return;
-    }
-    const members: Member[] = [];
-    for (const address of this.#initialMembers) {
-      const hello = this.#hellos.get(address);
-      const isRecent = hello !== undefined &&
-        this.#now - hello.at < this.#timing.isolationMilliseconds;
-      if (address !== this.#address && !isRecent) {
-        return;
-      }
-      members.push({
-        id: address === this.#address ? this.identity.id : hello?.id ?? "",
-        address,
-        isVoter: true,
+    const members = this.#founding.getMembers(this.#now);
+    if (members !== undefined) {
+      this.#join(createGroupId(this.#random), {
+        index: 1,
+        term: 1,
+        timeMilliseconds: this.#wall,
+        content: { kind: "members", members },
       });
     }
-    this.#join(this.#createGroupId(), {
-      index: 1,
-      term: 1,
-      timeMilliseconds: this.#wall,
-      content: { kind: "members", members },
-    });
-  }
-
-  #createGroupId(): string {
-    return Array.from(
-      { length: 16 },
-      () => Math.floor(this.#random() * 16).toString(16),
-    ).join("");
   }
 
   #join(groupId: string, firstEntry: LogEntry | undefined): void {
     this.#setHardState({ groupId, term: Math.max(this.term, 1) });
     if (firstEntry !== undefined) {
       this.#log.append([firstEntry]);
-      this.#pendingFrom = 1;
+      this.#writes.addEntries(1);
     }
     this.#heardLeaderAt = this.#now;
     this.#resetElectionTimer();
@@ -1569,7 +1423,7 @@
   }
 
   #onHello(envelope: Envelope): void {
-    const isMember = this.members.some((each) => each.id === envelope.fromId);
+    const isMember = this.#isMember(envelope.fromId);
     const firstEntry = this.#log.getEntry(1);
     this.#hold(envelope, {
       kind: "helloResponse",
