Give replication to the members a class of its own

The progress of the other members, what is sent to them and what a majority holds moved from consensus_core.ts to replication.ts.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -25,21 +25,13 @@
   PersistedState,
   StorageRequest,
 } from "./persisted_state.ts";
-import { createProgress, type Progress } from "./progress.ts";
+import type { Progress } from "./progress.ts";
+import { Replication } from "./replication.ts";
 import { StartConfirmation } from "./start_confirmation.ts";
 import { WriteBuffer } from "./write_buffer.ts";
 
-/** Appends that may be unacknowledged per member. */
-const maximumInFlight = 16;
-
-/** Keeps an append with its headers well below the 4 MiB default of gRPC. */
-const maximumAppendBytes = 512 * 1024;
-
-/** A non-voter this close to the leader's log may become a voter. */
-const promotionDistance = 256;
-
-/** Time without progress after which a leader sends again. */
-const resendMilliseconds = 1000;
+/** Time for which the leader's answer to a read is waited for. */
+const forwardedReadMilliseconds = 1000;
 
 type ReadOrigin = Pick<PendingRead, "token" | "fromId" | "fromAddress">;
 
@@ -71,7 +63,7 @@
   #electionAt = 0;
   #nextHeartbeatAt = 0;
   #votes = new Set<string>();
-  #progress = new Map<string, Progress>();
+  readonly #replication: Replication;
   #leaderSince = 0;
   #firstIndexOfTerm = 0;
 
@@ -124,6 +116,19 @@
       nowMilliseconds: this.#now,
       waitMilliseconds: this.#timing.confirmationMilliseconds,
     });
+    this.#replication = new Replication({
+      ownId: state.identity.id,
+      log: this.#log,
+      getState: () => ({
+        now: this.#now,
+        members: this.members,
+        snapshot: this.#snapshot,
+        durableIndex: this.#durableIndex,
+        commitIndex: this.#commitIndex,
+        round: this.#round,
+      }),
+      send: (to, message) => this.#send(to, message),
+    });
     this.#resetElectionTimer();
     this.#updateConfirmation();
   }
@@ -185,7 +190,7 @@
    */
   isIsolated(nowMilliseconds: number): boolean {
     const heardAt = this.#role === "leader"
-      ? Math.max(this.#getMajorityHeardAt(), this.#leaderSince)
+      ? Math.max(this.#replication.getMajorityHeardAt(), this.#leaderSince)
       : this.#heardLeaderAt;
     return nowMilliseconds - heardAt > this.#timing.isolationMilliseconds;
   }
@@ -193,7 +198,7 @@
   /** Gets how far each member is, as known to a leader. */
   getMatchIndexes(): ReadonlyMap<string, number> {
     const indexes = new Map<string, number>();
-    for (const [id, progress] of this.#progress) {
+    for (const [id, progress] of this.#replication.getEntries()) {
       indexes.set(id, progress.matchIndex);
     }
     indexes.set(this.identity.id, this.#durableIndex);
@@ -207,7 +212,9 @@
    */
   getSilences(nowMilliseconds: number): ReadonlyMap<string, number> {
     const silences = new Map<string, number>();
-    for (const [id, { heardAtMilliseconds }] of this.#progress) {
+    for (
+      const [id, { heardAtMilliseconds }] of this.#replication.getEntries()
+    ) {
       const since = Math.max(heardAtMilliseconds, this.#leaderSince);
       silences.set(id, nowMilliseconds - since);
     }
@@ -282,14 +289,14 @@
     const changed = applyMemberChange(
       this.members,
       change,
-      (id) => this.#hasCaughtUp(id),
+      (id) => this.#replication.hasCaughtUp(id, this.#firstIndexOfTerm),
     );
     if (changed.kind === "error") {
       return refuse(changed.error);
     }
     const members = changed.value;
     const index = this.#appendOwn({ kind: "members", members });
-    this.#updateProgressMembers();
+    this.#replication.updateMembers();
     return { kind: "appended", index, term: this.term };
   }
 
@@ -303,7 +310,7 @@
     } else if (this.#leader === undefined) {
       this.#events.push({ kind: "readFailed", token });
     } else {
-      this.#reads.addForwarded(token, this.#now + resendMilliseconds);
+      this.#reads.addForwarded(token, this.#now + forwardedReadMilliseconds);
       this.#send(this.#leader, { kind: "readRequest", token });
     }
   }
@@ -420,12 +427,10 @@
   /** Takes the messages that may be sent now. */
   takeMessages(): Envelope[] {
     if (this.#role === "leader") {
-      for (const member of this.members) {
-        this.#replicate(member);
-      }
+      this.#replication.replicate();
       if (this.#isRoundDue) {
         this.#round++;
-        this.#sendHeartbeats();
+        this.#replication.sendHeartbeats();
         this.#completeReads();
       }
     }
@@ -527,7 +532,7 @@
     this.#leader = leader;
     if (wasLeader) {
       this.#reads.takeAll().forEach((read) => this.#failRead(read));
-      this.#progress.clear();
+      this.#replication.clear();
       this.#resetElectionTimer();
       this.#events.push({ kind: "leadershipLost" });
     }
@@ -658,9 +663,9 @@
     this.#role = "leader";
     this.#leader = { id: this.identity.id, address: this.#address };
     this.#leaderSince = this.#now;
-    this.#progress.clear();
+    this.#replication.clear();
     this.#reads.takeAll();
-    this.#updateProgressMembers();
+    this.#replication.updateMembers();
     this.#firstIndexOfTerm = this.#appendOwn({ kind: "empty" });
     this.#nextHeartbeatAt = this.#now;
     this.#events.push({
@@ -677,13 +682,6 @@
     );
   }
 
-  #hasCaughtUp(id: string): boolean {
-    const progress = this.#progress.get(id);
-    return progress !== undefined && progress.isTrusted &&
-      progress.matchIndex + promotionDistance >= this.#log.lastIndex &&
-      progress.matchIndex >= this.#firstIndexOfTerm;
-  }
-
   // --- Messages ---
 
   #senderOf(envelope: Envelope): { id: string; address: string } {
@@ -743,44 +741,10 @@
     return index;
   }
 
-  #updateProgressMembers(): void {
-    const ids = new Set(this.members.map((each) => each.id));
-    for (const id of this.#progress.keys()) {
-      if (!ids.has(id)) {
-        this.#progress.delete(id);
-      }
-    }
-    for (const id of ids) {
-      if (id !== this.identity.id && !this.#progress.has(id)) {
-        this.#progress.set(
-          id,
-          createProgress(this.#log.lastIndex + 1, this.#now),
-        );
-      }
-    }
-  }
-
-  /** Gets the time since which a majority, itself included, was heard. */
-  #getMajorityHeardAt(): number {
-    return this.#getMajorityValue((id) => {
-      if (id === this.identity.id) {
-        return this.#now;
-      }
-      const progress = this.#progress.get(id);
-      return progress?.isTrusted ? progress.heardAtMilliseconds : -Infinity;
-    });
-  }
-
-  /** Gets the highest value that a majority of the voters reached. */
-  #getMajorityValue(getValue: (id: string) => number): number {
-    const values = this.members.filter((each) => each.isVoter)
-      .map((each) => getValue(each.id)).sort((a, b) => b - a);
-    return values[getMajority(this.members) - 1] ?? -Infinity;
-  }
-
   #tickLeader(): void {
     if (
-      this.#now - Math.max(this.#getMajorityHeardAt(), this.#leaderSince) >
+      this.#now -
+          Math.max(this.#replication.getMajorityHeardAt(), this.#leaderSince) >
         this.#timing.isolationMilliseconds
     ) {
       this.#events.push({
@@ -796,101 +760,7 @@
     }
     this.#nextHeartbeatAt = this.#now + this.#timing.heartbeatMilliseconds;
     this.#peers.makeDue();
-    this.#sendHeartbeats();
-  }
-
-  #sendHeartbeats(): void {
-    for (const member of this.members) {
-      const progress = this.#progress.get(member.id);
-      if (progress !== undefined) {
-        this.#sendHeartbeat(member, progress);
-      }
-    }
-  }
-
-  #sendHeartbeat(member: Member, progress: Progress): void {
-    const isStuck = this.#now - progress.advancedAtMilliseconds >
-      resendMilliseconds;
-    if (
-      isStuck && progress.mode === "replicate" && progress.inFlight.length > 0
-    ) {
-      progress.mode = "probe";
-      progress.nextIndex = progress.matchIndex + 1;
-      progress.inFlight = [];
-      progress.advancedAtMilliseconds = this.#now;
-    }
-    if (progress.mode === "snapshot") {
-      this.#sendAppend(member, { from: 1, entries: [] });
-      if (isStuck) {
-        this.#sendSnapshotChunk(member, progress);
-      }
-      return;
-    }
-    if (progress.mode === "probe") {
-      progress.inFlight = [];
-      this.#replicate(member);
-      return;
-    }
-    this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
-  }
-
-  /** Sends what a member lacks, as far as its mode allows. */
-  #replicate(member: Member): void {
-    const progress = this.#progress.get(member.id);
-    if (progress === undefined || progress.mode === "snapshot") {
-      return;
-    }
-    if (progress.nextIndex <= this.#log.baseIndex) {
-      progress.mode = "snapshot";
-      progress.snapshotIndex = this.#snapshot.index;
-      progress.snapshotOffset = 0;
-      progress.inFlight = [];
-      this.#sendSnapshotChunk(member, progress);
-      return;
-    }
-    if (progress.mode === "probe") {
-      // A probe is empty: the member may lack what precedes the entries, or
-      // be unable to take them at all.
-      if (progress.inFlight.length === 0) {
-        this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
-        progress.inFlight.push(progress.nextIndex - 1);
-      }
-      return;
-    }
-    while (
-      progress.inFlight.length < maximumInFlight &&
-      progress.nextIndex <= this.#durableIndex
-    ) {
-      // Members remember what they were sent as a promise of this leader, so
-      // an entry that a crash could take away must not be sent.
-      const entries = this.#log.getEntries(progress.nextIndex, {
-        to: this.#durableIndex,
-        maximumBytes: maximumAppendBytes,
-      });
-      this.#sendAppend(member, { from: progress.nextIndex, entries });
-      if (progress.inFlight.length === 0) {
-        progress.advancedAtMilliseconds = this.#now;
-      }
-      progress.nextIndex += entries.length;
-      progress.inFlight.push(progress.nextIndex - 1);
-    }
-  }
-
-  #sendAppend(
-    member: Member,
-    options: { from: number; entries: readonly LogEntry[] },
-  ): void {
-    const previousIndex = options.from - 1;
-    this.#send(member, {
-      kind: "append",
-      previousIndex,
-      previousTerm: previousIndex === 0
-        ? 0
-        : this.#log.getTerm(previousIndex) ?? 0,
-      entries: options.entries,
-      commitIndex: this.#commitIndex,
-      round: this.#round,
-    });
+    this.#replication.sendHeartbeats();
   }
 
   #onAppendResponse(
@@ -909,18 +779,11 @@
     progress.round = Math.max(progress.round, message.round);
     this.#completeReads();
     if (message.isSuccess) {
-      this.#advanceProgress(envelope, progress, message.index);
-      if (progress.mode === "probe") {
-        progress.mode = "replicate";
-        progress.inFlight = [];
-        progress.nextIndex = progress.matchIndex + 1;
-      }
-    } else if (
-      progress.mode !== "snapshot" && message.index + 1 < progress.nextIndex
-    ) {
-      progress.mode = "probe";
-      progress.inFlight = [];
-      progress.nextIndex = Math.max(progress.matchIndex, message.index) + 1;
+      this.#rememberAcknowledged(envelope, progress, message.index);
+    }
+    this.#replication.onAppendResponse(progress, message);
+    if (message.isSuccess) {
+      this.#advanceCommit();
     }
   }
 
@@ -929,7 +792,7 @@
     envelope: Envelope,
     canVote: boolean,
   ): Progress | undefined {
-    const progress = this.#progress.get(envelope.fromId);
+    const progress = this.#replication.get(envelope.fromId);
     if (this.#role !== "leader" || progress === undefined) {
       return undefined;
     }
@@ -939,7 +802,8 @@
     return progress;
   }
 
-  #advanceProgress(
+  /** Keeps that a member acknowledged the entries up to an index. */
+  #rememberAcknowledged(
     envelope: Envelope,
     progress: Progress,
     index: number,
@@ -953,23 +817,10 @@
         lastTerm === undefined ? emptyPosition : { lastTerm, lastIndex: index },
       );
     }
-    if (index > progress.matchIndex) {
-      progress.matchIndex = index;
-      progress.advancedAtMilliseconds = this.#now;
-    }
-    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
-    progress.inFlight = progress.inFlight.filter((last) => last > index);
-    this.#advanceCommit();
   }
 
   #advanceCommit(): void {
-    const index = this.#getMajorityValue((id) => {
-      if (id === this.identity.id) {
-        return this.#durableIndex;
-      }
-      const progress = this.#progress.get(id);
-      return progress?.isTrusted ? progress.matchIndex : 0;
-    });
+    const index = this.#replication.getMajorityIndex();
     if (
       index > this.#commitIndex && this.#log.getTerm(index) === this.term
     ) {
@@ -1081,21 +932,6 @@
 
   // --- Snapshots ---
 
-  #sendSnapshotChunk(member: Member, progress: Progress): void {
-    if (progress.snapshotIndex !== this.#snapshot.index) {
-      progress.snapshotIndex = this.#snapshot.index;
-      progress.snapshotOffset = 0;
-    }
-    progress.advancedAtMilliseconds = this.#now;
-    this.#send(member, {
-      kind: "snapshotChunk",
-      info: this.#snapshot,
-      offset: progress.snapshotOffset,
-      data: new Uint8Array(),
-      isLast: false,
-    });
-  }
-
   #onSnapshotChunk(
     envelope: Envelope,
     message: Extract<ConsensusMessage, { kind: "snapshotChunk" }>,
@@ -1143,14 +979,12 @@
       return;
     }
     if (message.isInstalled) {
-      progress.mode = "probe";
-      this.#advanceProgress(envelope, progress, message.index);
-      progress.nextIndex = progress.matchIndex + 1;
-      return;
-    }
-    if (message.nextOffset !== progress.snapshotOffset) {
-      progress.snapshotOffset = message.nextOffset;
-      this.#sendSnapshotChunk(member, progress);
+      this.#rememberAcknowledged(envelope, progress, message.index);
+      this.#replication.onSnapshotInstalled(progress, message.index);
+      this.#advanceCommit();
+    } else {
+      const { nextOffset } = message;
+      this.#replication.sendSnapshotFrom(member, progress, nextOffset);
     }
   }
 
@@ -1180,13 +1014,7 @@
     if (this.#reads.isEmpty || this.#commitIndex < this.#firstIndexOfTerm) {
       return;
     }
-    const round = this.#getMajorityValue((id) => {
-      if (id === this.identity.id) {
-        return Infinity;
-      }
-      const progress = this.#progress.get(id);
-      return progress?.isTrusted ? progress.round : 0;
-    });
+    const round = this.#replication.getMajorityRound();
     for (
       const { token, fromId, fromAddress, index } of this.#reads.takeDone(round)
     ) {
