--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -13,10 +13,8 @@
   LinkRounds,
   LinkShareBook,
   parseTargetRecord,
-  type ServiceName,
   type TargetRecord,
   toKnownTarget,
-  ViewPlanner,
 } from "../membership/mod.ts";
 import { formatVersion } from "../protocol/format_version.ts";
 import {
@@ -45,6 +43,7 @@
   type SessionStream,
 } from "./node_session.ts";
 import { SessionRegistry } from "./session_registry.ts";
+import { SessionViews } from "./session_views.ts";
 
 /** Settings of a session host. */
 export interface SessionHostOptions {
@@ -85,9 +84,6 @@
   | { readonly kind: "elsewhere"; readonly controlAddress: string };
 
 const expireIntervalMilliseconds = 250;
-// Targets that change together go out in one message. Adds to the time in
-// which a drain reaches all nodes (limit 3 s).
-const flushDelayMilliseconds = 50;
 const defaultRebalanceMilliseconds = 10_000;
 // Random choices of 886 nodes differ by some percent; that is no reason to move.
 const unevenRatio = 1.2;
@@ -101,7 +97,6 @@
 export class SessionHost {
   readonly #options: SessionHostOptions;
   readonly #directory: Directory;
-  readonly #planner: ViewPlanner;
   readonly #exchange: InstanceExchange;
   readonly #linkRounds: LinkRounds;
   readonly #linkShares = new LinkShareBook({
@@ -109,13 +104,10 @@
     getInstanceCount: () => this.#options.state.getPeers().length + 1,
   });
   readonly #sessions = new SessionRegistry();
+  readonly #views: SessionViews;
   readonly #parts = new Map<string, DocumentParts>();
-  /** Calls that the views of open sessions follow, by environment. */
-  readonly #viewedCalls = new Map<string, string>();
   readonly #expireTimer: NodeJS.Timeout;
   readonly #rebalanceTimer: NodeJS.Timeout;
-  #flushTimer: NodeJS.Timeout | undefined;
-  #isCollecting = true;
 
   constructor(options: SessionHostOptions) {
     this.#options = options;
@@ -130,10 +122,12 @@
       ...(options.graceMilliseconds !== undefined &&
         { graceMilliseconds: options.graceMilliseconds }),
     });
-    this.#planner = new ViewPlanner(
-      this.#directory,
-      (name) => this.#getCallers(name),
-    );
+    this.#views = new SessionViews({
+      directory: this.#directory,
+      sessions: this.#sessions,
+      getParts: (environment) => this.#getParts(environment),
+      now: () => this.#now(),
+    });
     this.#linkRounds = new LinkRounds({
       boot: options.boot,
       now: options.clock.monotonicMilliseconds(),
@@ -180,19 +174,10 @@
       return;
     }
     const encode = createDocumentEncoder();
-    // Other messages can read a revision before it is announced here.
-    const hasNewCalls = parts.callText !== this.#viewedCalls.get(environment);
-    this.#viewedCalls.set(environment, parts.callText);
-    if (hasNewCalls) {
-      this.#planner.clear();
-    }
     for (const session of this.#sessions.getByEnvironment(environment)) {
       session.sendDocument(parts, encode);
-      if (hasNewCalls) {
-        this.#updateViewedServices(session);
-        session.viewedServices.forEach((each) => this.#sendView(session, each));
-      }
     }
+    this.#views.followCalls(environment, parts);
   }
 
   /** Sends the list of quarantined fingerprints after a change. */
@@ -304,7 +289,7 @@
   stop(): void {
     clearInterval(this.#expireTimer);
     clearInterval(this.#rebalanceTimer);
-    clearTimeout(this.#flushTimer);
+    this.#views.stop();
     this.#exchange.stop();
     for (const session of this.#sessions.values()) {
       session.end();
@@ -332,7 +317,7 @@
    * after the restart of another one.
    */
   #rebalance(): void {
-    if (!this.#isAvailable() || this.#isCollecting) {
+    if (!this.#isAvailable() || this.#views.isCollecting) {
       return;
     }
     const counts = this.#directory.getNodeCounts();
@@ -425,14 +410,14 @@
         });
       })
       .with({ $case: "viewRequest" }, ({ viewRequest }) => {
-        this.#onViewRequest(session, viewRequest.service);
+        this.#views.request(session, viewRequest.service);
       })
       .with({ $case: "leave" }, () => {
         this.#directory.leave(session, this.#now());
         this.#linkShares.removeNode(session.nodeKey);
         this.#sessions.remove(session);
         session.end();
-        this.#scheduleFlush();
+        this.#views.scheduleFlush();
       })
       .otherwise(() => {});
   }
@@ -492,7 +477,7 @@
         hasQuarantined: true,
       },
     });
-    this.#updateViewedServices(session);
+    this.#views.open(session);
   }
 
   #onRenew(session: NodeSession, renew: Renew): void {
@@ -560,84 +545,7 @@
         staleAnnouncement: { known: toWireTarget(known, now) },
       });
     }
-    this.#scheduleFlush();
-  }
-
-  #onViewRequest(session: NodeSession, service: string): void {
-    session.requestedServices.add(service);
-    this.#updateViewedServices(session);
-    session.sendFullView(service, {
-      collecting: this.#isCollecting,
-      now: this.#now(),
-    });
-  }
-
-  /** Brings the set of a session's views in line with the document. */
-  #updateViewedServices(session: NodeSession): void {
-    const { environment, service } = session.hello;
-    const wanted = new Set([
-      service,
-      ...this.#getParts(environment)?.getCallees(service) ?? [],
-      ...session.requestedServices,
-    ]);
-    for (const known of session.viewedServices) {
-      if (!wanted.has(known)) {
-        this.#sessions.removeView(session, known);
-        session.dropView(known);
-      }
-    }
-    for (const each of wanted) {
-      if (!session.viewedServices.includes(each)) {
-        this.#sessions.addView(session, each);
-        this.#sendView(session, each);
-      }
-    }
-  }
-
-  #sendView(session: NodeSession, service: string, hasDigest = false): void {
-    const { environment } = session.hello;
-    session.sendView(
-      service,
-      this.#planner.getView({ environment, service }, session.hello),
-      {
-        collecting: this.#isCollecting,
-        hasDigest,
-        getRecord: (targetId) =>
-          this.#directory.getRecord({ environment, targetId }),
-        now: this.#now(),
-      },
-    );
-  }
-
-  #scheduleFlush(): void {
-    this.#flushTimer ??= setTimeout(() => {
-      this.#flushTimer = undefined;
-      this.#flush();
-    }, flushDelayMilliseconds);
-  }
-
-  /** Sends what changed to all sessions that have views of it. */
-  #flush(): void {
-    const changed = new Map<string, ServiceName>();
-    for (const name of this.#directory.takeChangedServices()) {
-      const { environment, service } = name;
-      changed.set(`${environment}\0${service}`, name);
-      // Their targets are spread over the nodes of the changed service.
-      for (
-        const callee of this.#getParts(environment)?.getCallees(service) ?? []
-      ) {
-        changed.set(`${environment}\0${callee}`, {
-          environment,
-          service: callee,
-        });
-      }
-    }
-    for (const name of changed.values()) {
-      this.#planner.invalidate(name);
-      for (const session of this.#sessions.getByService(name)) {
-        this.#sendView(session, name.service);
-      }
-    }
+    this.#views.scheduleFlush();
   }
 
   #expire(): void {
@@ -650,18 +558,12 @@
       getEntries: () => this.#linkShares.getDemand(),
       now,
     });
-    const wasCollecting = this.#isCollecting;
-    this.#isCollecting = this.#directory.isCollecting(now);
-    this.#flush();
+    this.#views.step(this.#directory.isCollecting(now));
     for (const session of this.#sessions.values()) {
       if (!this.#directory.hasLease(session)) {
         this.#sessions.remove(session);
         session.redirect("lease-lost", []);
         session.end();
-      } else if (wasCollecting && !this.#isCollecting) {
-        session.viewedServices.forEach((each) =>
-          this.#sendView(session, each, true)
-        );
       }
     }
   }
@@ -691,7 +593,7 @@
         state.onSuspectCleared(environment, news.cleared.fingerprint);
       }
     }
-    this.#scheduleFlush();
+    this.#views.scheduleFlush();
     callback(null, answer);
   }
 
@@ -702,13 +604,6 @@
     }
   }
 
-  #getCallers({ environment, service }: ServiceName): readonly string[] {
-    return [
-      service,
-      ...this.#getParts(environment)?.getCallers(service) ?? [],
-    ];
-  }
-
   #getParts(environment: string): DocumentParts | undefined {
     const accepted = this.#options.state.getAcceptedDocument(environment);
     const known = this.#parts.get(environment);
