Split the control session by concept

The addresses of control, the received views, the bytes reported for links and the messages without confirmation have classes of their own.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -8,13 +8,7 @@
   type RandomSource,
   systemClock,
 } from "../common/mod.ts";
-import {
-  parseTargetRecord,
-  type TargetRecord,
-  toKnownTarget,
-  toTargetRecord,
-  ViewCopy,
-} from "../membership/mod.ts";
+import { parseTargetRecord, type TargetRecord } from "../membership/mod.ts";
 import type {
   ControlMessage,
   CrashReport,
@@ -29,7 +23,11 @@
   ViewUpdate,
 } from "../protocol/generated/session.ts";
 import { AnnouncedTargets } from "./announced_targets.ts";
+import { ControlAddresses } from "./control_addresses.ts";
+import { LinkByteReport } from "./link_byte_report.ts";
+import { ReceivedViews } from "./received_views.ts";
 import { SessionConnection } from "./session_connection.ts";
+import { UnconfirmedMessages } from "./unconfirmed_messages.ts";
 
 /** Who the node is. */
 export type NodeIdentity = Pick<
@@ -106,10 +104,7 @@
 // 502 sessions on busy instances.
 const staggerMilliseconds = 700;
 const standstillMilliseconds = 250;
-// Each is at most some hundred bytes.
-const maximumUnconfirmed = 1000;
 const longestPauseMilliseconds = 2000;
-const viewRequestIntervalMilliseconds = 1000;
 const idleReport: NodeReport = {
   admissionLevel: 0,
   ledgerIndex: 0,
@@ -126,21 +121,13 @@
   readonly #clock: Clock;
   readonly #random: RandomSource;
   readonly #targets: AnnouncedTargets;
-  readonly #views = new Map<string, ViewCopy>();
-  readonly #viewRequestedAt = new Map<string, number>();
+  readonly #views = new ReceivedViews();
   readonly #requestedServices = new Set<string>();
   /** Crash reports and clearances that no renewal confirmed yet. */
-  readonly #unconfirmed: {
-    readonly message: NodeMessage["message"];
-    confirmedBy: number;
-  }[] = [];
+  readonly #unconfirmed = new UnconfirmedMessages();
   readonly #attempts = new Set<SessionConnection>();
   #current: SessionConnection | undefined;
-  #settingsAddresses: readonly string[];
-  /** Addresses that control told. */
-  #toldAddresses: readonly string[] = [];
-  /** Both, those that control told first. */
-  #controlAddresses: readonly string[];
+  readonly #controlAddresses: ControlAddresses;
   #candidates: string[] = [];
   #acceptsIsolated = false;
   #attemptTimer: NodeJS.Timeout | undefined;
@@ -155,8 +142,7 @@
   #failedCycles = 0;
   #revision = 0;
   #part: { bytes: Uint8Array; hash: string } | undefined;
-  #unansweredBytes: LinkBytes[] = [];
-  #sentBytes: readonly LinkBytes[] = [];
+  readonly #linkBytes = new LinkByteReport();
   #shares: readonly LinkShare[] = [];
   #onStopped: (() => void) | undefined;
   #onAdopted: (() => void) | undefined;
@@ -169,8 +155,7 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#targets = new AnnouncedTargets(this.#clock);
-    this.#settingsAddresses = options.controlAddresses;
-    this.#controlAddresses = options.controlAddresses;
+    this.#controlAddresses = new ControlAddresses(options.controlAddresses);
     this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds / 4);
   }
 
@@ -206,8 +191,7 @@
 
   /** Replaces the addresses of the settings. */
   setControlAddresses(addresses: readonly string[]): void {
-    this.#settingsAddresses = addresses;
-    this.#updateControlAddresses();
+    this.#controlAddresses.setConfigured(addresses);
   }
 
   /**
@@ -239,10 +223,10 @@
   /** Gets the control addresses, the one of the session first. */
   getControlAddresses(): readonly string[] {
     const current = this.#current?.address;
-    return current === undefined ? this.#controlAddresses : [
-      current,
-      ...this.#controlAddresses.filter((each) => each !== current),
-    ];
+    const addresses = this.#controlAddresses.getAll();
+    return current === undefined
+      ? addresses
+      : [current, ...addresses.filter((each) => each !== current)];
   }
 
   /**
@@ -301,7 +285,7 @@
   /** Tries all instances, those that are known to be reachable first. */
   #startCycle(preferred: readonly string[]): void {
     this.#closeAttempts();
-    const others = shuffle(this.#controlAddresses, this.#random)
+    const others = this.#controlAddresses.getShuffled(this.#random)
       .filter((address) => address !== this.#current?.address);
     this.#candidates = [
       ...others.filter((address) => preferred.includes(address)),
@@ -356,7 +340,7 @@
     }
     if (!this.#acceptsIsolated) {
       this.#acceptsIsolated = true;
-      this.#candidates = shuffle(this.#controlAddresses, this.#random);
+      this.#candidates = this.#controlAddresses.getShuffled(this.#random);
       this.#tryNext();
       return;
     }
@@ -386,10 +370,7 @@
       ...this.#options.hello,
       sessionSequence: this.#sessionSequence,
       revision: this.#revision,
-      viewDigests: [...this.#views].map(([service, view]) => ({
-        service,
-        digest: view.digest,
-      })),
+      viewDigests: this.#views.getDigests(),
       partHash: this.#part?.hash ?? "",
       acceptsIsolated: this.#acceptsIsolated,
     };
@@ -417,10 +398,8 @@
     this.#unansweredSince = undefined;
     this.#targets.renumberAll().forEach((each) => this.#sendAnnouncement(each));
     this.#requestedServices.forEach((each) => this.#sendViewRequest(each));
-    for (const each of this.#unconfirmed) {
-      each.confirmedBy = this.#renewSequence + 1;
-      connection.send(each.message);
-    }
+    this.#unconfirmed.renumberAll(this.#renewSequence + 1)
+      .forEach((message) => connection.send(message));
     this.#scheduleRenew(this.#random() * this.#options.renewMilliseconds);
     this.#onAdopted?.();
   }
@@ -446,8 +425,7 @@
     this.#current?.close();
     this.#current = undefined;
     clearTimeout(this.#renewTimer);
-    this.#unansweredBytes = [...this.#unansweredBytes, ...this.#sentBytes];
-    this.#sentBytes = [];
+    this.#linkBytes.onLost();
     clearTimeout(this.#moveTimer);
     this.#moveTimer = undefined;
     if (this.#attempts.size === 0) {
@@ -482,12 +460,6 @@
       return;
     }
     const report = this.#options.getReport?.() ?? idleReport;
-    this.#sentBytes = sumLinkBytes([
-      ...this.#unansweredBytes,
-      ...this.#sentBytes,
-      ...report.linkBytes,
-    ]);
-    this.#unansweredBytes = [];
     this.#renewSequence++;
     this.#unansweredSince ??= now;
     current.send({
@@ -495,7 +467,7 @@
       renew: {
         sequence: this.#renewSequence,
         revision: this.#revision,
-        linkBytes: [...this.#sentBytes],
+        linkBytes: this.#linkBytes.take(report.linkBytes),
         admissionLevel: report.admissionLevel,
         ledgerIndex: report.ledgerIndex,
         answeredSequence: this.#answeredSequence,
@@ -552,24 +524,18 @@
   #onRenewAnswer(answer: RenewAnswer): void {
     if (answer.sequence >= this.#renewSequence) {
       this.#unansweredSince = undefined;
-      this.#sentBytes = [];
+      this.#linkBytes.onAnswered();
     } else if (this.#unansweredSince !== undefined) {
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
     this.#answeredSequence = answer.sequence;
     this.#targets.confirm(answer.sequence);
-    while (
-      this.#unconfirmed[0] !== undefined &&
-      this.#unconfirmed[0].confirmedBy <= answer.sequence
-    ) {
-      this.#unconfirmed.shift();
-    }
+    this.#unconfirmed.confirm(answer.sequence);
     if (answer.ledgerIndex > 0) {
       this.#options.onLedgerIndex?.(answer.ledgerIndex);
     }
     if (answer.controlAddresses.length > 0) {
-      this.#toldAddresses = answer.controlAddresses;
-      this.#updateControlAddresses();
+      this.#controlAddresses.setTold(answer.controlAddresses);
     }
     this.#hasLease = true;
     clearTimeout(this.#leaseTimer);
@@ -583,12 +549,6 @@
     }
   }
 
-  #updateControlAddresses(): void {
-    this.#controlAddresses = [
-      ...new Set([...this.#toldAddresses, ...this.#settingsAddresses]),
-    ];
-  }
-
   /** Falls back to the shares that control counts without a lease. */
   #onLeaseEnd(): void {
     this.#hasLease = false;
@@ -623,31 +583,11 @@
 
   #onView(update: ViewUpdate): void {
     const now = this.#clock.monotonicMilliseconds();
-    const view = this.#views.get(update.service) ?? new ViewCopy();
-    this.#views.set(update.service, view);
-    const isEqual = view.apply({
-      ...update,
-      changed: update.changed.map(parseTargetRecord)
-        .filter((record) => record !== undefined)
-        .map((record) => toKnownTarget(record, now)),
-    });
-    if (!isEqual) {
-      this.#onViewMismatch(update.service, now);
-    }
-    this.#options.onView(
-      update.service,
-      view.targets.map((target) => toTargetRecord(target, now)),
-    );
-  }
-
-  #onViewMismatch(service: string, now: number): void {
-    const requestedAt = this.#viewRequestedAt.get(service) ??
-      Number.NEGATIVE_INFINITY;
-    // While instances disagree after a move, each copy would ask for the next.
-    if (now - requestedAt >= viewRequestIntervalMilliseconds) {
-      this.#viewRequestedAt.set(service, now);
-      this.#sendViewRequest(service);
+    const { targets, needsRequest } = this.#views.apply(update, now);
+    if (needsRequest) {
+      this.#sendViewRequest(update.service);
     }
+    this.#options.onView(update.service, targets);
   }
 
   #onRedirect({ refusal }: Redirect): void {
@@ -685,26 +625,7 @@
   }
 
   #sendConfirmed(message: NodeMessage["message"]): void {
-    if (this.#unconfirmed.length >= maximumUnconfirmed) {
-      this.#unconfirmed.shift();
-    }
-    this.#unconfirmed.push({ message, confirmedBy: this.#renewSequence + 1 });
+    this.#unconfirmed.add(message, this.#renewSequence + 1);
     this.#current?.send(message);
   }
 }
-
-function shuffle<Item>(items: readonly Item[], random: RandomSource): Item[] {
-  return items.map((item) => ({ item, order: random() }))
-    .sort((a, b) => a.order - b.order)
-    .map(({ item }) => item);
-}
-
-function sumLinkBytes(entries: readonly LinkBytes[]): LinkBytes[] {
-  const sums = new Map<string, LinkBytes>();
-  for (const entry of entries) {
-    const key = `${entry.fromRegion}\0${entry.toRegion}`;
-    const sum = sums.get(key);
-    sums.set(key, { ...entry, bytes: entry.bytes + (sum?.bytes ?? 0) });
-  }
-  return [...sums.values()];
-}
