--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -16,52 +16,15 @@
   isLiveTarget,
   type KnownTarget,
 } from "./target_record.ts";
+import type {
+  Bucket,
+  BucketName,
+  DirectoryBatch,
+  DirectoryItems,
+  OwnerDigest,
+} from "./directory_batch.ts";
 import { OwnerRegister } from "./owner_register.ts";
-
-/** A service of an environment. */
-export interface ServiceName {
-  readonly environment: string;
-  readonly service: string;
-}
-
-/** Targets and nodes that one message carries. */
-export interface DirectoryItems {
-  readonly targets: readonly KnownTarget[];
-  readonly nodes: readonly NodeRecord[];
-}
-
-/** Names a part of an owner's items. */
-export interface BucketName {
-  readonly owner: string;
-  readonly index: number;
-}
-
-/** All that the sender has in one bucket of an owner's items. */
-export interface Bucket extends BucketName, DirectoryItems {
-  /** Counter of the owner up to which the sender has its items. */
-  readonly counter: number;
-}
-
-/** Digests of an owner's live items. */
-export interface OwnerDigest {
-  readonly owner: string;
-  readonly counter: number;
-  readonly buckets: readonly number[];
-}
-
-/** What one instance tells another. */
-export interface DirectoryBatch extends DirectoryItems {
-  readonly instanceId: string;
-  /** Start of the sender's process; larger is newer. */
-  readonly boot: number;
-  /** Grows with each batch of that process. */
-  readonly counter: number;
-  /** Whether the sender does not know all targets yet. */
-  readonly collecting: boolean;
-  readonly buckets: readonly Bucket[];
-  /** Empty in batches between the regular digests. */
-  readonly digests: readonly OwnerDigest[];
-}
+import { getServiceKey, type ServiceName } from "./service_name.ts";
 
 /** Settings of a directory; times in milliseconds. */
 export interface DirectoryOptions {
@@ -668,11 +631,6 @@
   }
 }
 
-/** Gets the key of a service over all environments. */
-export function getServiceKey(name: ServiceName): string {
-  return `${name.environment}\0${name.service}`;
-}
-
 function getInstanceId(owner: string): string {
   return owner.slice(0, owner.lastIndexOf("#"));
 }
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -11,17 +11,15 @@
   toTargetRecord,
 } from "./target_record.ts";
 export { getNodeKey, type NodeRecord } from "./node_record.ts";
-export {
-  type Bucket,
-  type BucketName,
-  Directory,
-  type DirectoryBatch,
-  type DirectoryItems,
-  type DirectoryOptions,
-  getServiceKey,
-  type OwnerDigest,
-  type ServiceName,
-} from "./directory.ts";
+export { Directory, type DirectoryOptions } from "./directory.ts";
+export type {
+  Bucket,
+  BucketName,
+  DirectoryBatch,
+  DirectoryItems,
+  OwnerDigest,
+} from "./directory_batch.ts";
+export { getServiceKey, type ServiceName } from "./service_name.ts";
 export {
   type Caller,
   maximumSubsetSize,
--- a/src/membership/view_planner.ts
+++ b/src/membership/view_planner.ts
@@ -1,5 +1,5 @@
-import type { Directory, ServiceName } from "./directory.ts";
-import { getServiceKey } from "./directory.ts";
+import type { Directory } from "./directory.ts";
+import { getServiceKey, type ServiceName } from "./service_name.ts";
 import { type Caller, type Place, SubsetRing } from "./subset_ring.ts";
 import type { KnownTarget } from "./target_record.ts";
 
