Stand for election soon after all voters confirmed a start

Change: an instance whose start all voters confirmed waits one to two heartbeats instead; a leader among the others would be heard within one. The pre-vote still decides whether it may stand.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -1124,9 +1124,23 @@
     });
     if (decided.others === 0) {
       this.#electionAt = this.#now;
+    } else if (decided.confirmed === decided.others) {
+      this.#hurryElection();
     }
   }
 
+  /**
+   * All voters are there. A leader among them is heard within a heartbeat, and
+   * without one there is no reason to wait for the election timeout.
+   */
+  #hurryElection(): void {
+    const { heartbeatMilliseconds } = this.#timing;
+    this.#electionAt = Math.min(
+      this.#electionAt,
+      this.#now + heartbeatMilliseconds * (1 + this.#random()),
+    );
+  }
+
   #onConfirmRequest(
     envelope: Envelope,
     message: Extract<ConsensusMessage, { kind: "confirmRequest" }>,
