Let calls leave a zone whose target fails one in five of them

The router's share of failures faded faster than the two calls a second of a node renewed it (it reached 0.3 of the true share), and an idle target looked saturated only at a share of 0.6.

Ruled out: overload. No level was raised, and the endpoint had free slots.

Change: the share fades with a half-life of 10 s, a response weighs one in eight, and one in six failures make an idle target look saturated. Failures while a service on the way sheds calls are not counted: other targets would fail too.

--- a/src/node/heard_levels.ts
+++ b/src/node/heard_levels.ts
@@ -84,3 +84,24 @@
     ? entries
     : entries.filter(({ service }) => learned.has(service));
 }
+
+/**
+ * Judges whether a response shows a fault of its target.
+ * @param status Status of the response.
+ * @param answer What the target's node stated with it.
+ * @param options The levels that this node heard, and the route.
+ * @returns `undefined` for a failure while a service on the way sheds calls: it
+ * may be the cause, and other targets of the same service would fail too.
+ */
+export function judgeTargetFault(
+  status: number,
+  answer: StatedLevels,
+  { table, plan }: { table: LevelTable; plan: RoutePlan },
+): boolean | undefined {
+  if (status < 500) {
+    return false;
+  }
+  const isShedding = answer.levels.length > 0 ||
+    getRelevantLevels(table, plan).length > 0;
+  return isShedding ? undefined : true;
+}
--- a/src/node/heard_levels_test.ts
+++ b/src/node/heard_levels_test.ts
@@ -7,6 +7,7 @@
 import { DocumentView, type RoutePlan } from "./document_view.ts";
 import {
   getRelevantLevels,
+  judgeTargetFault,
   learnServices,
   recordLevels,
 } from "./heard_levels.ts";
@@ -61,3 +62,49 @@
   const services = getRelevantLevels(table, plan).map((each) => each.service);
   assert.deepEqual(services, ["deep"]);
 });
+
+// Failures that an overloaded service behind the target caused moved calls to
+// other zones, where they failed as well.
+const faults: readonly {
+  readonly name: string;
+  readonly status: number;
+  readonly stated: number;
+  readonly heard: number;
+  readonly expected: boolean | undefined;
+}[] = [
+  { name: "a success", status: 200, stated: 0, heard: 0, expected: false },
+  {
+    name: "a client's error",
+    status: 404,
+    stated: 0,
+    heard: 0,
+    expected: false,
+  },
+  { name: "a failure", status: 500, stated: 0, heard: 0, expected: true },
+  {
+    name: "a failure while the target states a level",
+    status: 500,
+    stated: 9,
+    heard: 0,
+    expected: undefined,
+  },
+  {
+    name: "a failure while a deeper service has a level",
+    status: 504,
+    stated: 0,
+    heard: 9,
+    expected: undefined,
+  },
+];
+
+for (const { name, status, stated, heard, expected } of faults) {
+  test(`${name} is judged as a fault of the target: ${expected}`, () => {
+    const table = createTable();
+    const plan = createPlan("pay.example");
+    learnServices(plan, ["deep"]);
+    table.record("deep", heard);
+    const levels = stated === 0 ? [] : [{ service: "back", level: stated }];
+    const fault = judgeTargetFault(status, { levels, load }, { table, plan });
+    assert.equal(fault, expected);
+  });
+}
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -31,6 +31,7 @@
 import { getFencedResult, needsFence } from "./final_fence.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
 import {
+  judgeTargetFault,
   learnServices,
   recordLevels,
   type StatedLevels,
@@ -393,7 +394,10 @@
       this.#finishAttempt(current, {
         kind: "completed",
         hint: answer.load,
-        isError: status >= 500,
+        isError: judgeTargetFault(status, answer, {
+          table: this.#side.state.levels,
+          plan: this.details.plan,
+        }),
       });
       this.#account.settle(current.handedDown, answer.unused);
       const { link } = current.choice;
--- a/src/routing/router_test.ts
+++ b/src/routing/router_test.ts
@@ -99,6 +99,38 @@
   assert.equal(respond(false), "zone");
 });
 
+// An endpoint that answered 500 to one in four requests kept all requests of its
+// zone, because the share faded faster than the few requests renewed it.
+const errorShares: readonly {
+  readonly name: string;
+  /** One in so many responses of the zone's target states a failure. */
+  readonly oneIn: number;
+  readonly leastInZone: number;
+  readonly mostInZone: number;
+}[] = [
+  { name: "one in two", oneIn: 2, leastInZone: 0, mostInZone: 0.3 },
+  { name: "one in four", oneIn: 4, leastInZone: 0, mostInZone: 0.5 },
+  { name: "one in fifty", oneIn: 50, leastInZone: 0.95, mostInZone: 1 },
+];
+
+for (const { name, oneIn, leastInZone, mostInZone } of errorShares) {
+  test(`calls at a low rate follow the failures of ${name} responses`, () => {
+    const { clock, router, choose } = createRouter([inZone, inRegion]);
+    const calls = 300;
+    let inZoneCount = 0;
+    for (let i = 0; i < calls; i++) {
+      clock.advance(400);
+      const target = choose();
+      const isInZone = target === "zone";
+      inZoneCount += isInZone ? 1 : 0;
+      const isError = isInZone && inZoneCount % oneIn === 0;
+      router.onFinish(target, { kind: "completed", isError });
+    }
+    const part = inZoneCount / calls;
+    assert.ok(part >= leastInZone && part <= mostInZone, `${part} in zone`);
+  });
+}
+
 const refusals = [
   { name: "no view", targets: [], expected: "no-target" },
   {
--- a/src/routing/routing_types.ts
+++ b/src/routing/routing_types.ts
@@ -65,8 +65,8 @@
     /** The caller left; says nothing about the target. */
     | "cancelled";
   readonly hint?: LoadHint | undefined;
-  /** Whether the response states a failure of the target, status 500 or more. */
-  readonly isError?: boolean;
+  /** Whether the response shows a fault of the target; absent when unknown. */
+  readonly isError?: boolean | undefined;
   /** `reservedBytes` of the choice, when the call crossed a link. */
   readonly reservedBytes?: number | undefined;
 }
--- a/src/routing/target_state.ts
+++ b/src/routing/target_state.ts
@@ -13,14 +13,18 @@
 const loadPerFailure = 0.5;
 const failureHalfLifeMilliseconds = 1000;
 /** Weight of one response in the share of responses that state a failure. */
-const errorWeight = 1 / 16;
-/** The share loses half of its effect in this time without a response. */
-const errorHalfLifeMilliseconds = 2000;
+const errorWeight = 1 / 8;
 /**
- * Load of a target all of whose responses state a failure. A third of them
- * makes an idle target look half full.
+ * The share loses half of its effect in this time without a response. A node
+ * sends a target about two calls a second, which must renew it faster.
  */
-const loadOfErrors = 1.5;
+const errorHalfLifeMilliseconds = 10_000;
+/**
+ * Load of a target all of whose responses state a failure. Bytes between zones
+ * cost less than a request only if more than one in six would fail, and that
+ * share makes an idle target look saturated.
+ */
+const loadOfErrors = 6;
 const firstEjectionMilliseconds = 1000;
 const longestEjectionMilliseconds = 30_000;
 
