--- /dev/null
+++ b/src/consensus/start_confirmation_test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Member } from "./member.ts";
+import { StartConfirmation } from "./start_confirmation.ts";
+
+const members: readonly Member[] = ["a", "b", "c", "d", "e"].map((id) => ({
+  id,
+  address: `${id}:1`,
+  isVoter: true,
+}));
+
+// Guards against taking part with a disk that is older than what the instance
+// promised: only the voters that confirmed can rule that out.
+const cases: readonly {
+  readonly name: string;
+  readonly confirmedBy: readonly string[];
+  readonly elapsed: number;
+  readonly isMoved: boolean;
+  readonly expected: boolean;
+}[] = [
+  {
+    name: "all voters at once",
+    confirmedBy: ["b", "c", "d", "e"],
+    elapsed: 0,
+    isMoved: false,
+    expected: true,
+  },
+  {
+    name: "a majority before the wait is over",
+    confirmedBy: ["b", "c"],
+    elapsed: 999,
+    isMoved: false,
+    expected: false,
+  },
+  {
+    name: "a majority after the wait",
+    confirmedBy: ["b", "c"],
+    elapsed: 1000,
+    isMoved: false,
+    expected: true,
+  },
+  {
+    name: "less than a majority after the wait",
+    confirmedBy: ["b"],
+    elapsed: 5000,
+    isMoved: false,
+    expected: false,
+  },
+  {
+    name: "a majority for a folder that was copied",
+    confirmedBy: ["b", "c", "d"],
+    elapsed: 5000,
+    isMoved: true,
+    expected: false,
+  },
+  {
+    name: "all voters for a folder that was copied",
+    confirmedBy: ["b", "c", "d", "e"],
+    elapsed: 0,
+    isMoved: true,
+    expected: true,
+  },
+  {
+    name: "instances that are no members",
+    confirmedBy: ["x", "y", "z"],
+    elapsed: 5000,
+    isMoved: false,
+    expected: false,
+  },
+];
+
+for (const { name, confirmedBy, elapsed, isMoved, expected } of cases) {
+  test(`a start is confirmed by ${name}: ${expected}`, () => {
+    const confirmation = new StartConfirmation({
+      start: { term: 5, lastTerm: 5, lastIndex: 9 },
+      isNewIdentity: false,
+      nowMilliseconds: 0,
+      waitMilliseconds: 1000,
+    });
+    confirmedBy.forEach((each) => confirmation.add(each));
+    const group = { members, ownId: "a", isMoved, nowMilliseconds: elapsed };
+    assert.equal(confirmation.decide(group) !== undefined, expected);
+    assert.equal(confirmation.isConfirmed, expected);
+    assert.equal(confirmation.decide(group), undefined, "it is told once");
+  });
+}
--- /dev/null
+++ b/src/control_client/unconfirmed_messages_test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { UnconfirmedMessages } from "./unconfirmed_messages.ts";
+
+function createMessage(fingerprint: string) {
+  return {
+    $case: "suspectCleared" as const,
+    suspectCleared: { fingerprint },
+  };
+}
+
+// Guards against a crash report that an instance took with it when it stopped.
+test("messages are sent again until a later renewal confirms them", () => {
+  const messages = new UnconfirmedMessages();
+  messages.add(createMessage("a"), 3);
+  messages.add(createMessage("b"), 4);
+  messages.confirm(3);
+  assert.deepEqual(messages.renumberAll(9), [createMessage("b")]);
+  messages.confirm(8);
+  assert.equal(messages.renumberAll(9).length, 1);
+  messages.confirm(9);
+  assert.deepEqual(messages.renumberAll(10), []);
+});
+
+test("a node without control keeps the latest messages only", () => {
+  const messages = new UnconfirmedMessages();
+  for (let index = 0; index < 1500; index++) {
+    messages.add(createMessage(`${index}`), 1);
+  }
+  const kept = messages.renumberAll(2);
+  assert.equal(kept.length, 1000);
+  assert.deepEqual(kept.at(-1), createMessage("1499"));
+});
