Give the instance of the replicated log a file of its own

replicated_log.ts held the interfaces, the opening of the folder and the class that connects the core to disk, network and state machine (661 lines). No behavior changes: the tests of consensus pass.

--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -1,10 +1,10 @@
-export {
-  type ConsensusStatus,
-  createReplicatedLog,
-  type ProposeError,
-  type ReplicatedLog,
-  type ReplicatedLogOptions,
-} from "./replicated_log.ts";
+export { createReplicatedLog } from "./replicated_log.ts";
+export type {
+  ConsensusStatus,
+  ProposeError,
+  ReplicatedLog,
+  ReplicatedLogOptions,
+} from "./replicated_log_types.ts";
 export type { StateMachine } from "./state_machine.ts";
 export type { Member, MemberChange } from "./member.ts";
 export { StorageError, type StorageErrorKind } from "./storage_error.ts";
