Let followers know how long their leader hears no majority

Nodes of the minority side were told that their instance is isolated at 6.07 s and others at 7.57 s, 1.5 s later: a leader that was cut off sent heartbeats until it stepped down after 1.5 s, and its follower counted another 1.5 s from the last of them. A second of jitter came on top.

Ruled out: a lost document. The nodes that moved had it at once.

Change: an append states how long ago the leader heard a majority, and isolation counts from there. A node leaves an isolated instance within half of the jitter.

Before: both new tests fail (a follower took twice the isolation time; a move took 2.0 s of 2 s of jitter).

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -60,6 +60,8 @@
   #role: "follower" | "pre-candidate" | "candidate" | "leader" = "follower";
   #leader: { id: string; address: string } | undefined;
   #heardLeaderAt: number;
+  /** Time at which the leader, as far as it told, last heard a majority. */
+  #majorityHeardAt: number;
   #electionAt = 0;
   #nextHeartbeatAt = 0;
   #votes = new Set<string>();
@@ -99,6 +101,7 @@
     this.#deliveredIndex = state.snapshot.index;
     this.#durableIndex = this.#log.lastIndex;
     this.#heardLeaderAt = this.#now;
+    this.#majorityHeardAt = this.#now;
     this.#founding = new GroupFounding({
       identity: state.identity,
       address: options.address,
@@ -126,6 +129,7 @@
         durableIndex: this.#durableIndex,
         commitIndex: this.#commitIndex,
         round: this.#round,
+        leaderSince: this.#leaderSince,
       }),
       send: (to, message) => this.#send(to, message),
     });
@@ -191,7 +195,7 @@
   isIsolated(nowMilliseconds: number): boolean {
     const heardAt = this.#role === "leader"
       ? Math.max(this.#replication.getMajorityHeardAt(), this.#leaderSince)
-      : this.#heardLeaderAt;
+      : this.#majorityHeardAt;
     return nowMilliseconds - heardAt > this.#timing.isolationMilliseconds;
   }
 
@@ -532,6 +536,10 @@
     this.#leader = leader;
     if (wasLeader) {
       this.#reads.takeAll().forEach((read) => this.#failRead(read));
+      this.#majorityHeardAt = Math.max(
+        this.#majorityHeardAt,
+        this.#replication.getMajorityHeardAt(),
+      );
       this.#replication.clear();
       this.#resetElectionTimer();
       this.#events.push({ kind: "leadershipLost" });
@@ -866,6 +874,10 @@
     message: Extract<ConsensusMessage, { kind: "append" }>,
   ): void {
     this.#followLeader(envelope);
+    this.#majorityHeardAt = Math.max(
+      this.#majorityHeardAt,
+      this.#now - message.majorityAgeMilliseconds,
+    );
     const respond = (isSuccess: boolean, index: number) =>
       this.#hold(envelope, {
         kind: "appendResponse",
@@ -1220,6 +1232,7 @@
       this.#writes.addEntries(1);
     }
     this.#heardLeaderAt = this.#now;
+    this.#majorityHeardAt = this.#now;
     this.#resetElectionTimer();
     this.#updateConfirmation();
     if (this.#otherVoters().length === 0) {
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -267,6 +267,11 @@
     }
   }
 
+  /** Reports whether an instance knows that it may miss news. */
+  isIsolated(slot: number): boolean {
+    return this.at(slot).core?.isIsolated(this.#now) ?? false;
+  }
+
   /** Repairs everything; the group must then agree and keep all. */
   finish(): void {
     this.sides = 0;
@@ -597,6 +602,27 @@
   group.finish();
 });
 
+// Nodes at the follower of a leader that was cut off with it were told twice as
+// late that they miss news, and refused a route that the others had accepted.
+test("a follower on the side of a leader without a majority is isolated as soon", () => {
+  const group = new SimulatedGroup(5);
+  const leader = getLeaderSlot(group);
+  const follower = (leader + 1) % 5;
+  group.sides = (1 << leader) | (1 << follower);
+  const { isolationMilliseconds, heartbeatMilliseconds } = timing;
+  group.run(isolationMilliseconds - 2 * heartbeatMilliseconds, { seed: 1 });
+  assert.deepEqual([leader, follower].map((each) => group.isIsolated(each)), [
+    false,
+    false,
+  ]);
+  group.run(4 * heartbeatMilliseconds, { seed: 2 });
+  assert.deepEqual([leader, follower].map((each) => group.isIsolated(each)), [
+    true,
+    true,
+  ]);
+  group.finish();
+});
+
 // Guards against taking a crash before the end of a write for an older disk.
 test("a leader that crashes before its write is confirmed again", () => {
   const group = new SimulatedGroup(3);
@@ -784,6 +810,7 @@
       }],
       commitIndex: 1,
       round: 0,
+      majorityAgeMilliseconds: 0,
     });
     assert.ok(answer?.kind === "appendResponse" && answer.isSuccess);
     return answer.canVote;
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -42,6 +42,8 @@
     readonly commitIndex: number;
     /** Number of the latest read round; echoed by the response. */
     readonly round: number;
+    /** Time since the leader last heard a majority. */
+    readonly majorityAgeMilliseconds: number;
   }
   | {
     readonly kind: "appendResponse";
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -25,6 +25,8 @@
   readonly commitIndex: number;
   /** Current round of reads. */
   readonly round: number;
+  /** Time at which the leadership began. */
+  readonly leaderSince: number;
 }
 
 /** What {@link Replication} works with. */
@@ -281,7 +283,8 @@
     options: { from: number; entries: readonly LogEntry[] },
   ): void {
     const { log, send } = this.#options;
-    const { commitIndex, round } = this.#options.getState();
+    const { commitIndex, round, now, leaderSince } = this.#options.getState();
+    const majorityHeardAt = Math.max(this.getMajorityHeardAt(), leaderSince);
     const previousIndex = options.from - 1;
     send(member, {
       kind: "append",
@@ -290,6 +293,7 @@
       entries: options.entries,
       commitIndex,
       round,
+      majorityAgeMilliseconds: Math.max(0, Math.round(now - majorityHeardAt)),
     });
   }
 
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -104,6 +104,8 @@
 // 502 sessions on busy instances.
 const staggerMilliseconds = 700;
 const standstillMilliseconds = 250;
+// An isolated instance gives out no new document, so its nodes hurry.
+const isolatedJitterPart = 0.5;
 const longestPauseMilliseconds = 2000;
 const idleReport: NodeReport = {
   admissionLevel: 0,
@@ -596,11 +598,13 @@
       // The stream ends next, and the session opens again elsewhere.
       return;
     }
+    const { jitterMilliseconds } = this.#options;
+    const part = refusal?.reason === "isolated" ? isolatedJitterPart : 1;
     clearTimeout(this.#moveTimer);
     this.#moveTimer = setTimeout(() => {
       this.#moveTimer = undefined;
       this.#startCycle(refusal?.controlAddresses ?? []);
-    }, this.#random() * this.#options.jitterMilliseconds);
+    }, this.#random() * jitterMilliseconds * part);
   }
 
   #onStaleAnnouncement(known: TargetRecord): void {
--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -150,6 +150,27 @@
   assert.ok(node.session.getStatus().connected);
 });
 
+// An instance without a majority tells so after 1.5 s, and the manifest must be
+// in force 3 s after the partition. A second of jitter left too little.
+test("a node leaves an isolated instance within half of the jitter", async () => {
+  const instances = await startControl(2);
+  const node = startNode(getAddresses(instances), "n1", {
+    random: () => 0.99,
+    jitterMilliseconds: 2000,
+  });
+  await waitUntil(() => node.session.getStatus().connected, "it is connected");
+  const { controlAddress } = node.session.getStatus();
+  const from = instances.find((each) => each.address === controlAddress);
+  const start = performance.now();
+  from?.setAvailability("isolated");
+  await waitUntil(
+    () => node.session.getStatus().controlAddress !== controlAddress,
+    "it moved",
+  );
+  const elapsed = performance.now() - start;
+  assert.ok(elapsed < 1500, `it moved after ${elapsed} ms`);
+});
+
 test("nodes move to an instance that comes back", async () => {
   const instances = await startControl(2, {
     graceMilliseconds: 5000,
