--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -1,4 +1,6 @@
 import type { RandomSource } from "../common/mod.ts";
+import { createGroupId, GroupFounding } from "./group_founding.ts";
+import { IncomingSnapshot } from "./incoming_snapshot.ts";
 import {
   type ConsensusTiming,
   type CoreEvent,
@@ -14,44 +16,24 @@
 import { getMajority, isVoter, type Member } from "./member.ts";
 import { applyMemberChange } from "./member_change.ts";
 import type { ConsensusMessage, Envelope } from "./message.ts";
-import {
-  advanceMemory,
-  emptyPosition,
-  judgeStart,
-  type LogPosition,
-  type PeerMemory,
-} from "./peer_memory.ts";
+import { PeerBook } from "./peer_book.ts";
+import { emptyPosition, type LogPosition } from "./peer_memory.ts";
+import { type PendingRead, PendingReads } from "./pending_reads.ts";
 import type {
   HardState,
   Identity,
   PersistedState,
   StorageRequest,
 } from "./persisted_state.ts";
-import { createProgress, type Progress } from "./progress.ts";
-
-/** Appends that may be unacknowledged per member. */
-const maximumInFlight = 16;
-
-/** Keeps an append with its headers well below the 4 MiB default of gRPC. */
-const maximumAppendBytes = 512 * 1024;
-
-/** A non-voter this close to the leader's log may become a voter. */
-const promotionDistance = 256;
-
-/** Bounds what is remembered; far above 7 instances and their replacements. */
-const maximumPeers = 256;
+import type { Progress } from "./progress.ts";
+import { Replication } from "./replication.ts";
+import { StartConfirmation } from "./start_confirmation.ts";
+import { WriteBuffer } from "./write_buffer.ts";
 
-/** Time without progress after which a leader sends again. */
-const resendMilliseconds = 1000;
+/** Time for which the leader's answer to a read is waited for. */
+const forwardedReadMilliseconds = 1000;
 
-type PendingRead = {
-  token: number;
-  /** Empty for a read of this instance. */
-  fromId: string;
-  fromAddress: string;
-  index: number;
-  round: number;
-};
+type ReadOrigin = Pick<PendingRead, "token" | "fromId" | "fromAddress">;
 
 /**
  * The replication protocol without socket, file or clock: messages, times and
@@ -60,17 +42,16 @@
 export class ConsensusCore {
   readonly identity: Identity;
   readonly #address: string;
-  readonly #initialMembers: readonly string[];
+  readonly #founding: GroupFounding;
   readonly #random: RandomSource;
   readonly #timing: ConsensusTiming;
   #now: number;
   #wall: number;
-  readonly #startedAt: number;
 
   #hardState: HardState;
   #snapshot: SnapshotInfo;
   readonly #log: EntryLog;
-  readonly #peers: Map<string, PeerMemory>;
+  readonly #peers: PeerBook;
   #commitIndex: number;
   /** Highest index handed out as committed. */
   #deliveredIndex: number;
@@ -82,48 +63,22 @@
   #electionAt = 0;
   #nextHeartbeatAt = 0;
   #votes = new Set<string>();
-  #progress = new Map<string, Progress>();
+  readonly #replication: Replication;
   #leaderSince = 0;
   #firstIndexOfTerm = 0;
 
-  readonly #startState: LogPosition & { readonly term: number };
-  /** True once a majority of the voters confirmed this start. */
-  #isConfirmed: boolean;
-  /** Voters that confirmed this start. */
-  readonly #confirmations = new Set<string>();
-  #nextConfirmAt = 0;
-  readonly #hellos = new Map<string, { id: string; at: number }>();
+  readonly #confirmation: StartConfirmation;
   #isMembershipDenied = false;
 
   #round = 0;
   /** True when reads wait for the next round to start. */
   #isRoundDue = false;
-  #reads: PendingRead[] = [];
-  readonly #forwardedReads = new Map<number, number>();
-  #incoming:
-    | { info: SnapshotInfo; chunks: Uint8Array[]; size: number }
-    | undefined;
+  readonly #reads = new PendingReads();
+  readonly #incoming = new IncomingSnapshot();
 
   #messages: Envelope[] = [];
   #events: CoreEvent[] = [];
-  /** Messages that wait for the next write. */
-  #held: Envelope[] = [];
-  #pendingHardState = false;
-  #pendingPeers = false;
-  /** Memory of peers that goes out with the next write or heartbeat. */
-  #arePeersDirty = false;
-  #pendingFrom: number | undefined;
-  #pendingSnapshot: { info: SnapshotInfo; data: Uint8Array } | undefined;
-  #restore: { info: SnapshotInfo; data: Uint8Array } | undefined;
-  #sequence = 0;
-  #inWrite: {
-    sequence: number;
-    held: Envelope[];
-    term: number;
-    lastIndex: number;
-    lastTerm: number;
-    restore: { info: SnapshotInfo; data: Uint8Array } | undefined;
-  } | undefined;
+  readonly #writes = new WriteBuffer();
 
   /**
    * @param state What the data folder holds.
@@ -132,28 +87,48 @@
   constructor(state: PersistedState, options: CoreOptions) {
     this.identity = state.identity;
     this.#address = options.address;
-    this.#initialMembers = options.initialMembers;
     this.#random = options.random;
     this.#timing = options.timing ?? defaultTiming;
     this.#now = options.time.monotonicMilliseconds;
     this.#wall = options.time.wallMilliseconds;
-    this.#startedAt = this.#now;
     this.#hardState = state.hardState;
     this.#snapshot = state.snapshot;
     this.#log = new EntryLog(state.snapshot, state.entries);
-    this.#peers = new Map(state.peers);
+    this.#peers = new PeerBook(state.peers);
     this.#commitIndex = state.snapshot.index;
     this.#deliveredIndex = state.snapshot.index;
     this.#durableIndex = this.#log.lastIndex;
     this.#heardLeaderAt = this.#now;
-    this.#startState = {
-      term: state.hardState.term,
-      lastTerm: this.#log.lastTerm,
-      lastIndex: this.#log.lastIndex,
-    };
-    // An identity that was made in this start has no past to fall behind.
-    this.#isConfirmed = state.hardState.groupId === "" &&
-      state.identity.bootCount === 1;
+    this.#founding = new GroupFounding({
+      identity: state.identity,
+      address: options.address,
+      initialMembers: options.initialMembers,
+      helloMilliseconds: this.#timing.isolationMilliseconds,
+    });
+    this.#confirmation = new StartConfirmation({
+      start: {
+        term: state.hardState.term,
+        lastTerm: this.#log.lastTerm,
+        lastIndex: this.#log.lastIndex,
+      },
+      isNewIdentity: state.hardState.groupId === "" &&
+        state.identity.bootCount === 1,
+      nowMilliseconds: this.#now,
+      waitMilliseconds: this.#timing.confirmationMilliseconds,
+    });
+    this.#replication = new Replication({
+      ownId: state.identity.id,
+      log: this.#log,
+      getState: () => ({
+        now: this.#now,
+        members: this.members,
+        snapshot: this.#snapshot,
+        durableIndex: this.#durableIndex,
+        commitIndex: this.#commitIndex,
+        round: this.#round,
+      }),
+      send: (to, message) => this.#send(to, message),
+    });
     this.#resetElectionTimer();
     this.#updateConfirmation();
   }
@@ -203,7 +178,7 @@
     if (!isVoter(this.members, this.identity.id)) {
       return "non-voter";
     }
-    if (!this.#isConfirmed) {
+    if (!this.#confirmation.isConfirmed) {
       return "recovering";
     }
     return this.#role === "follower" ? "follower" : "candidate";
@@ -215,7 +190,7 @@
    */
   isIsolated(nowMilliseconds: number): boolean {
     const heardAt = this.#role === "leader"
-      ? Math.max(this.#getMajorityHeardAt(), this.#leaderSince)
+      ? Math.max(this.#replication.getMajorityHeardAt(), this.#leaderSince)
       : this.#heardLeaderAt;
     return nowMilliseconds - heardAt > this.#timing.isolationMilliseconds;
   }
@@ -223,7 +198,7 @@
   /** Gets how far each member is, as known to a leader. */
   getMatchIndexes(): ReadonlyMap<string, number> {
     const indexes = new Map<string, number>();
-    for (const [id, progress] of this.#progress) {
+    for (const [id, progress] of this.#replication.getEntries()) {
       indexes.set(id, progress.matchIndex);
     }
     indexes.set(this.identity.id, this.#durableIndex);
@@ -237,7 +212,9 @@
    */
   getSilences(nowMilliseconds: number): ReadonlyMap<string, number> {
     const silences = new Map<string, number>();
-    for (const [id, { heardAtMilliseconds }] of this.#progress) {
+    for (
+      const [id, { heardAtMilliseconds }] of this.#replication.getEntries()
+    ) {
       const since = Math.max(heardAtMilliseconds, this.#leaderSince);
       silences.set(id, nowMilliseconds - since);
     }
@@ -268,11 +245,8 @@
     ) {
       this.#startPreVote();
     }
-    for (const [token, deadline] of this.#forwardedReads) {
-      if (this.#now >= deadline) {
-        this.#forwardedReads.delete(token);
-        this.#events.push({ kind: "readFailed", token });
-      }
+    for (const token of this.#reads.takeExpired(this.#now)) {
+      this.#events.push({ kind: "readFailed", token });
     }
   }
 
@@ -315,14 +289,14 @@
     const changed = applyMemberChange(
       this.members,
       change,
-      (id) => this.#hasCaughtUp(id),
+      (id) => this.#replication.hasCaughtUp(id, this.#firstIndexOfTerm),
     );
     if (changed.kind === "error") {
       return refuse(changed.error);
     }
     const members = changed.value;
     const index = this.#appendOwn({ kind: "members", members });
-    this.#updateProgressMembers();
+    this.#replication.updateMembers();
     return { kind: "appended", index, term: this.term };
   }
 
@@ -336,7 +310,7 @@
     } else if (this.#leader === undefined) {
       this.#events.push({ kind: "readFailed", token });
     } else {
-      this.#forwardedReads.set(token, this.#now + resendMilliseconds);
+      this.#reads.addForwarded(token, this.#now + forwardedReadMilliseconds);
       this.#send(this.#leader, { kind: "readRequest", token });
     }
   }
@@ -355,7 +329,7 @@
     }
     const info = this.#log.describeSnapshot(index);
     this.#snapshot = info;
-    this.#pendingSnapshot = { info, data: options.data };
+    this.#writes.addSnapshot({ info, data: options.data });
     this.#log.discardTo(Math.max(0, index - options.keepEntries));
   }
 
@@ -371,10 +345,7 @@
     }
     if (this.groupId === "") {
       if (message.kind === "hello") {
-        this.#hellos.set(envelope.fromAddress, {
-          id: envelope.fromId,
-          at: this.#now,
-        });
+        this.#founding.onHello(envelope, this.#now);
       }
       return;
     }
@@ -408,7 +379,7 @@
       case "readRequest":
         return this.#onReadRequest(envelope, message.token);
       case "readResponse":
-        if (this.#forwardedReads.delete(message.token)) {
+        if (this.#reads.removeForwarded(message.token)) {
           this.#events.push(
             message.isConfirmed
               ? { kind: "read", token: message.token, index: message.index }
@@ -421,15 +392,11 @@
 
   /** Takes in that a write is durable. */
   onStored(sequence: number): void {
-    const write = this.#inWrite;
-    if (write === undefined || write.sequence !== sequence) {
-      throw new Error(`Write ${sequence} was not requested`);
-    }
-    this.#inWrite = undefined;
+    const write = this.#writes.finishOrThrow(sequence);
     if (this.#log.getTerm(write.lastIndex) === write.lastTerm) {
       this.#durableIndex = Math.max(
         this.#snapshot.index,
-        Math.min(write.lastIndex, (this.#pendingFrom ?? Infinity) - 1),
+        Math.min(write.lastIndex, (this.#writes.from ?? Infinity) - 1),
       );
     }
     if (write.restore !== undefined) {
@@ -460,20 +427,15 @@
   /** Takes the messages that may be sent now. */
   takeMessages(): Envelope[] {
     if (this.#role === "leader") {
-      for (const member of this.members) {
-        this.#replicate(member);
-      }
+      this.#replication.replicate();
       if (this.#isRoundDue) {
         this.#round++;
-        this.#sendHeartbeats();
+        this.#replication.sendHeartbeats();
         this.#completeReads();
       }
     }
     this.#isRoundDue = false;
-    if (!this.#hasPendingWrite() && this.#inWrite === undefined) {
-      this.#messages.push(...this.#held);
-      this.#held = [];
-    }
+    this.#messages.push(...this.#writes.takeHeld(this.#peers));
     const messages = this.#messages;
     this.#messages = [];
     return messages;
@@ -488,56 +450,25 @@
 
   /** Takes the next write; none while one is under way. */
   takeStorageRequest(): StorageRequest | undefined {
-    if (this.#inWrite !== undefined || !this.#hasPendingWrite()) {
-      return undefined;
-    }
-    const sequence = ++this.#sequence;
-    const snapshot = this.#pendingSnapshot;
-    const from = snapshot !== undefined
-      ? this.#log.baseIndex + 1
-      : this.#pendingFrom;
-    const entries = from === undefined ? [] : this.#log.getEntries(from);
-    const request: StorageRequest = {
-      sequence,
-      entries,
-      ...(this.#pendingHardState ? { hardState: this.#hardState } : {}),
-      ...(snapshot === undefined ? {} : { snapshot }),
-      ...(this.#pendingPeers || this.#arePeersDirty || snapshot !== undefined
-        ? { peers: new Map(this.#peers) }
-        : {}),
-    };
-    this.#inWrite = {
-      sequence,
-      held: this.#held,
-      term: this.term,
+    return this.#writes.take({
+      hardState: this.#hardState,
+      peers: this.#peers,
       lastIndex: this.#log.lastIndex,
       lastTerm: this.#log.lastTerm,
-      restore: this.#restore,
-    };
-    this.#held = [];
-    this.#pendingHardState = false;
-    this.#pendingPeers = false;
-    this.#arePeersDirty = false;
-    this.#pendingFrom = undefined;
-    this.#pendingSnapshot = undefined;
-    this.#restore = undefined;
-    return request;
+      baseIndex: this.#log.baseIndex,
+      getEntries: (from) => this.#log.getEntries(from),
+    });
   }
 
   // --- Terms and roles ---
 
-  #hasPendingWrite(): boolean {
-    return this.#pendingHardState || this.#pendingFrom !== undefined ||
-      this.#pendingSnapshot !== undefined || this.#pendingPeers;
-  }
-
   #setHardState(change: Partial<HardState>): void {
     this.#hardState = { ...this.#hardState, ...change };
-    this.#pendingHardState = true;
+    this.#writes.addHardState();
   }
 
   #canVote(): boolean {
-    return this.#isConfirmed && !this.#hardState.isRegressed;
+    return this.#confirmation.isConfirmed && !this.#hardState.isRegressed;
   }
 
   #resetElectionTimer(): void {
@@ -595,16 +526,13 @@
     const wasLeader = this.#role === "leader";
     if (term > this.term) {
       this.#setHardState({ term, votedFor: "" });
-      this.#incoming = undefined;
+      this.#incoming.clear();
     }
     this.#role = "follower";
     this.#leader = leader;
     if (wasLeader) {
-      for (const read of this.#reads) {
-        this.#failRead(read);
-      }
-      this.#reads = [];
-      this.#progress.clear();
+      this.#reads.takeAll().forEach((read) => this.#failRead(read));
+      this.#replication.clear();
       this.#resetElectionTimer();
       this.#events.push({ kind: "leadershipLost" });
     }
@@ -695,7 +623,7 @@
     const { votedFor } = this.#hardState;
     // A vote of the start's term that is not on the disk may have been given
     // before the disk went back, so a new one could be the second.
-    const isFree = votedFor === "" && this.term > this.#startState.term;
+    const isFree = votedFor === "" && this.term > this.#confirmation.start.term;
     const isGranted = this.#canVote() && this.#role !== "leader" &&
       (isFree || votedFor === envelope.fromId) &&
       this.#isUpToDate(message) &&
@@ -735,9 +663,9 @@
     this.#role = "leader";
     this.#leader = { id: this.identity.id, address: this.#address };
     this.#leaderSince = this.#now;
-    this.#progress.clear();
-    this.#reads = [];
-    this.#updateProgressMembers();
+    this.#replication.clear();
+    this.#reads.takeAll();
+    this.#replication.updateMembers();
     this.#firstIndexOfTerm = this.#appendOwn({ kind: "empty" });
     this.#nextHeartbeatAt = this.#now;
     this.#events.push({
@@ -754,13 +682,6 @@
     );
   }
 
-  #hasCaughtUp(id: string): boolean {
-    const progress = this.#progress.get(id);
-    return progress !== undefined && progress.isTrusted &&
-      progress.matchIndex + promotionDistance >= this.#log.lastIndex &&
-      progress.matchIndex >= this.#firstIndexOfTerm;
-  }
-
   // --- Messages ---
 
   #senderOf(envelope: Envelope): { id: string; address: string } {
@@ -803,7 +724,7 @@
     },
     message: ConsensusMessage,
   ): void {
-    this.#held.push(this.#createEnvelope(to, message, this.term));
+    this.#writes.hold(this.#createEnvelope(to, message, this.term));
   }
 
   // --- Leader ---
@@ -816,48 +737,14 @@
       timeMilliseconds: Math.max(this.#wall, this.#log.lastTimeMilliseconds),
       content,
     }]);
-    this.#pendingFrom = Math.min(this.#pendingFrom ?? index, index);
+    this.#writes.addEntries(index);
     return index;
   }
 
-  #updateProgressMembers(): void {
-    const ids = new Set(this.members.map((each) => each.id));
-    for (const id of this.#progress.keys()) {
-      if (!ids.has(id)) {
-        this.#progress.delete(id);
-      }
-    }
-    for (const id of ids) {
-      if (id !== this.identity.id && !this.#progress.has(id)) {
-        this.#progress.set(
-          id,
-          createProgress(this.#log.lastIndex + 1, this.#now),
-        );
-      }
-    }
-  }
-
-  /** Gets the time since which a majority, itself included, was heard. */
-  #getMajorityHeardAt(): number {
-    return this.#getMajorityValue((id) => {
-      if (id === this.identity.id) {
-        return this.#now;
-      }
-      const progress = this.#progress.get(id);
-      return progress?.isTrusted ? progress.heardAtMilliseconds : -Infinity;
-    });
-  }
-
-  /** Gets the highest value that a majority of the voters reached. */
-  #getMajorityValue(getValue: (id: string) => number): number {
-    const values = this.members.filter((each) => each.isVoter)
-      .map((each) => getValue(each.id)).sort((a, b) => b - a);
-    return values[getMajority(this.members) - 1] ?? -Infinity;
-  }
-
   #tickLeader(): void {
     if (
-      this.#now - Math.max(this.#getMajorityHeardAt(), this.#leaderSince) >
+      this.#now -
+          Math.max(this.#replication.getMajorityHeardAt(), this.#leaderSince) >
         this.#timing.isolationMilliseconds
     ) {
       this.#events.push({
@@ -872,102 +759,8 @@
       return;
     }
     this.#nextHeartbeatAt = this.#now + this.#timing.heartbeatMilliseconds;
-    this.#pendingPeers ||= this.#arePeersDirty;
-    this.#sendHeartbeats();
-  }
-
-  #sendHeartbeats(): void {
-    for (const member of this.members) {
-      const progress = this.#progress.get(member.id);
-      if (progress !== undefined) {
-        this.#sendHeartbeat(member, progress);
-      }
-    }
-  }
-
-  #sendHeartbeat(member: Member, progress: Progress): void {
-    const isStuck = this.#now - progress.advancedAtMilliseconds >
-      resendMilliseconds;
-    if (
-      isStuck && progress.mode === "replicate" && progress.inFlight.length > 0
-    ) {
-      progress.mode = "probe";
-      progress.nextIndex = progress.matchIndex + 1;
-      progress.inFlight = [];
-      progress.advancedAtMilliseconds = this.#now;
-    }
-    if (progress.mode === "snapshot") {
-      this.#sendAppend(member, { from: 1, entries: [] });
-      if (isStuck) {
-        this.#sendSnapshotChunk(member, progress);
-      }
-      return;
-    }
-    if (progress.mode === "probe") {
-      progress.inFlight = [];
-      this.#replicate(member);
-      return;
-    }
-    this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
-  }
-
-  /** Sends what a member lacks, as far as its mode allows. */
-  #replicate(member: Member): void {
-    const progress = this.#progress.get(member.id);
-    if (progress === undefined || progress.mode === "snapshot") {
-      return;
-    }
-    if (progress.nextIndex <= this.#log.baseIndex) {
-      progress.mode = "snapshot";
-      progress.snapshotIndex = this.#snapshot.index;
-      progress.snapshotOffset = 0;
-      progress.inFlight = [];
-      this.#sendSnapshotChunk(member, progress);
-      return;
-    }
-    if (progress.mode === "probe") {
-      // A probe is empty: the member may lack what precedes the entries, or
-      // be unable to take them at all.
-      if (progress.inFlight.length === 0) {
-        this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
-        progress.inFlight.push(progress.nextIndex - 1);
-      }
-      return;
-    }
-    while (
-      progress.inFlight.length < maximumInFlight &&
-      progress.nextIndex <= this.#durableIndex
-    ) {
-      // Members remember what they were sent as a promise of this leader, so
-      // an entry that a crash could take away must not be sent.
-      const entries = this.#log.getEntries(progress.nextIndex, {
-        to: this.#durableIndex,
-        maximumBytes: maximumAppendBytes,
-      });
-      this.#sendAppend(member, { from: progress.nextIndex, entries });
-      if (progress.inFlight.length === 0) {
-        progress.advancedAtMilliseconds = this.#now;
-      }
-      progress.nextIndex += entries.length;
-      progress.inFlight.push(progress.nextIndex - 1);
-    }
-  }
-
-  #sendAppend(
-    member: Member,
-    options: { from: number; entries: readonly LogEntry[] },
-  ): void {
-    const previousIndex = options.from - 1;
-    this.#send(member, {
-      kind: "append",
-      previousIndex,
-      previousTerm: previousIndex === 0
-        ? 0
-        : this.#log.getTerm(previousIndex) ?? 0,
-      entries: options.entries,
-      commitIndex: this.#commitIndex,
-      round: this.#round,
-    });
+    this.#peers.makeDue();
+    this.#replication.sendHeartbeats();
   }
 
   #onAppendResponse(
@@ -986,18 +779,11 @@
     progress.round = Math.max(progress.round, message.round);
     this.#completeReads();
     if (message.isSuccess) {
-      this.#advanceProgress(envelope, progress, message.index);
-      if (progress.mode === "probe") {
-        progress.mode = "replicate";
-        progress.inFlight = [];
-        progress.nextIndex = progress.matchIndex + 1;
-      }
-    } else if (
-      progress.mode !== "snapshot" && message.index + 1 < progress.nextIndex
-    ) {
-      progress.mode = "probe";
-      progress.inFlight = [];
-      progress.nextIndex = Math.max(progress.matchIndex, message.index) + 1;
+      this.#rememberAcknowledged(envelope, progress, message.index);
+    }
+    this.#replication.onAppendResponse(progress, message);
+    if (message.isSuccess) {
+      this.#advanceCommit();
     }
   }
 
@@ -1006,17 +792,18 @@
     envelope: Envelope,
     canVote: boolean,
   ): Progress | undefined {
-    const progress = this.#progress.get(envelope.fromId);
+    const progress = this.#replication.get(envelope.fromId);
     if (this.#role !== "leader" || progress === undefined) {
       return undefined;
     }
     progress.heardAtMilliseconds = this.#now;
     progress.isTrusted = canVote &&
-      this.#knowsStart(envelope);
+      this.#peers.knowsStart(envelope);
     return progress;
   }
 
-  #advanceProgress(
+  /** Keeps that a member acknowledged the entries up to an index. */
+  #rememberAcknowledged(
     envelope: Envelope,
     progress: Progress,
     index: number,
@@ -1030,23 +817,10 @@
         lastTerm === undefined ? emptyPosition : { lastTerm, lastIndex: index },
       );
     }
-    if (index > progress.matchIndex) {
-      progress.matchIndex = index;
-      progress.advancedAtMilliseconds = this.#now;
-    }
-    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
-    progress.inFlight = progress.inFlight.filter((last) => last > index);
-    this.#advanceCommit();
   }
 
   #advanceCommit(): void {
-    const index = this.#getMajorityValue((id) => {
-      if (id === this.identity.id) {
-        return this.#durableIndex;
-      }
-      const progress = this.#progress.get(id);
-      return progress?.isTrusted ? progress.matchIndex : 0;
-    });
+    const index = this.#replication.getMajorityIndex();
     if (
       index > this.#commitIndex && this.#log.getTerm(index) === this.term
     ) {
@@ -1066,7 +840,7 @@
   }
 
   #deliverCommitted(): void {
-    if (this.#restore !== undefined || this.#inWrite?.restore !== undefined) {
+    if (this.#writes.isRestoring) {
       return;
     }
     if (this.#commitIndex > this.#deliveredIndex) {
@@ -1098,7 +872,7 @@
         isSuccess,
         index,
         round: message.round,
-        canVote: this.#canVote() && this.#knowsStart(envelope),
+        canVote: this.#canVote() && this.#peers.knowsStart(envelope),
       });
     let { previousIndex, previousTerm, entries } = message;
     // Entries up to the base are committed and in a snapshot.
@@ -1126,7 +900,7 @@
       }
       this.#log.truncateFrom(first.index);
       this.#log.append(added);
-      this.#pendingFrom = Math.min(this.#pendingFrom ?? Infinity, first.index);
+      this.#writes.addEntries(first.index);
       this.#durableIndex = Math.min(this.#durableIndex, first.index - 1);
       this.#updateConfirmation();
     }
@@ -1158,21 +932,6 @@
 
   // --- Snapshots ---
 
-  #sendSnapshotChunk(member: Member, progress: Progress): void {
-    if (progress.snapshotIndex !== this.#snapshot.index) {
-      progress.snapshotIndex = this.#snapshot.index;
-      progress.snapshotOffset = 0;
-    }
-    progress.advancedAtMilliseconds = this.#now;
-    this.#send(member, {
-      kind: "snapshotChunk",
-      info: this.#snapshot,
-      offset: progress.snapshotOffset,
-      data: new Uint8Array(),
-      isLast: false,
-    });
-  }
-
   #onSnapshotChunk(
     envelope: Envelope,
     message: Extract<ConsensusMessage, { kind: "snapshotChunk" }>,
@@ -1185,38 +944,26 @@
         index: info.index,
         nextOffset,
         isInstalled,
-        canVote: this.#canVote() && this.#knowsStart(envelope),
+        canVote: this.#canVote() && this.#peers.knowsStart(envelope),
       });
     if (info.index <= this.#commitIndex) {
       return respond(0, true);
     }
-    if (this.#incoming?.info.index !== info.index || message.offset === 0) {
-      this.#incoming = { info, chunks: [], size: 0 };
-    }
-    const incoming = this.#incoming;
-    if (message.offset !== incoming.size) {
-      return respond(incoming.size, false);
+    const { nextOffset, data } = this.#incoming.add(message);
+    if (data === undefined) {
+      return respond(nextOffset, false);
     }
-    incoming.chunks.push(message.data);
-    incoming.size += message.data.length;
-    if (!message.isLast) {
-      return respond(incoming.size, false);
-    }
-    const data = Buffer.concat(incoming.chunks);
-    this.#incoming = undefined;
     this.#log.reset(info);
     this.#snapshot = info;
     this.#commitIndex = info.index;
     this.#durableIndex = info.index;
-    this.#pendingSnapshot = { info, data };
-    this.#pendingFrom = undefined;
-    this.#restore = { info, data };
+    this.#writes.addRestore({ info, data });
     this.#rememberNow(envelope, {
       lastTerm: info.term,
       lastIndex: info.index,
     });
     this.#updateConfirmation();
-    respond(incoming.size, true);
+    respond(nextOffset, true);
   }
 
   #onSnapshotResponse(
@@ -1232,23 +979,19 @@
       return;
     }
     if (message.isInstalled) {
-      progress.mode = "probe";
-      this.#advanceProgress(envelope, progress, message.index);
-      progress.nextIndex = progress.matchIndex + 1;
-      return;
-    }
-    if (message.nextOffset !== progress.snapshotOffset) {
-      progress.snapshotOffset = message.nextOffset;
-      this.#sendSnapshotChunk(member, progress);
+      this.#rememberAcknowledged(envelope, progress, message.index);
+      this.#replication.onSnapshotInstalled(progress, message.index);
+      this.#advanceCommit();
+    } else {
+      const { nextOffset } = message;
+      this.#replication.sendSnapshotFrom(member, progress, nextOffset);
     }
   }
 
   // --- Reads ---
 
-  #startRead(
-    read: { token: number; fromId: string; fromAddress: string },
-  ): void {
-    this.#reads.push({
+  #startRead(read: ReadOrigin): void {
+    this.#reads.add({
       ...read,
       // Until an entry of this term is committed, earlier leaders may have
       // committed more than this one knows.
@@ -1268,21 +1011,13 @@
   }
 
   #completeReads(): void {
-    if (
-      this.#reads.length === 0 || this.#commitIndex < this.#firstIndexOfTerm
-    ) {
+    if (this.#reads.isEmpty || this.#commitIndex < this.#firstIndexOfTerm) {
       return;
     }
-    const round = this.#getMajorityValue((id) => {
-      if (id === this.identity.id) {
-        return Infinity;
-      }
-      const progress = this.#progress.get(id);
-      return progress?.isTrusted ? progress.round : 0;
-    });
-    const done = this.#reads.filter((each) => each.round <= round);
-    this.#reads = this.#reads.filter((each) => each.round > round);
-    for (const { token, fromId, fromAddress, index } of done) {
+    const round = this.#replication.getMajorityRound();
+    for (
+      const { token, fromId, fromAddress, index } of this.#reads.takeDone(round)
+    ) {
       if (fromId === "") {
         this.#events.push({ kind: "read", token, index });
       } else {
@@ -1296,9 +1031,7 @@
     }
   }
 
-  #failRead(
-    read: { token: number; fromId: string; fromAddress: string },
-  ): void {
+  #failRead(read: ReadOrigin): void {
     if (read.fromId === "") {
       this.#events.push({ kind: "readFailed", token: read.token });
       return;
@@ -1315,16 +1048,7 @@
 
   /** Keeps what a peer promised; false when its start is not confirmed here. */
   #remember(envelope: Envelope, position: LogPosition): boolean {
-    const memory = this.#peers.get(envelope.fromId);
-    if (memory === undefined || !this.#knowsStart(envelope)) {
-      return false;
-    }
-    const advanced = advanceMemory(memory, { term: this.term, ...position });
-    if (advanced !== memory) {
-      this.#peers.set(envelope.fromId, advanced);
-      this.#arePeersDirty = true;
-    }
-    return true;
+    return this.#peers.remember(envelope, { term: this.term, ...position });
   }
 
   /**
@@ -1333,21 +1057,19 @@
    */
   #rememberNow(envelope: Envelope, position: LogPosition): boolean {
     const isKnown = this.#remember(envelope, position);
-    this.#pendingPeers ||= this.#arePeersDirty;
+    this.#peers.makeDue();
     return isKnown;
   }
 
-  /** Reports whether promises of this start of the sender can be kept. */
-  #knowsStart(envelope: Envelope): boolean {
-    return this.#peers.get(envelope.fromId)?.bootId === envelope.fromBootId;
-  }
-
   #tickConfirmation(): void {
     this.#updateConfirmation();
-    if (this.#now < this.#nextConfirmAt || this.#hardState.isRegressed) {
+    const { heartbeatMilliseconds } = this.#timing;
+    if (
+      this.#hardState.isRegressed ||
+      !this.#confirmation.takeQuestion(this.#now, heartbeatMilliseconds)
+    ) {
       return;
     }
-    this.#nextConfirmAt = this.#now + this.#timing.heartbeatMilliseconds;
     // Non-voters too: one that does not know this start cannot be promoted by
     // this instance as leader.
     for (const member of this.members) {
@@ -1366,69 +1088,73 @@
    * candidates and leaders count only starts that they confirmed themselves.
    */
   #askConfirmation(peer: { id: string; address: string }): void {
-    if (!this.#confirmations.has(peer.id)) {
+    if (!this.#confirmation.has(peer.id)) {
+      const { start } = this.#confirmation;
       this.#send(peer, {
         kind: "confirmRequest",
         bootCount: this.identity.bootCount,
-        startTerm: this.#startState.term,
-        startLastIndex: this.#startState.lastIndex,
-        startLastTerm: this.#startState.lastTerm,
+        startTerm: start.term,
+        startLastIndex: start.lastIndex,
+        startLastTerm: start.lastTerm,
       });
     }
   }
 
   #updateConfirmation(): void {
-    if (this.#isConfirmed || this.groupId === "") {
+    if (this.groupId === "") {
       return;
     }
-    const others = this.#otherVoters();
-    const self = isVoter(this.members, this.identity.id) ? 1 : 0;
-    const confirmed =
-      others.filter((each) => this.#confirmations.has(each.id)).length;
-    const hasWaited = this.#now - this.#startedAt >=
-      this.#timing.confirmationMilliseconds;
-    // Only the leader that counted an acknowledgement remembers it. A copied
-    // folder may be older than that, so it needs the confirmation of every voter.
     const { isMoved } = this.#hardState;
-    if (
-      confirmed + self >= getMajority(this.members) &&
-      (confirmed === others.length || (hasWaited && !isMoved))
-    ) {
-      this.#isConfirmed = true;
-      if (isMoved) {
-        this.#setHardState({ isMoved: false });
-      }
-      this.#events.push({
-        kind: "notice",
-        text: "start confirmed",
-        detail: `by ${confirmed} of ${others.length} other voters`,
-      });
-      if (others.length === 0) {
-        this.#electionAt = this.#now;
-      }
+    const decided = this.#confirmation.decide({
+      members: this.members,
+      ownId: this.identity.id,
+      isMoved,
+      nowMilliseconds: this.#now,
+    });
+    if (decided === undefined) {
+      return;
+    }
+    if (isMoved) {
+      this.#setHardState({ isMoved: false });
+    }
+    this.#events.push({
+      kind: "notice",
+      text: "start confirmed",
+      detail: `by ${decided.confirmed} of ${decided.others} other voters`,
+    });
+    if (decided.others === 0) {
+      this.#electionAt = this.#now;
+    } else if (decided.confirmed === decided.others) {
+      this.#hurryElection();
     }
   }
 
+  /**
+   * All voters are there. A leader among them is heard within a heartbeat, and
+   * without one there is no reason to wait for the election timeout.
+   */
+  #hurryElection(): void {
+    const { heartbeatMilliseconds } = this.#timing;
+    this.#electionAt = Math.min(
+      this.#electionAt,
+      this.#now + heartbeatMilliseconds * (1 + this.#random()),
+    );
+  }
+
   #onConfirmRequest(
     envelope: Envelope,
     message: Extract<ConsensusMessage, { kind: "confirmRequest" }>,
   ): void {
-    const known = this.#peers.get(envelope.fromId);
     // A member that this instance has not heard of yet is judged like any
     // other: its vote counts only where it is known as a voter, and refusing
     // it here could leave a group without a majority of confirmed starts.
-    const { verdict, reason, memory } = judgeStart(known, {
+    const { verdict, reason } = this.#peers.judge(envelope.fromId, {
       bootCount: message.bootCount,
       bootId: envelope.fromBootId,
       term: message.startTerm,
       lastIndex: message.startLastIndex,
       lastTerm: message.startLastTerm,
-    });
-    if (memory !== known) {
-      this.#forgetFormerMembers();
-      this.#peers.set(envelope.fromId, memory);
-      this.#pendingPeers = true;
-    }
+    }, (id) => this.#isMember(id));
     this.#hold(envelope, {
       kind: "confirmResponse",
       bootId: envelope.fromBootId,
@@ -1437,15 +1163,8 @@
     });
   }
 
-  #forgetFormerMembers(): void {
-    if (this.#peers.size < maximumPeers) {
-      return;
-    }
-    for (const id of this.#peers.keys()) {
-      if (!this.members.some((each) => each.id === id)) {
-        this.#peers.delete(id);
-      }
-    }
+  #isMember(id: string): boolean {
+    return this.members.some((each) => each.id === id);
   }
 
   #onConfirmResponse(
@@ -1467,61 +1186,38 @@
       }
       return;
     }
-    this.#confirmations.add(envelope.fromId);
+    this.#confirmation.add(envelope.fromId);
     this.#updateConfirmation();
   }
 
   // --- Forming a group ---
 
   #tickUnformed(): void {
-    if (this.#initialMembers.length === 0 || this.#isMembershipDenied) {
+    if (this.#isMembershipDenied) {
       return;
     }
     if (this.#now >= this.#nextHeartbeatAt) {
       this.#nextHeartbeatAt = this.#now + this.#timing.heartbeatMilliseconds;
-      for (const address of this.#initialMembers) {
-        if (address !== this.#address) {
-          this.#send({ id: "", address }, { kind: "hello" });
-        }
+      for (const address of this.#founding.getOtherAddresses()) {
+        this.#send({ id: "", address }, { kind: "hello" });
       }
     }
-    if (this.#initialMembers[0] !== this.#address) {
-      return;
-    }
-    const members: Member[] = [];
-    for (const address of this.#initialMembers) {
-      const hello = this.#hellos.get(address);
-      const isRecent = hello !== undefined &&
-        this.#now - hello.at < this.#timing.isolationMilliseconds;
-      if (address !== this.#address && !isRecent) {
-        return;
-      }
-      members.push({
-        id: address === this.#address ? this.identity.id : hello?.id ?? "",
-        address,
-        isVoter: true,
+    const members = this.#founding.getMembers(this.#now);
+    if (members !== undefined) {
+      this.#join(createGroupId(this.#random), {
+        index: 1,
+        term: 1,
+        timeMilliseconds: this.#wall,
+        content: { kind: "members", members },
       });
     }
-    this.#join(this.#createGroupId(), {
-      index: 1,
-      term: 1,
-      timeMilliseconds: this.#wall,
-      content: { kind: "members", members },
-    });
-  }
-
-  #createGroupId(): string {
-    return Array.from(
-      { length: 16 },
-      () => Math.floor(this.#random() * 16).toString(16),
-    ).join("");
   }
 
   #join(groupId: string, firstEntry: LogEntry | undefined): void {
     this.#setHardState({ groupId, term: Math.max(this.term, 1) });
     if (firstEntry !== undefined) {
       this.#log.append([firstEntry]);
-      this.#pendingFrom = 1;
+      this.#writes.addEntries(1);
     }
     this.#heardLeaderAt = this.#now;
     this.#resetElectionTimer();
@@ -1569,7 +1265,7 @@
   }
 
   #onHello(envelope: Envelope): void {
-    const isMember = this.members.some((each) => each.id === envelope.fromId);
+    const isMember = this.#isMember(envelope.fromId);
     const firstEntry = this.#log.getEntry(1);
     this.#hold(envelope, {
       kind: "helloResponse",
