Log messages to control that are dropped; share setups of tests

Cause: a node without control that keeps more than 1000 crash reports and clearances dropped the oldest one without a log line. Two tests of cancelled calls and two of moves repeated their setups.

Change: each drop is logged with the kind of the message.

Before: the new check of the test has no value to count.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -640,7 +640,13 @@
   }
 
   #sendConfirmed(message: NodeMessage["message"]): void {
-    this.#unconfirmed.add(message, this.#renewSequence + 1);
+    const dropped = this.#unconfirmed.add(message, this.#renewSequence + 1);
+    if (dropped !== undefined) {
+      this.#options.log?.warn("unconfirmed message dropped", {
+        message: dropped.$case,
+        reason: "too many wait for an answer of control",
+      });
+    }
     this.#current?.send(message);
   }
 }
--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -64,6 +64,18 @@
   return nodes;
 }
 
+/** Starts two instances; nodes go to the first one, which can go silent. */
+async function startBehindProxy() {
+  const instances = await startControl(2, { graceMilliseconds: 5000 });
+  const [first, second] = instances;
+  assert.ok(first !== undefined && second !== undefined);
+  const proxy = new TcpProxy(first.address);
+  await proxy.listen();
+  cleanUps.push(() => proxy.close());
+  second.setAvailability("stopping");
+  return { first, second, proxy };
+}
+
 // Guards against targets that vanish while the nodes of an instance move.
 test("no view loses a target when an instance is lost", async () => {
   const instances = await startControl(3);
@@ -96,13 +108,7 @@
 });
 
 test("a node leaves an instance whose connection is silent", async () => {
-  const instances = await startControl(2, { graceMilliseconds: 5000 });
-  const [first, second] = instances;
-  assert.ok(first !== undefined && second !== undefined);
-  const proxy = new TcpProxy(first.address);
-  await proxy.listen();
-  cleanUps.push(() => proxy.close());
-  second.setAvailability("stopping");
+  const { first, second, proxy } = await startBehindProxy();
   const node = startNode([proxy.address, second.address], "n1");
   node.announce("ready");
   await waitUntil(
@@ -153,13 +159,7 @@
 // A node tried the frozen instance again first, and waited 700 ms for it before
 // it asked another one. A new manifest came too late.
 test("a node tries the instance that it lost last", async () => {
-  const instances = await startControl(2, { graceMilliseconds: 5000 });
-  const [first, second] = instances;
-  assert.ok(first !== undefined && second !== undefined);
-  const proxy = new TcpProxy(first.address);
-  await proxy.listen();
-  cleanUps.push(() => proxy.close());
-  second.setAvailability("stopping");
+  const { second, proxy } = await startBehindProxy();
   const options = {
     // Leaves the addresses in their order.
     random: () => 0,
--- a/src/control_client/unconfirmed_messages.ts
+++ b/src/control_client/unconfirmed_messages.ts
@@ -14,12 +14,16 @@
    * Keeps a message; the oldest is dropped when there are too many.
    * @param message The message.
    * @param confirmedBy Sequence of the renewal whose answer confirms it.
+   * @returns The message that was dropped, if any.
    */
-  add(message: NodeMessage["message"], confirmedBy: number): void {
-    if (this.#entries.length >= maximumUnconfirmed) {
-      this.#entries.shift();
-    }
+  add(
+    message: NodeMessage["message"],
+    confirmedBy: number,
+  ): NodeMessage["message"] {
     this.#entries.push({ message, confirmedBy });
+    return this.#entries.length > maximumUnconfirmed
+      ? this.#entries.shift()?.message
+      : undefined;
   }
 
   /** Forgets what the answer to a renewal confirms. */
--- a/src/control_client/unconfirmed_messages_test.ts
+++ b/src/control_client/unconfirmed_messages_test.ts
@@ -24,9 +24,11 @@
 
 test("a node without control keeps the latest messages only", () => {
   const messages = new UnconfirmedMessages();
+  let dropped = 0;
   for (let index = 0; index < 1500; index++) {
-    messages.add(createMessage(`${index}`), 1);
+    dropped += messages.add(createMessage(`${index}`), 1) === undefined ? 0 : 1;
   }
+  assert.equal(dropped, 500, "each drop is told, so that it can be logged");
   const kept = messages.renumberAll(2);
   assert.equal(kept.length, 1000);
   assert.deepEqual(kept.at(-1), createMessage("1499"));
--- a/src/node/cancelled_parent_test.ts
+++ b/src/node/cancelled_parent_test.ts
@@ -1,23 +1,20 @@
 import assert from "node:assert/strict";
-import { createServer } from "node:http";
+import { createServer, type RequestListener } from "node:http";
 import type { AddressInfo } from "node:net";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { FakeLedger } from "../../tests/support/fake_ledger.ts";
 import { sendCall } from "../../tests/support/http_call.ts";
 import { startTestNode } from "../../tests/support/test_node.ts";
 import { waitUntil } from "../../tests/support/wait_until.ts";
+import type { NodeProcess } from "./node_process.ts";
 
-// A call with a key that was cancelled with its parent was called not-run
-// without a fence, while an earlier send of the key could still run.
-test("a keyed call that is cancelled with its parent is fenced", async (context) => {
-  const ledger = new FakeLedger();
-  const { node, outside, loopback } = await startTestNode("front-1", {
-    ledger,
-  });
-  const tokens: string[] = [];
-  const target = createServer((request) => {
-    tokens.push(String(request.headers["dogwoodwalk-request"]));
-  });
+/** Starts a target that answers nothing by itself, beside a node. */
+async function announceTarget(
+  context: TestContext,
+  { node, loopback }: { node: NodeProcess; loopback: number },
+  onRequest: RequestListener,
+): Promise<void> {
+  const target = createServer(onRequest);
   await new Promise<void>((resolve) => target.listen(0, "127.0.0.1", resolve));
   context.after(async () => {
     await node.stop({ limitMilliseconds: 0 });
@@ -31,6 +28,19 @@
     path: "/dogwoodwalk/announce",
     body: JSON.stringify({ address: `127.0.0.1:${port}`, incarnation: 1 }),
   });
+}
+
+// A call with a key that was cancelled with its parent was called not-run
+// without a fence, while an earlier send of the key could still run.
+test("a keyed call that is cancelled with its parent is fenced", async (context) => {
+  const ledger = new FakeLedger();
+  const { node, outside, loopback } = await startTestNode("front-1", {
+    ledger,
+  });
+  const tokens: string[] = [];
+  await announceTarget(context, { node, loopback }, (request) => {
+    tokens.push(String(request.headers["dogwoodwalk-request"]));
+  });
   // The four slots are taken, so the call below waits in the queue.
   const parent = new AbortController();
   for (let slot = 0; slot < 4; slot++) {
@@ -64,22 +74,10 @@
   assert.match(response.body, /not-run.*cancelled/);
 });
 
+// Guards against calls that wait in vain while another target could take them.
 test("queued calls leave a target that drains", async (context) => {
   const { node, outside, loopback } = await startTestNode("front-1");
-  const target = createServer(() => {});
-  await new Promise<void>((resolve) => target.listen(0, "127.0.0.1", resolve));
-  context.after(async () => {
-    await node.stop({ limitMilliseconds: 0 });
-    target.closeAllConnections();
-    target.close();
-  });
-  const { port } = target.address() as AddressInfo;
-  await sendCall({
-    port: loopback,
-    method: "POST",
-    path: "/dogwoodwalk/announce",
-    body: JSON.stringify({ address: `127.0.0.1:${port}`, incarnation: 1 }),
-  });
+  await announceTarget(context, { node, loopback }, () => {});
   for (let slot = 0; slot < 4; slot++) {
     sendCall({ port: outside, path: `/views/${slot}` }).catch(() => {});
   }
