Keep complete responses with surplus bytes, and end interim responses without end

Cause: invalid bytes behind a complete response make the parser of Node.js report an error on the request before the end of the response; the exchange took it for an incomplete response (502). Interim responses (1xx) were read until the deadline. Ruled out: a second whole response, or surplus bytes 30 ms later, which were handled before; heads, headers, chunk extensions, trailers and junk without end were closed already (tests added). Change: an error after the last byte of a response is ignored, since the connection is destroyed anyway; the seventeenth interim response ends the exchange.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -12,6 +12,9 @@
 /** Largest body that is streamed. */
 export const maximumStreamedBodyBytes = 1024 * 1024 * 1024;
 
+/** Maximum number of interim responses (status 1xx) before the final one. */
+const maximumInterimResponses = 16;
+
 /** A request to the local target or to another node. */
 export interface ExchangeRequest {
   readonly method: string;
@@ -78,6 +81,7 @@
   #response: IncomingMessage | undefined;
   #head: ResponseHead | undefined;
   #collector: BodyCollector | undefined;
+  #interimResponses = 0;
   #isDone = false;
   #hasBodyFailed = false;
 
@@ -100,6 +104,7 @@
       path: outgoing.path,
       headers: outgoing.headers as never,
     });
+    this.#request.on("information", this.#onInterimResponse);
     this.#request.on("response", this.#onResponse);
     this.#request.on("error", this.#onError);
     if (outgoing.source !== undefined) {
@@ -182,8 +187,19 @@
     }
   };
 
+  readonly #onInterimResponse = (): void => {
+    if (++this.#interimResponses > maximumInterimResponses) {
+      this.#fail(
+        "incomplete",
+        `more than ${maximumInterimResponses} interim responses`,
+      );
+    }
+  };
+
   readonly #onError = (error: Error & { syscall?: string }): void => {
-    if (this.#isDone) {
+    // Invalid bytes behind a complete response belong to no request. Node.js
+    // destroys the connection, and the end of the response is still reported.
+    if (this.#isDone || this.#response?.complete) {
       return;
     }
     if (this.#hasBodyFailed) {
