Outlive unexpected errors at nodes, and log them at control instances

Cause: an error that no code handled ended any process at once, without a log line. Before: no handler.

--- a/src/bin/dogwoodwalk_control.ts
+++ b/src/bin/dogwoodwalk_control.ts
@@ -2,7 +2,13 @@
 import { readFileSync } from "node:fs";
 import { Command } from "commander";
 import { readTokenFile } from "../authentication/mod.ts";
-import { createLog, createMetrics, formatFinding } from "../common/mod.ts";
+import {
+  createLog,
+  createMetrics,
+  formatFinding,
+  handleUnexpectedErrors,
+  systemClock,
+} from "../common/mod.ts";
 import { createReplicatedLog } from "../consensus/mod.ts";
 import { type RunningControl, startControl } from "../control/mod.ts";
 import { type ControlSettings, parseControlSettings } from "../settings/mod.ts";
@@ -37,6 +43,12 @@
     address: settings.statsd?.host,
     port: settings.statsd?.port,
   });
+  handleUnexpectedErrors({
+    log: eventLog,
+    metrics,
+    clock: systemClock,
+    mayContinue: false,
+  });
   const control = await startControl({
     settings,
     token: token.value,
--- a/src/bin/dogwoodwalk_node.ts
+++ b/src/bin/dogwoodwalk_node.ts
@@ -6,7 +6,13 @@
   readTokenFile,
   type Token,
 } from "../authentication/mod.ts";
-import { createLog, createMetrics, formatFinding } from "../common/mod.ts";
+import {
+  createLog,
+  createMetrics,
+  formatFinding,
+  handleUnexpectedErrors,
+  systemClock,
+} from "../common/mod.ts";
 import { parseDocument } from "../document/mod.ts";
 import { ControlLink, NodeProcess, PeerCredential } from "../node/mod.ts";
 import { type NodeSettings, parseNodeSettings } from "../settings/mod.ts";
@@ -32,13 +38,20 @@
     base: { process: "node", node: settings.nodeId },
   });
   const token = readToken(settings);
+  const metrics = createMetrics({
+    address: settings.statsd?.host,
+    port: settings.statsd?.port,
+  });
+  handleUnexpectedErrors({
+    log,
+    metrics,
+    clock: systemClock,
+    mayContinue: true,
+  });
   const node = new NodeProcess(settings, {
     log,
     peerCredential: token && new PeerCredential(token.getSecret()),
-    metrics: createMetrics({
-      address: settings.statsd?.host,
-      port: settings.statsd?.port,
-    }),
+    metrics,
   });
   if (settings.documentFile !== undefined) {
     applyDocumentFile(node, settings.documentFile);
