Answer operators' requests before a control instance stops

Cause: at SIGTERM the listener of operators closed all connections once the group had stopped, also those with a request that it had accepted; and it closed kept connections at the moment at which they were used.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -131,6 +131,17 @@
     response.once("close", () => adjustCount(-1));
   }
 
+  /**
+   * Refuses new connections, closes idle ones, and waits for the responses to
+   * requests that were accepted.
+   * @param limitMilliseconds Time after which open connections are closed.
+   */
+  async closeGracefully(limitMilliseconds: number): Promise<void> {
+    const timer = setTimeout(() => this.closeConnections(), limitMilliseconds);
+    await this.close();
+    clearTimeout(timer);
+  }
+
   /** Refuses new connections and closes the open ones. */
   async closeImmediately(): Promise<void> {
     const closed = this.close();
