Do not lower a target's limit for responses that it lost

Change: a call that breaks counts as overload only when it lasted less than half of the usual service time; a crash and a failed connection count as before.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -545,6 +545,9 @@
         outcome.serviceMilliseconds,
         now,
       );
+    } else if (outcome.kind === "broken") {
+      const { serviceMilliseconds } = outcome;
+      this.#limit.onBroken(entry.classIndex, serviceMilliseconds, now);
     } else if (outcome.kind !== "cancelled") {
       this.#limit.onOverload(now);
     } else if (
--- a/src/admission/admission_types.ts
+++ b/src/admission/admission_types.ts
@@ -35,7 +35,15 @@
 
 /** How a running call ended. */
 export interface CallOutcome {
-  readonly kind: "completed" | "shed" | "unreachable" | "cancelled";
+  readonly kind:
+    | "completed"
+    /** The target refused for lack of capacity. */
+    | "shed"
+    /** No connection could be made, or the target crashed. */
+    | "unreachable"
+    /** The request was sent, and no valid response came back. */
+    | "broken"
+    | "cancelled";
   /** Time at the target, without the time that it waited for its own calls. */
   readonly serviceMilliseconds: number;
 }
--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -25,6 +25,12 @@
  */
 const trialSuccessRatio = 0.85;
 
+/**
+ * Share of the usual service time after which a broken call counts as one that
+ * the target ran. A target with too many connections resets one at once.
+ */
+const minimumRunShare = 0.5;
+
 /** Options of a concurrency limit. */
 export interface ConcurrencyLimitOptions {
   readonly classCount: number;
@@ -94,6 +100,22 @@
     this.#closeWindowIfElapsed(nowMilliseconds);
   }
 
+  /**
+   * Records a call that got no valid response. If it lasted about as long as a
+   * complete one, the target ran it and lost the response, which says nothing
+   * about its load.
+   */
+  onBroken(
+    classIndex: number,
+    serviceMilliseconds: number,
+    nowMilliseconds: number,
+  ): void {
+    const baseline = this.#baselines[classIndex] ?? 0;
+    if (baseline === 0 || serviceMilliseconds < baseline * minimumRunShare) {
+      this.onOverload(nowMilliseconds);
+    }
+  }
+
   /** Records the service time of a completed call, without nested calls. */
   onCompleted(
     classIndex: number,
--- a/src/admission/limit_and_levels_test.ts
+++ b/src/admission/limit_and_levels_test.ts
@@ -47,6 +47,37 @@
   );
 });
 
+const brokenCalls = [
+  { name: "after the usual service time", milliseconds: 10, expected: 20 },
+  { name: "after a longer time", milliseconds: 500, expected: 20 },
+  { name: "at once", milliseconds: 1, expected: 1 },
+];
+
+// Guards against a limit that falls to 1 because a target loses some of its
+// responses, although it has room; the calls that wait behind it then fail, and
+// with them the requests that made them.
+for (const { name, milliseconds, expected } of brokenCalls) {
+  test(`a target of which every third call breaks ${name} keeps a limit of ${expected}`, () => {
+    const limit = createLimit();
+    completeCalls(limit, {
+      from: 0,
+      seconds: 1,
+      getServiceMilliseconds: getNormalServiceMilliseconds,
+      isLimitReached: false,
+    });
+    for (let i = 0; i < 400; i++) {
+      limit.onLimitReached();
+      const now = 1000 + i * 10;
+      if (i % 3 === 0) {
+        limit.onBroken(0, milliseconds, now);
+      } else {
+        limit.onCompleted(0, 10, now);
+      }
+    }
+    assert.equal(Math.min(20, limit.value), expected);
+  });
+}
+
 const slowTimes = [
   // Service times grow with the number of calls that run at once; at 20 calls,
   // a call takes ten times as long as normal.
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -269,6 +269,7 @@
     }
     const reason = error === "reset" ? "target-reset" : "answer-incomplete";
     const ranAlone = this.isSuspect;
+    const serviceMilliseconds = this.serviceTime.get(this.#now());
     this.#dispatcher.crashDetector.examine({
       fingerprint: this.getFingerprint(),
       ranAlone,
@@ -276,7 +277,10 @@
         if (this.#phase === "ended") {
           return;
         }
-        this.#end({ kind: "unreachable", serviceMilliseconds: 0 });
+        this.#end({
+          kind: hasTargetCrashed ? "unreachable" : "broken",
+          serviceMilliseconds,
+        });
         this.#fail("unknown", hasTargetCrashed ? "suspect" : reason, message);
       },
     });
