Check the lease of a target when a call is sent to it

Cause: after a pause of the process, calls that waited in its sockets are handled before the timer of the lease, so that they went to a target whose lease had ended. Ruled out: claims and documents, which are fenced by the log; link shares, which return to their floors by time. Change: the lease is compared with the clock when a call is admitted or dispatched.

--- a/src/node/announced_target.ts
+++ b/src/node/announced_target.ts
@@ -40,6 +40,7 @@
   #sequence = 0;
   #hasLease = false;
   #leaseTimer: NodeJS.Timeout | undefined;
+  #leaseEndsMilliseconds = Infinity;
 
   /** @param options Clock, lease and listener. */
   constructor(options: AnnouncedTargetOptions) {
@@ -134,6 +135,17 @@
       this.#state === "left";
   }
 
+  /**
+   * Ends the lease if its time has passed. To be called before a call is sent:
+   * after a pause of the process, calls are handled before the timer runs.
+   */
+  checkLease(): void {
+    const now = this.#options.clock.monotonicMilliseconds();
+    if (now >= this.#leaseEndsMilliseconds) {
+      this.#expire();
+    }
+  }
+
   /** Records that the target crashed. */
   onCrash(): void {
     this.#transition(["ready", "draining"], "crashed");
@@ -170,12 +182,17 @@
 
   #renewLease(): void {
     clearTimeout(this.#leaseTimer);
+    this.#leaseEndsMilliseconds = Infinity;
     if (this.#hasLease) {
-      this.#leaseTimer = setTimeout(
-        () => this.#transition(["ready", "draining"], "expired"),
-        this.#options.leaseMilliseconds,
-      );
+      const { clock, leaseMilliseconds } = this.#options;
+      this.#leaseEndsMilliseconds = clock.monotonicMilliseconds() +
+        leaseMilliseconds;
+      this.#leaseTimer = setTimeout(() => this.#expire(), leaseMilliseconds);
       this.#leaseTimer.unref();
     }
   }
+
+  #expire(): void {
+    this.#transition(["ready", "draining"], "expired");
+  }
 }
--- a/src/node/target_dispatcher.ts
+++ b/src/node/target_dispatcher.ts
@@ -190,6 +190,7 @@
    * `undefined` when it can be.
    */
   getDispatchRefusal(): RefusalReason | undefined {
+    this.target.checkLease();
     const { state } = this.target;
     return state === "ready" || state === "draining" ? undefined : "no-target";
   }
@@ -256,6 +257,7 @@
     if (this.#state.isStopping) {
       return "stopping";
     }
+    this.target.checkLease();
     const { state } = this.target;
     if (state === "draining" || state === "left") {
       return "target-draining";
