Revert "Send changes of the admission level at most every 10 s"

Cause: the bytes between regions on large deployments were taken for changes of the admission level that control instances send each other.

--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -45,8 +45,6 @@
   readonly nodeKey: string;
   sessionSequence: number;
   expiresAt: number;
-  /** When the node's record last changed because of a renewal. */
-  reportedAt: number;
   /**
    * Targets of the node by key, with the time by which the node must announce
    * them again; `undefined` once it has.
@@ -62,12 +60,6 @@
 const missingItemGraceMilliseconds = 4000;
 // Not on every call of `expire`, because the check visits all items.
 const tombstoneCheckIntervalMilliseconds = 10_000;
-/**
- * Minimum time between two changes of a node's admission level that are sent to
- * the other instances. Only the status of the fleet shows it, and under load it
- * changes with almost every renewal.
- */
-const admissionLevelIntervalMilliseconds = 10_000;
 
 /**
  * The targets and nodes that a control instance knows: those that it owns
@@ -144,7 +136,6 @@
       nodeKey,
       sessionSequence: node.sessionSequence,
       expiresAt: confirmBy,
-      reportedAt: Number.NEGATIVE_INFINITY,
       targets,
     });
     this.#nodes.merge(node, { owner: this.#owner, now });
@@ -171,10 +162,8 @@
       known !== undefined && this.#nodes.getOwner(session.nodeKey) ===
         this.#owner &&
       (known.revision !== report.revision ||
-        (known.admissionLevel !== report.admissionLevel &&
-          report.now - lease.reportedAt >= admissionLevelIntervalMilliseconds))
+        known.admissionLevel !== report.admissionLevel)
     ) {
-      lease.reportedAt = report.now;
       this.#nodes.merge({
         ...known,
         update: known.update + 1,
