Complete a measurement's answer and remove unused code

Cause: the renewal answer in the alternatives of bench/membership.js lacked the control addresses, which its encoder needs. Change: the field is set; an interface of consensus, renewNow of the control session and two fields of a test that nothing read are removed.

--- a/bench/membership_alternatives.ts
+++ b/bench/membership_alternatives.ts
@@ -211,6 +211,7 @@
                 ledgerIndex: 100_000,
                 linkShares: [],
                 revision: 1000,
+                controlAddresses: [],
               },
             },
           }),
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -87,7 +87,6 @@
 /** Runs a group in simulated time and checks its invariants at each step. */
 class SimulatedGroup {
   readonly instances: Instance[] = [];
-  readonly diskImages = new Map<number, Disk>();
   readonly #addresses: string[];
   #now = 0;
   #starts = 0;
@@ -99,7 +98,6 @@
   readonly #hashes: number[] = [0];
   #latestCommittedTime = 0;
   readonly #minimumReadIndexes = new Map<number, number>();
-  confirmedReads = 0;
   /** One bit for each instance; messages between unequal bits are lost. */
   partition = 0;
 
@@ -196,7 +194,6 @@
     this.crash(slot, false);
     const instance = this.at(slot);
     instance.disk = new Disk(this.#createId(instance.address));
-    this.diskImages.delete(slot % this.instances.length);
     this.start(slot);
   }
 
@@ -388,7 +385,6 @@
           event.index >= floor,
           "a confirmed read misses a committed entry",
         );
-        this.confirmedReads++;
         break;
       }
     }
--- a/src/consensus/persisted_state.ts
+++ b/src/consensus/persisted_state.ts
@@ -1,4 +1,3 @@
-import type { Envelope } from "./message.ts";
 import type { LogEntry, SnapshotInfo } from "./log_entry.ts";
 import type { PeerState } from "./peer_state.ts";
 
@@ -64,9 +63,3 @@
   readonly entries: readonly LogEntry[];
   readonly peers?: ReadonlyMap<string, PeerState>;
 }
-
-/** Messages that may be sent because a write has become durable. */
-export interface ReleasedMessages {
-  readonly sequence: number;
-  readonly envelopes: readonly Envelope[];
-}
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -233,11 +233,6 @@
     }
   }
 
-  /** Renews at once, to report a new revision or admission level. */
-  renewNow(): void {
-    this.#renew();
-  }
-
   getStatus(): ControlSessionStatus {
     return {
       connected: this.#currentConnection !== undefined,
