--- a/src/session_server/malformed_messages_test.ts
+++ b/src/session_server/malformed_messages_test.ts
@@ -179,7 +179,8 @@
       identity,
       identity,
     );
-    // gRPC does not always end a stream that goes on after an invalid message.
+    // A stream that goes on after an invalid message is not always ended; see
+    // KNOWN-RED.txt.
     const timer = setTimeout(() => stream.cancel(), answerMilliseconds);
     const finish = (): void => {
       clearTimeout(timer);
