Let a drain win over any later record of the same start

Cause: the drain was checked only where a node announces. A node that restarted at an instance which did not know of the drain yet announced a newer record, and it won at all instances. Change: the order of records puts a drained start before the sequence, and an instance tells the node of a target whose record was replaced so. Before: case 3 'Condition not met within 30000 ms: the target is draining'.

--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -65,51 +65,69 @@
 }
 
 const restarts = [
-  { name: "stops as planned", incarnation: 1, isDrained: true },
+  {
+    name: "stops as planned",
+    incarnation: 1,
+    isDrained: true,
+    announcesLeave: true,
+  },
   { name: "ends its session", incarnation: 1, isDrained: true },
+  {
+    name: "restarts at an instance that does not know of the drain yet",
+    incarnation: 1,
+    isDrained: true,
+    isUnknown: true,
+  },
   {
     name: "stops with its target, which starts anew",
     incarnation: 2,
     isDrained: false,
+    announcesLeave: true,
   },
 ];
 
 // Guards against a drained target that gets calls again, because its node has
 // restarted and no longer knows of the drain.
-for (const { name, incarnation, isDrained } of restarts) {
-  const todo = name === "ends its session" ? "see KNOWN-RED.txt" : false;
-  test(
-    `a target whose node ${name} ${isDrained ? "stays drained" : "is ready"}`,
-    { todo },
-    async () => {
-      const instances = await startControl(2, { leaseMilliseconds: 500 });
-      const addresses = getAddresses(instances);
-      const observer = startNode(addresses, "observer");
-      const node = startNode(addresses, "n1");
-      const getState = () => observer.getStates("balances")["n1-target"];
-      node.announce("ready");
-      await waitUntil(() => getState() === "ready", "the target is ready");
-      node.announce("draining");
-      await waitUntil(() => getState() === "draining", "the target is drained");
-      if (name !== "ends its session") {
-        node.announce("left");
-      }
-      await node.session.stop();
-      await waitUntil(() => getState() === undefined, "the target has left");
-      const states = new Set<string | undefined>();
-      const restarted = startNode(addresses, "n1", {
-        onView: () => {},
-        onDrainRequest: () => restarted.announce("draining", incarnation),
-      });
-      restarted.announce("ready", incarnation);
-      const expected = isDrained ? "draining" : "ready";
-      await waitUntil(() => {
-        states.add(getState());
-        return getState() === expected;
-      }, `the target is ${expected}`);
-      assert.equal(states.has("ready"), !isDrained);
-    },
-  );
+for (const restart of restarts) {
+  const { name, incarnation, isDrained, isUnknown, announcesLeave } = restart;
+  test(`a target whose node ${name} ${isDrained ? "stays drained" : "is ready"}`, async () => {
+    const instances = await startControl(2, { leaseMilliseconds: 500 });
+    const [first, second] = instances;
+    assert.ok(first !== undefined && second !== undefined);
+    const observer = startNode([first.address], "observer");
+    const node = startNode([first.address], "n1");
+    const getState = () => observer.getStates("balances")["n1-target"];
+    node.announce("ready");
+    await waitUntil(() => getState() === "ready", "the target is ready");
+    if (isUnknown) {
+      first.peers = [];
+    }
+    node.announce("draining");
+    await waitUntil(() => getState() === "draining", "the target is drained");
+    if (announcesLeave) {
+      node.announce("left");
+    }
+    await node.session.stop();
+    await waitUntil(() => getState() === undefined, "the target has left");
+    const restarted = startNode([second.address], "n1", {
+      onDrainRequest: () => restarted.announce("draining", incarnation),
+    });
+    restarted.announce("ready", incarnation);
+    if (isUnknown) {
+      await waitUntil(
+        () => restarted.getStates("balances")["n1-target"] === "ready",
+        "the second instance takes the target for ready",
+      );
+      first.peers = [second.peer];
+    }
+    const expected = isDrained ? "draining" : "ready";
+    const states = new Set<string | undefined>();
+    await waitUntil(() => {
+      states.add(getState());
+      return getState() === expected;
+    }, `the target is ${expected}`);
+    assert.equal(states.has("ready"), !isDrained);
+  });
 }
 
 /**
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -76,6 +76,8 @@
   readonly #changedServices = new Map<string, ServiceName>();
   readonly #ownTargetChanges = new Set<string>();
   readonly #ownNodeChanges = new Set<string>();
+  /** Own targets that another instance knows to have been drained. */
+  readonly #forgottenDrains = new Set<string>();
   readonly #targets = new ReplicatedTable<KnownTarget>({
     getKey: getTargetKey,
     getVersion: getTargetVersion,
@@ -192,10 +194,7 @@
     const { target, now } = announcement;
     const key = getTargetKey(target);
     const known = this.#targets.get(key);
-    if (
-      known !== undefined &&
-      (compareTargets(target, known) < 0 || isForgottenDrain(target, known))
-    ) {
+    if (known !== undefined && compareTargets(target, known) < 0) {
       return known;
     }
     this.#targets.merge(target, { owner: this.#owner, now });
@@ -356,6 +355,18 @@
     return changes;
   }
 
+  /**
+   * Gets and clears the records of targets that nodes announced here as not
+   * drained, and that another instance knows to have been drained.
+   */
+  takeForgottenDrains(): KnownTarget[] {
+    const records = [...this.#forgottenDrains].map((key) =>
+      this.#targets.get(key)
+    ).filter((each) => each !== undefined);
+    this.#forgottenDrains.clear();
+    return records;
+  }
+
   /**
    * Gets whether this instance may not know all targets yet. While this holds,
    * nodes must keep targets that it does not know.
@@ -502,10 +513,16 @@
   #mergeItems(items: DirectoryItems, owner: string, now: number): void {
     for (const target of items.targets) {
       const key = getTargetKey(target);
+      const previous = this.#targets.get(key);
+      const isOwn = this.#targets.getOwner(key) === this.#owner;
+      const order = this.#targets.merge(target, { owner, now });
       if (
-        this.#targets.merge(target, { owner, now }) === "older" &&
-        this.#targets.getOwner(key) === this.#owner
+        order === "newer" && isOwn && previous !== undefined &&
+        isForgottenDrain(previous, target)
       ) {
+        this.#forgottenDrains.add(key);
+      }
+      if (order === "older" && isOwn) {
         // The sender missed the newer record. Digests may not show it, because
         // they do not cover targets that have ended, so it is sent again.
         this.#ownTargetChanges.add(key);
--- a/src/membership/directory_test.ts
+++ b/src/membership/directory_test.ts
@@ -124,6 +124,35 @@
   });
 }
 
+// Guards against a drain that is lost because the node restarts at an instance
+// that has not received it yet.
+test("a drain outlives a newer announcement at another instance", () => {
+  const [first, second] = [createDirectory(0, 2), createDirectory(1, 2)];
+  const create = (sequence: number, state: TargetState, drained: number) => ({
+    ...createTarget("t", { incarnation: 1, sequence, state }),
+    drainedIncarnation: drained,
+  });
+  first.openLease(createNode("n", 1), 0);
+  first.announce(session, { target: create(2, "draining", 1), now: 0 });
+  const restarted = { nodeKey: session.nodeKey, sessionSequence: 2 };
+  second.openLease(createNode("n", 2), 0);
+  second.announce(restarted, { target: create(9, "ready", 0), now: 0 });
+  for (const [from, to] of [[second, first], [first, second]] as const) {
+    const items = from.takeOwnChanges();
+    const batch = { ...items, requestedBuckets: [], hasDigests: false };
+    to.mergeBatch(from.createBatch(batch, 0), 0);
+  }
+  assert.deepEqual(
+    [first, second].map((each) => getStates(each).t),
+    ["1 2 draining", "1 2 draining"],
+  );
+  assert.deepEqual(
+    second.takeForgottenDrains().map((each) => each.targetId),
+    ["t"],
+  );
+  assert.deepEqual(second.takeForgottenDrains(), []);
+});
+
 test("the end of a lease expires its targets, but not those that moved", () => {
   const [first, second] = [createDirectory(0, 2), createDirectory(1, 2)];
   first.openLease(createNode("n", 1), 0);
--- a/src/membership/target_record.ts
+++ b/src/membership/target_record.ts
@@ -80,7 +80,8 @@
  * instances that receive the same records in any order keep the same one.
  *
  * Within an incarnation `left` is final: a delayed announcement does not revive
- * the target, even if its sequence is higher.
+ * the target, even if its sequence is higher. A drain is final, too: the node of
+ * the target may have restarted and announce it without knowing of the drain.
  * @param a A record.
  * @param b Another record of the same target.
  * @returns A positive number when `a` is newer, 0 when they are the same.
@@ -91,6 +92,7 @@
 ): number {
   return a.incarnation - b.incarnation ||
     Number(a.state === "left") - Number(b.state === "left") ||
+    Number(isDrained(a)) - Number(isDrained(b)) ||
     a.sequence - b.sequence ||
     stateRanks[a.state] - stateRanks[b.state] ||
     compareText(a.nodeId, b.nodeId) ||
@@ -112,6 +114,11 @@
     record.drainedIncarnation !== known.drainedIncarnation;
 }
 
+/** Gets whether the incarnation of a record was drained. */
+function isDrained(record: TargetAttributes): boolean {
+  return record.incarnation === record.drainedIncarnation;
+}
+
 /** Gets whether a target may appear in views. */
 export function isLiveTarget(record: TargetAttributes): boolean {
   return record.state === "ready" || record.state === "draining";
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -10,6 +10,7 @@
 import {
   Directory,
   getNodeKey,
+  type KnownTarget,
   LinkBudgetRounds,
   LinkShareAllocator,
   parseTargetRecord,
@@ -554,14 +555,19 @@
       now,
     });
     if (known !== undefined && known !== "no-lease") {
-      session.send({
-        $case: "staleAnnouncement",
-        staleAnnouncement: { known: toWireTarget(known, now) },
-      });
+      this.#sendNewerRecord(session, known);
     }
     this.#views.scheduleFlush();
   }
 
+  /** Sends a node the record by which its own one was superseded. */
+  #sendNewerRecord(session: NodeSession, known: KnownTarget): void {
+    session.send({
+      $case: "staleAnnouncement",
+      staleAnnouncement: { known: toWireTarget(known, this.#now()) },
+    });
+  }
+
   #runPeriodicTasks(): void {
     const now = this.#now();
     for (const nodeKey of this.#directory.expire(now)) {
@@ -596,6 +602,12 @@
     }
     const { instanceId, linkDemand } = call.request;
     const answer = this.#exchange.receive(call.request);
+    for (const known of this.#directory.takeForgottenDrains()) {
+      const session = this.#sessions.getByNode(getNodeKey(known));
+      if (session !== undefined) {
+        this.#sendNewerRecord(session, known);
+      }
+    }
     if (linkDemand !== undefined) {
       this.#linkRounds.receive(instanceId, linkDemand);
     }
