Log who ended a connection with unanswered requests, and why

Cause: all ends of a request without a response were logged as "caller left", or not at all. A trial with Node.js 20.19 showed three reasons: - Node.js emits "close" for the response that is being sent only. Those that wait behind it on the connection get no event. - It reports a response as finished (`finish`, `writableFinished`) when its socket is destroyed before the bytes are sent. `server.close()` does that to each response that was ended and is not sent yet, because it takes such a connection for an idle one. - The call's listener of "close" cannot tell which side closed.

Change: a listener records the first cause of the end of each connection: - "end" of the socket, or a parser error at the end of the input: the caller closed; an error of a system call: it was reset. - a response finished and Node.js ended the socket: `draining` or `response-closes-connection`. - a response was destroyed: `response-aborted`. - another client error: `invalid-request` or `request-timeout`. - otherwise, what the listener was told: `listener-closed`, `stop-limit`. When the socket closes with incomplete responses, one line through the decision log and two counters (connections and requests) by listener, side and reason are written. The line names up to 8 requests with what each waits for. "caller left" is logged only when the caller ended the connection; otherwise the event is "response not delivered", also for calls of other nodes.

The number of open requests per connection was a count in a WeakMap with two closures per request; it is a list of responses with one bound listener per connection now. Two fields were added to the response.

Ruled out: the order of "close" events as the sign of who closed; it is the same for both sides.

Behaviour of requests is not changed.

--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -8,6 +8,7 @@
   ServiceLevel,
 } from "../request/mod.ts";
 import type { AttemptOutcome } from "../routing/mod.ts";
+import type { CallPhase } from "./call_phase.ts";
 import type { ResponseHead } from "./exchange.ts";
 
 /** Failure of an attempt that ended without a response of the target. */
@@ -41,6 +42,8 @@
 
 /** An attempt in progress. */
 export interface Attempt {
+  /** What the attempt waits for. */
+  readonly phase: CallPhase;
   /**
    * Cancels the attempt; its sink is not called afterwards.
    * @returns Whether the call ran, as far as is known.
--- a/src/node/caller_group.ts
+++ b/src/node/caller_group.ts
@@ -2,6 +2,8 @@
 import type { CallFailure } from "../request/mod.ts";
 import type { StreamedResponse } from "./attempt.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import { getConnectionEnd } from "./listener_response.ts";
+import type { ConnectionEnd } from "./open_connection.ts";
 import { writeBuffered, writeStreamed } from "./caller_response.ts";
 import type { ResponseHead } from "./exchange.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
@@ -17,16 +19,19 @@
 export class CallerGroup {
   #callers: Caller[];
   readonly #protocol: CallProtocol;
-  readonly #onAllDisconnected: () => void;
+  readonly #onAllDisconnected: (end: ConnectionEnd | undefined) => void;
 
   /**
    * @param first The caller that made the call.
    * @param options The protocol that writes failures, and what is called when
-   * the last caller has disconnected.
+   * the connection of the last caller has ended.
    */
   constructor(
     first: Caller,
-    options: { protocol: CallProtocol; onAllDisconnected: () => void },
+    options: {
+      protocol: CallProtocol;
+      onAllDisconnected: (end: ConnectionEnd | undefined) => void;
+    },
   ) {
     this.#callers = [];
     this.#protocol = options.protocol;
@@ -86,7 +91,7 @@
     }
     this.#callers.splice(index, 1);
     if (this.#callers.length === 0) {
-      this.#onAllDisconnected();
+      this.#onAllDisconnected(getConnectionEnd(caller.response));
     }
   }
 }
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -8,6 +8,12 @@
 import type { Duplex } from "node:stream";
 import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
+import { ListenerResponse } from "./listener_response.ts";
+import {
+  type ListenerState,
+  OpenConnection,
+  type UnansweredConnection,
+} from "./open_connection.ts";
 
 /** Maximum size of the request line and headers together. */
 const maximumHeaderBytes = 16 * 1024;
@@ -28,22 +34,37 @@
 export interface HttpListenerOptions {
   readonly endpoint: Endpoint;
   handle(request: IncomingMessage, response: ServerResponse): void;
+  /**
+   * Called once for each connection that ended while requests on it had no
+   * complete response.
+   */
+  readonly onUnanswered?:
+    | ((unanswered: UnansweredConnection) => void)
+    | undefined;
   /** Time limit for receiving the headers of a request. */
   readonly headersMilliseconds?: number | undefined;
 }
 
 /** An HTTP listener of the node. */
 export class HttpListener {
-  readonly #server: Server;
+  readonly #server: Server<typeof IncomingMessage, typeof ListenerResponse>;
   readonly #endpoint: Endpoint;
-  /** Number of requests without a complete response, by connection. */
-  readonly #openRequests = new WeakMap<object, number>();
-  #isDraining = false;
+  readonly #onUnanswered: (unanswered: UnansweredConnection) => void;
+  readonly #connections = new WeakMap<object, OpenConnection>();
+  readonly #state: ListenerState = {
+    isDraining: false,
+    closeReason: undefined,
+  };
 
   /** @param options Address and request handler. */
   constructor(options: HttpListenerOptions) {
     this.#endpoint = options.endpoint;
-    this.#server = createServer({
+    this.#onUnanswered = options.onUnanswered ?? (() => {});
+    this.#server = createServer<
+      typeof IncomingMessage,
+      typeof ListenerResponse
+    >({
+      ServerResponse: ListenerResponse,
       maxHeaderSize: maximumHeaderBytes,
       headersTimeout: options.headersMilliseconds ??
         defaultHeadersTimeoutMilliseconds,
@@ -52,14 +73,16 @@
       connectionsCheckingInterval: 1000,
       noDelay: true,
     }, (request, response) => {
-      if (this.#isDraining) {
+      if (this.#state.isDraining) {
         response.shouldKeepAlive = false;
       }
-      this.#trackRequest(request, response);
+      this.#getConnection(request.socket).add(response);
       options.handle(request, response);
     });
     this.#server.on("clientError", (error, socket) => {
-      if ((this.#openRequests.get(socket) ?? 0) > 0) {
+      const connection = this.#connections.get(socket);
+      connection?.setEndByError(error);
+      if (connection?.hasOpenRequests === true) {
         // An error response would be read as the response to the open request,
         // and would claim "not-run" although its body may be reaching a target.
         socket.destroy();
@@ -104,31 +127,35 @@
    * not know whether it ran.
    */
   startDraining(): void {
-    this.#isDraining = true;
+    this.#state.isDraining = true;
   }
 
   /** Refuses new connections, and resolves when all open ones are closed. */
   close(): Promise<void> {
+    this.#state.closeReason ??= "listener-closed";
     return new Promise((resolve) => {
       this.#server.close(() => resolve());
       this.#server.closeIdleConnections();
     });
   }
 
-  /** Closes all connections, also those with open requests. */
+  /** Closes all connections at the stop limit, also those with open requests. */
   closeConnections(): void {
+    this.#state.closeReason = "stop-limit";
     this.#server.closeAllConnections();
   }
 
-  #trackRequest(request: IncomingMessage, response: ServerResponse): void {
-    const { socket } = request;
-    const adjustCount = (by: number) =>
-      this.#openRequests.set(
+  #getConnection(socket: Duplex): OpenConnection {
+    let connection = this.#connections.get(socket);
+    if (connection === undefined) {
+      connection = new OpenConnection({
         socket,
-        (this.#openRequests.get(socket) ?? 0) + by,
-      );
-    adjustCount(1);
-    response.once("close", () => adjustCount(-1));
+        listener: this.#state,
+        onUnanswered: this.#onUnanswered,
+      });
+      this.#connections.set(socket, connection);
+    }
+    return connection;
   }
 
   /**
@@ -145,7 +172,7 @@
   /** Refuses new connections and closes the open ones. */
   async closeImmediately(): Promise<void> {
     const closed = this.close();
-    this.closeConnections();
+    this.#server.closeAllConnections();
     await closed;
   }
 }
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -21,10 +21,12 @@
   writeFailure,
   writeStreamed,
 } from "./caller_response.ts";
+import type { CallPhase, OpenCall } from "./call_phase.ts";
 import type { Expirable } from "./deadline_timers.ts";
 import { getRelevantLevels } from "./reported_levels.ts";
 import type { ResponseHead } from "./exchange.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
+import { getConnectionEnd, setResponseCall } from "./listener_response.ts";
 import type { NodeState } from "./node_state.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
@@ -41,13 +43,14 @@
 }
 
 /** Runs a call that another node sent to the local target. */
-export class InboundCall implements AttemptSink, Expirable {
+export class InboundCall implements AttemptSink, Expirable, OpenCall {
   readonly #state: NodeState;
   readonly #dispatcher: TargetDispatcher;
   readonly #options: InboundCallOptions;
   #collector: BodyCollector | undefined;
   #call: TargetCall | undefined;
   #reservedBytes = 0;
+  #hasResponse = false;
   #isEnded = false;
 
   /**
@@ -63,6 +66,20 @@
     this.#dispatcher = dispatcher;
     this.#state = state;
     this.#options = options;
+    setResponseCall(options.response, this);
+  }
+
+  get requestId(): string {
+    return this.#options.details.requestId;
+  }
+
+  get phase(): CallPhase {
+    const initial = this.#isEnded ? "ended" : "receiving";
+    return this.#call?.phase ?? initial;
+  }
+
+  get isPassedOn(): boolean {
+    return this.#hasResponse || this.phase === "at-target";
   }
 
   /** Reads the body and passes the call to the dispatcher. */
@@ -84,6 +101,7 @@
   }
 
   onBufferedResponse(answer: Answer, head: ResponseHead, body: Buffer): void {
+    this.#hasResponse = true;
     this.#end();
     const { response } = this.#options;
     writeBuffered(response, head, {
@@ -94,6 +112,7 @@
   }
 
   onStreamedResponse(answer: Answer, streamed: StreamedResponse): void {
+    this.#hasResponse = true;
     writeStreamed(this.#options.response, {
       ...streamed,
       onEnd: (isComplete, bytes) => {
@@ -143,12 +162,29 @@
 
   readonly #onClose = (): void => {
     if (!this.#isEnded) {
+      const { phase } = this;
       this.#collector?.stop();
       this.#call?.cancel();
+      this.#recordEnd(phase);
       this.#end();
     }
   };
 
+  /** Logs that this node ended the connection; the caller's node logs its own. */
+  #recordEnd(phase: CallPhase): void {
+    const { details, response } = this.#options;
+    const end = getConnectionEnd(response);
+    if (end?.closedBy === "node") {
+      this.#state.decisions.record({
+        requestId: details.requestId,
+        hash: details.hash,
+        priority: "failure",
+        event: "response not delivered",
+        fields: { reason: end.reason, phase },
+      });
+    }
+  }
+
   #refuse(
     disposition: Disposition,
     reason: RefusalReason,
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -26,7 +26,8 @@
 } from "./call_protocol.ts";
 export type { CallDetails } from "./call_details.ts";
 export type { ResponseHead } from "./exchange.ts";
-export { HttpListener } from "./http_listener.ts";
+export { HttpListener, type HttpListenerOptions } from "./http_listener.ts";
+export { createUnansweredReporter } from "./report_unanswered.ts";
 export {
   AnnouncedTarget,
   type TargetAnnouncement,
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -23,6 +23,7 @@
 import { DocumentView } from "./document_view.ts";
 import { HttpListener } from "./http_listener.ts";
 import { type LedgerPort, unavailableLedger } from "./ledger_port.ts";
+import type { UnansweredConnection } from "./open_connection.ts";
 import { PeerRequestHandler } from "./peer_request_handler.ts";
 import type { NodeState } from "./node_state.ts";
 import type { PeerCredential } from "./peer_credential.ts";
@@ -30,6 +31,11 @@
 import { handleOutcomeQuery, outcomeQueryPath } from "./outcome_query.ts";
 import { defaultProtocol } from "./default_protocol.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
+import {
+  countUnanswered,
+  describeUnanswered,
+  unansweredEvent,
+} from "./report_unanswered.ts";
 import { createStatusDocument, type StatusSource } from "./status_page.ts";
 import { TargetDispatcher } from "./target_dispatcher.ts";
 import { TargetViews } from "./target_views.ts";
@@ -113,17 +119,20 @@
     this.outside = new HttpListener({
       endpoint: settings.outside,
       handle: (request, response) => this.#onOutside(request, response),
+      onUnanswered: (each) => this.#onUnanswered("outside", each),
       headersMilliseconds,
     });
     this.node = new HttpListener({
       endpoint: settings.node,
       handle: (request, response) =>
         peerRequestHandler.handle(request, response),
+      onUnanswered: (each) => this.#onUnanswered("node", each),
       headersMilliseconds,
     });
     this.loopback = new HttpListener({
       endpoint: settings.loopback,
       handle: (request, response) => this.#onLoopback(request, response),
+      onUnanswered: (each) => this.#onUnanswered("loopback", each),
       headersMilliseconds,
     });
   }
@@ -246,6 +255,17 @@
     return { abortedCalls };
   }
 
+  #onUnanswered(listener: string, unanswered: UnansweredConnection): void {
+    countUnanswered(this.#metrics, listener, unanswered);
+    this.state.decisions.record({
+      requestId: unanswered.responses[0]?.call?.requestId ?? "",
+      hash: 0,
+      priority: "failure",
+      event: unansweredEvent,
+      fields: describeUnanswered(listener, unanswered),
+    });
+  }
+
   #onOutside(request: IncomingMessage, response: ServerResponse): void {
     const url = request.url ?? "";
     if (url.startsWith(outcomeQueryPath) && request.method === "GET") {
--- /dev/null
+++ b/src/node/open_connection.ts
@@ -0,0 +1,142 @@
+import type { Duplex } from "node:stream";
+import type { ListenerResponse } from "./listener_response.ts";
+
+/** Why a caller ended a connection. */
+export type CallerEndReason =
+  /** The caller closed it, or the direction in which it sends. */
+  | "closed"
+  /** The caller or the network reset it. */
+  | "reset";
+
+/** Why a node ended a connection. */
+export type NodeEndReason =
+  /** An earlier response was the last one because the node stops. */
+  | "draining"
+  /** An earlier response had `Connection: close` for another reason. */
+  | "response-closes-connection"
+  /** A response could not be completed. */
+  | "response-aborted"
+  /** The bytes after an open request are not HTTP. */
+  | "invalid-request"
+  /** A further request was not received in time. */
+  | "request-timeout"
+  /** The listener was closed before a response was sent completely. */
+  | "listener-closed"
+  | "stop-limit"
+  | "not-known";
+
+/** Who ended a connection, and why. */
+export type ConnectionEnd =
+  | { readonly closedBy: "caller"; readonly reason: CallerEndReason }
+  | { readonly closedBy: "node"; readonly reason: NodeEndReason };
+
+/** State of a listener that decides why its connections end. */
+export interface ListenerState {
+  isDraining: boolean;
+  /** Why the listener closes its connections; absent before. */
+  closeReason: "listener-closed" | "stop-limit" | undefined;
+}
+
+/** A connection that ended while requests on it had no complete response. */
+export interface UnansweredConnection {
+  readonly end: ConnectionEnd;
+  /** Incomplete responses, in the order of their requests. */
+  readonly responses: readonly ListenerResponse[];
+}
+
+/** Settings of an {@link OpenConnection}. */
+export interface OpenConnectionOptions {
+  readonly socket: Duplex;
+  readonly listener: ListenerState;
+  onUnanswered(unanswered: UnansweredConnection): void;
+}
+
+/**
+ * A connection of a listener with its incomplete responses. It records the first
+ * cause of its end, because later events are effects of that cause.
+ */
+export class OpenConnection {
+  readonly #options: OpenConnectionOptions;
+  readonly #responses: ListenerResponse[] = [];
+  #end: ConnectionEnd | undefined;
+
+  /** @param options The socket and its listener. */
+  constructor(options: OpenConnectionOptions) {
+    this.#options = options;
+    options.socket.once(
+      "end",
+      () => this.setEnd({ closedBy: "caller", reason: "closed" }),
+    );
+    // Before Node.js closes the response, because that ends its call.
+    options.socket.prependOnceListener("close", () => this.#onClose());
+  }
+
+  /** Checks whether a request on the connection has no complete response. */
+  get hasOpenRequests(): boolean {
+    return this.#responses.length > 0;
+  }
+
+  /** Checks whether all responses before this one are complete. */
+  isFirst(response: ListenerResponse): boolean {
+    return this.#responses[0] === response;
+  }
+
+  /** Gets who ended the connection; valid once a response on it was closed. */
+  get end(): ConnectionEnd {
+    const reason = this.#options.listener.closeReason ?? "not-known";
+    return this.#end ?? { closedBy: "node", reason };
+  }
+
+  /** Adds the response to a further request. */
+  add(response: ListenerResponse): void {
+    response.openConnection = this;
+    this.#responses.push(response);
+    response.once("finish", this.#onResponseFinished);
+  }
+
+  /** Records the cause of the end, unless there was an earlier one. */
+  setEnd(end: ConnectionEnd): void {
+    this.#end ??= end;
+  }
+
+  /** Records the end by an error of the socket or of the HTTP parser. */
+  setEndByError(error: Error & { code?: string }): void {
+    this.setEnd(getEndByError(error));
+  }
+
+  readonly #onResponseFinished = (): void => {
+    const { socket, listener } = this.#options;
+    if (socket.destroyed) {
+      // Node.js also reports a response as finished whose bytes are discarded.
+      return;
+    }
+    // Responses are sent in the order of their requests.
+    this.#responses.shift();
+    if (socket.writableEnded) {
+      const reason = listener.isDraining
+        ? "draining"
+        : "response-closes-connection";
+      this.setEnd({ closedBy: "node", reason });
+    }
+  };
+
+  #onClose(): void {
+    if (this.hasOpenRequests) {
+      this.#options.onUnanswered({ end: this.end, responses: this.#responses });
+    }
+  }
+}
+
+function getEndByError(error: Error & { code?: string }): ConnectionEnd {
+  if ("syscall" in error) {
+    return { closedBy: "caller", reason: "reset" };
+  }
+  switch (error.code) {
+    case "HPE_INVALID_EOF_STATE":
+      return { closedBy: "caller", reason: "closed" };
+    case "ERR_HTTP_REQUEST_TIMEOUT":
+      return { closedBy: "node", reason: "request-timeout" };
+    default:
+      return { closedBy: "node", reason: "invalid-request" };
+  }
+}
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -23,6 +23,7 @@
   type CallDetails,
   setFramingHeaders,
 } from "./call_details.ts";
+import type { CallPhase, OpenCall } from "./call_phase.ts";
 import { type Caller, CallerGroup } from "./caller_group.ts";
 import { createStoredResponse } from "./claim.ts";
 import {
@@ -34,6 +35,8 @@
 import type { ResponseHead } from "./exchange.ts";
 import { getFencedResult, needsFence } from "./key_fence.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
+import { setResponseCall } from "./listener_response.ts";
+import type { ConnectionEnd } from "./open_connection.ts";
 import {
   addDiscoveredServices,
   isTargetFault,
@@ -72,7 +75,8 @@
  * until one has a response or no retry is allowed, and writes the outcome to
  * all callers that wait for it.
  */
-export class OriginCall implements AttemptSink, Expirable, OutgoingCall {
+export class OriginCall
+  implements AttemptSink, Expirable, OutgoingCall, OpenCall {
   readonly details: CallDetails;
   readonly #dispatcher: OriginDispatcher;
   readonly #options: OriginCallOptions;
@@ -89,6 +93,7 @@
   #reachedTargets = 0;
   #current: CurrentAttempt | undefined;
   #retryTimer: NodeJS.Timeout | undefined;
+  #hasResponse = false;
   #isEnded = false;
 
   /**
@@ -105,8 +110,27 @@
     this.#budget = dispatcher.budgets.get(service.name, service.retryRatio);
     this.#callers = new CallerGroup(options.caller, {
       protocol: dispatcher.state.protocol,
-      onAllDisconnected: () => this.#onAllDisconnected(),
+      onAllDisconnected: (end) => this.#onAllDisconnected(end),
     });
+    setResponseCall(options.caller.response, this);
+  }
+
+  get requestId(): string {
+    return this.details.requestId;
+  }
+
+  get phase(): CallPhase {
+    if (this.#collector !== undefined) {
+      return "receiving";
+    }
+    const ended = this.#isEnded ? "ended" : "waiting";
+    return this.#current?.attempt?.phase ?? ended;
+  }
+
+  get isPassedOn(): boolean {
+    const { phase } = this;
+    return this.#hasResponse || this.#reachedTargets > 0 ||
+      phase === "at-node" || phase === "at-target";
   }
 
   /** Reads the body and makes the first attempt. */
@@ -137,6 +161,7 @@
   /** Adds the caller of a resend, which gets the outcome of this call too. */
   addCaller(caller: Caller): void {
     this.#callers.add(caller);
+    setResponseCall(caller.response, this);
   }
 
   /**
@@ -413,6 +438,7 @@
     { status, bytes }: { status: number; bytes: number },
   ): void {
     const current = this.#current;
+    this.#hasResponse = true;
     this.#logDecision("routine", "call answered", {
       status,
       attempt: this.#attempts,
@@ -514,13 +540,18 @@
     this.#callers.writeFailure(failure, requestId);
   }
 
-  #onAllDisconnected(): void {
+  #onAllDisconnected(end: ConnectionEnd | undefined): void {
     if (!this.#isEnded) {
+      const { phase } = this;
       this.#collector?.stop();
       this.#cancelAttempt("cancelled");
       const counters = this.details.plan.counters[this.details.classIndex];
       counters && incrementReason(counters.refused, "cancelled");
-      this.#logDecision("failure", "caller left", {
+      const isNodeEnd = end?.closedBy === "node";
+      const event = isNodeEnd ? "response not delivered" : "caller left";
+      this.#logDecision("failure", event, {
+        reason: end?.reason,
+        phase,
         attempts: this.#attempts,
         remaining: this.#getRemainingMilliseconds(),
       });
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -17,6 +17,7 @@
   type CallDetails,
   isResponseBuffered,
 } from "./call_details.ts";
+import type { CallPhase } from "./call_phase.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import {
   Exchange,
@@ -106,6 +107,10 @@
     headers.length = length;
   }
 
+  get phase(): CallPhase {
+    return this.#exchange.mayHaveBeenSent ? "at-node" : "connecting";
+  }
+
   cancel(): Disposition {
     const mayHaveRun = this.#exchange.mayHaveBeenSent;
     this.#exchange.cancel();
--- /dev/null
+++ b/src/node/report_unanswered.ts
@@ -0,0 +1,70 @@
+import type { Log, LogFields, Metrics } from "../common/mod.ts";
+import type { ListenerResponse } from "./listener_response.ts";
+import type { UnansweredConnection } from "./open_connection.ts";
+
+/** Maximum number of requests that one line names. */
+const maximumNamedRequests = 8;
+
+/** Event of the line about a connection with unanswered requests. */
+export const unansweredEvent = "connection ended without a response";
+
+/**
+ * Describes a connection that ended while requests on it had no complete
+ * response.
+ * @param listener Name of the listener.
+ * @param unanswered The connection.
+ * @returns The fields of a log line.
+ */
+export function describeUnanswered(
+  listener: string,
+  { end, responses }: UnansweredConnection,
+): LogFields {
+  return {
+    listener,
+    closedBy: end.closedBy,
+    reason: end.reason,
+    open: responses.length,
+    passedOn: responses.filter((each) => each.call?.isPassedOn).length,
+    requests: responses.slice(0, maximumNamedRequests)
+      .map(describeResponse).join(","),
+  };
+}
+
+/**
+ * Counts a connection that ended while requests on it had no complete response,
+ * and the requests.
+ * @param metrics Metrics to add to.
+ * @param listener Name of the listener.
+ * @param unanswered The connection.
+ */
+export function countUnanswered(
+  metrics: Metrics,
+  listener: string,
+  { end, responses }: UnansweredConnection,
+): void {
+  const tags = { listener, closedBy: end.closedBy, reason: end.reason };
+  metrics.increment("connections.unanswered", tags);
+  metrics.increment("requests.unanswered", tags, responses.length);
+}
+
+/**
+ * Creates a listener of unanswered connections for a program whose requests are
+ * few, so that each line is written.
+ * @param listener Name of the HTTP listener.
+ * @param destination Log and metrics.
+ * @returns The listener.
+ */
+export function createUnansweredReporter(
+  listener: string,
+  { log, metrics }: { log: Log; metrics: Metrics },
+): (unanswered: UnansweredConnection) => void {
+  return (unanswered) => {
+    log.warn(unansweredEvent, describeUnanswered(listener, unanswered));
+    countUnanswered(metrics, listener, unanswered);
+  };
+}
+
+/** Formats a request as `id:phase`; only its phase if it is not a call. */
+function describeResponse({ call, phase }: ListenerResponse): string {
+  return call === undefined ? phase : `${call.requestId}:${phase}`;
+}
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -17,6 +17,7 @@
   type CallDetails,
   isResponseBuffered,
 } from "./call_details.ts";
+import type { CallPhase } from "./call_phase.ts";
 import { Claim } from "./claim.ts";
 import { type DecisionPriority, formatLoad } from "./decision_log.ts";
 import {
@@ -96,6 +97,17 @@
     this.declaredCallAttempts = options.details.plan.requiredAttempts - 1;
   }
 
+  get phase(): CallPhase {
+    switch (this.#phase) {
+      case "running":
+        return "at-target";
+      case "streaming":
+        return "delivering";
+      default:
+        return this.#phase;
+    }
+  }
+
   /** Gets the fingerprint that identifies requests that crash targets. */
   getFingerprint(): string {
     return this.#fingerprint ??= getRequestFingerprint({
