Deliver written answers before a graceful close

What callers saw: an answer that was written, but that its caller had not read yet, ended in the middle when the process closed its listener.

Cause: `Server.close()` and `closeIdleConnections()` of Node.js destroy each connection whose response has ended, also if the response is still in the buffer of the socket.

The listener now stops accepting with the method of the TCP server, waits until no open response is left, and only then closes idle connections. Connections without a reader are still closed at the limit. Responses that wait behind another one on their connection have no "close" event when it is lost, so the end of the connection counts for them.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -4,10 +4,11 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import type { Duplex } from "node:stream";
 import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
+import { OpenResponses } from "./open_responses.ts";
 
 /** Maximum size of the request line and headers together. */
 const maximumHeaderBytes = 16 * 1024;
@@ -36,6 +37,7 @@
 export class HttpListener {
   readonly #server: Server;
   readonly #endpoint: Endpoint;
+  readonly #openResponses: OpenResponses;
   /** Number of requests without a complete response, by connection. */
   readonly #openRequests = new WeakMap<object, number>();
   #isDraining = false;
@@ -58,6 +60,7 @@
       this.#trackRequest(request, response);
       options.handle(request, response);
     });
+    this.#openResponses = new OpenResponses(this.#server);
     this.#server.on("clientError", (error, socket) => {
       if ((this.#openRequests.get(socket) ?? 0) > 0) {
         // An error response would be read as the response to the open request,
@@ -107,12 +110,25 @@
     this.#isDraining = true;
   }
 
-  /** Refuses new connections, and resolves when all open ones are closed. */
-  close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
+  /**
+   * Refuses new connections, delivers the open responses, closes idle
+   * connections, and resolves when all connections are closed.
+   */
+  async close(): Promise<void> {
+    this.startDraining();
+    const closed = new Promise<void>((resolve) => {
+      // The method of the HTTP server also closes connections whose responses
+      // were written but not sent.
+      NetServer.prototype.close.call(this.#server, () => resolve());
     });
+    await Promise.race([this.#openResponses.whenDelivered(), closed]);
+    this.#server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Waits until the open responses are delivered or their callers left. */
+  whenDelivered(): Promise<void> {
+    return this.#openResponses.whenDelivered();
   }
 
   /** Closes all connections, also those with open requests. */
--- /dev/null
+++ b/src/node/listener_close_test.ts
@@ -0,0 +1,35 @@
+import assert from "node:assert/strict";
+import { request } from "node:http";
+import { test } from "node:test";
+import { HttpListener } from "./http_listener.ts";
+
+/** More than the socket buffers of a loopback connection hold. */
+const largeBytes = 32 * 1024 * 1024;
+const limitMilliseconds = 60_000;
+
+// Guards against a close that cuts an answer which its caller is still reading.
+test("a graceful close delivers an answer to a caller that reads late", async (context) => {
+  let closed: Promise<void> | undefined;
+  const listener = new HttpListener({
+    endpoint: { host: "127.0.0.1", port: 0 },
+    handle: (_request, response) => response.end(Buffer.alloc(largeBytes)),
+  });
+  await listener.listen();
+  context.after(() => listener.closeImmediately());
+  const received = await new Promise<number>((resolve, reject) => {
+    const outgoing = request(
+      { host: "127.0.0.1", port: listener.port, agent: false },
+      (response) => {
+        let size = 0;
+        closed = listener.closeGracefully(limitMilliseconds);
+        response.on("data", (chunk: Buffer) => size += chunk.length);
+        response.on("error", () => resolve(size));
+        response.on("end", () => resolve(size));
+      },
+    );
+    outgoing.on("error", reject);
+    outgoing.end();
+  });
+  assert.equal(received, largeBytes);
+  await closed;
+});
