Answer the calls that are in flight at the stop limit

What callers saw: at the stop limit, a node destroyed the connections of all calls in flight. Calls that no target had received (in the admission queue, with an incomplete body, before a retry) were cut like those at work, and their callers could not know that another send was safe.

Cause: the stop waited for the number of calls to become 0 and closed all connections at the limit, whatever state the calls were in. Calls of other nodes whose bodies were being received were not counted.

500 ms before the limit, the node refuses each call of which no byte may have been sent, unless the local target made it for a request at work. At the limit it answers what is left, without waiting for the ledger, and delivers these answers for up to 200 ms.

Ruled out: an answer 503 for calls at work, which would claim that they did not run.

--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -41,6 +41,8 @@
 
 /** An attempt in progress. */
 export interface Attempt {
+  /** Whether a byte of the request may have been sent. */
+  readonly mayHaveBeenSent: boolean;
   /**
    * Cancels the attempt; its sink is not called afterwards.
    * @returns Whether the call ran, as far as is known.
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -26,7 +26,7 @@
 import type { ResponseHead } from "./exchange.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
 import type { NodeState } from "./node_state.ts";
-import { getRefusalMessage } from "./refusal_messages.ts";
+import { createAbortFailure, getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
 import { TargetCall } from "./target_call.ts";
 import type { TargetDispatcher } from "./target_dispatcher.ts";
@@ -38,6 +38,8 @@
   readonly allowance: number;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Called at the end of the call. */
+  onEnd(call: InboundCall): void;
 }
 
 /** Runs a call that another node sent to the local target. */
@@ -126,6 +128,24 @@
     );
   }
 
+  /** Refuses the call unless a byte of it may have been sent to the target. */
+  refuseIfUnsent(): void {
+    if (!this.#isEnded && this.#call?.mayHaveBeenSent !== true) {
+      this.abort();
+    }
+  }
+
+  /** Ends the call because the process ends. */
+  abort(): void {
+    if (this.#isEnded) {
+      return;
+    }
+    this.#collector?.stop();
+    const disposition = this.#call?.cancel() ?? "not-run";
+    const { reason, message } = createAbortFailure(disposition);
+    this.#refuse(disposition, reason, message);
+  }
+
   #onBody(body: CallBody): void {
     this.#collector = undefined;
     const { details, allowance } = this.#options;
@@ -181,5 +201,6 @@
     );
     this.#state.bodyMemory.release(this.#reservedBytes);
     this.#reservedBytes = 0;
+    this.#options.onEnd(this);
   }
 }
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -61,6 +61,14 @@
  * calls on connections that they keep open, so the listeners stay open.
  */
 const drainPropagationMilliseconds = 3000;
+/**
+ * Time before the stop limit at which calls are refused that no target has
+ * received, so that their callers can still send them elsewhere.
+ */
+const unsentRefusalMilliseconds = 500;
+/** Time after the stop limit in which the last answers are delivered. */
+const deliveryMilliseconds = 200;
+const pollIntervalMilliseconds = 10;
 
 /** Result of a graceful stop. */
 export interface StopResult {
@@ -83,6 +91,7 @@
   events: NodeEvents | undefined;
   getControlStatus: StatusSource["getControlStatus"] = () => undefined;
   readonly #views: TargetViews;
+  readonly #peerRequestHandler: PeerRequestHandler;
   readonly #metrics: Metrics;
 
   /**
@@ -105,7 +114,7 @@
       this.state,
       this.targetDispatcher,
     );
-    const peerRequestHandler = new PeerRequestHandler(
+    this.#peerRequestHandler = new PeerRequestHandler(
       this.state,
       this.targetDispatcher,
     );
@@ -118,7 +127,7 @@
     this.node = new HttpListener({
       endpoint: settings.node,
       handle: (request, response) =>
-        peerRequestHandler.handle(request, response),
+        this.#peerRequestHandler.handle(request, response),
       headersMilliseconds,
     });
     this.loopback = new HttpListener({
@@ -190,9 +199,10 @@
 
   /**
    * Stops the node gracefully: refuses new calls, waits for those in flight up
-   * to the time limit, and closes the listeners.
-   * @param options Time limit of the whole stop, by default from the settings,
-   * and the time for which new calls are still accepted.
+   * to the time limit, answers those that remain, and closes the listeners.
+   * @param options Time limit for the calls in flight, by default from the
+   * settings, and the time for which new calls are still accepted. The last
+   * answers may be delivered up to 200 ms after the limit.
    */
   async stop(options: {
     limitMilliseconds?: number;
@@ -212,32 +222,22 @@
       );
     }
     state.isStopping = true;
-    const propagatedAt = Math.min(end, start + drainPropagationMilliseconds);
-    while (
-      performance.now() < propagatedAt ||
-      (this.callCount > 0 && performance.now() < end)
-    ) {
-      await new Promise((resolve) => setTimeout(resolve, 10));
-    }
-    const abortedCalls = this.callCount;
-    const closed = Promise.all([
-      this.outside.close(),
-      this.node.close(),
-      this.loopback.close(),
-    ]);
-    if (abortedCalls > 0) {
-      state.log.error("calls aborted at the stop limit", {
-        calls: abortedCalls,
-      });
+    await waitUntil(
+      Math.min(end, start + drainPropagationMilliseconds),
+      () => false,
+    );
+    await waitUntil(
+      end - unsentRefusalMilliseconds,
+      () => !this.#hasCalls,
+    );
+    if (this.#hasCalls) {
+      state.isStopLimitNear = true;
+      this.#peerRequestHandler.refuseUnsentCalls();
+      this.originDispatcher.refuseUnsentCalls();
+      await waitUntil(end, () => !this.#hasCalls);
     }
-    // Closing waits for responses that slow callers are still reading.
-    const forceTimer = setTimeout(() => {
-      this.outside.closeConnections();
-      this.node.closeConnections();
-      this.loopback.closeConnections();
-    }, abortedCalls > 0 ? 0 : Math.max(100, end - performance.now()));
-    await closed;
-    clearTimeout(forceTimer);
+    const abortedCalls = this.#abortCalls();
+    await this.#closeListeners(end + deliveryMilliseconds);
     this.targetDispatcher.stop();
     this.originDispatcher.stop();
     state.timers.stop();
@@ -246,6 +246,34 @@
     return { abortedCalls };
   }
 
+  get #hasCalls(): boolean {
+    return this.callCount + this.#peerRequestHandler.callCount > 0;
+  }
+
+  /**
+   * Answers the calls that are still in flight.
+   * @returns The number of calls.
+   */
+  #abortCalls(): number {
+    const calls = this.callCount;
+    if (calls > 0) {
+      this.state.log.error("calls aborted at the stop limit", { calls });
+    }
+    this.#peerRequestHandler.abortCalls();
+    this.originDispatcher.abortCalls();
+    return calls;
+  }
+
+  /** Delivers the open responses until a time, and closes the listeners. */
+  async #closeListeners(endMilliseconds: number): Promise<void> {
+    const limitMilliseconds = endMilliseconds - performance.now();
+    await Promise.all(
+      [this.outside, this.node, this.loopback].map((each) =>
+        each.closeGracefully(limitMilliseconds)
+      ),
+    );
+  }
+
   #onOutside(request: IncomingMessage, response: ServerResponse): void {
     const url = request.url ?? "";
     if (url.startsWith(outcomeQueryPath) && request.method === "GET") {
@@ -318,5 +346,18 @@
     view: undefined,
     levels: new LevelTable({ clock, classCount: 1 }),
     isStopping: false,
+    isStopLimitNear: false,
   };
 }
+
+/** Waits until a condition holds or a time is reached. */
+async function waitUntil(
+  endMilliseconds: number,
+  isMet: () => boolean,
+): Promise<void> {
+  while (performance.now() < endMilliseconds && !isMet()) {
+    await new Promise((resolve) =>
+      setTimeout(resolve, pollIntervalMilliseconds)
+    );
+  }
+}
--- a/src/node/node_state.ts
+++ b/src/node/node_state.ts
@@ -38,4 +38,9 @@
   levels: LevelTable;
   /** Whether new calls are refused because the process stops. */
   isStopping: boolean;
+  /**
+   * Whether calls of callers outside are also refused if they were accepted but
+   * not sent to a target, because the stop has almost reached its limit.
+   */
+  isStopLimitNear: boolean;
 }
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -41,7 +41,7 @@
   type ReportedLevels,
 } from "./reported_levels.ts";
 import type { OriginDispatcher } from "./origin_dispatcher.ts";
-import { getRefusalMessage } from "./refusal_messages.ts";
+import { createAbortFailure, getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import { planRetry } from "./plan_retry.ts";
@@ -89,6 +89,9 @@
   #reachedTargets = 0;
   #current: CurrentAttempt | undefined;
   #retryTimer: NodeJS.Timeout | undefined;
+  #isStreaming = false;
+  /** Failure that is reported once its key is fenced. */
+  #fencedFailure: CallFailure | undefined;
   #isEnded = false;
 
   /**
@@ -161,9 +164,14 @@
     // no longer applies: the caller gets the outcome of the fence.
     this.#stopTimers();
     this.#isEnded = true;
+    this.#fencedFailure = reported;
     const { ledger } = this.#dispatcher.state;
     ledger.fence({ service: plan.route.service, key: key ?? "" })
       .then((outcome) => {
+        if (this.#fencedFailure === undefined) {
+          return;
+        }
+        this.#fencedFailure = undefined;
         this.#isEnded = false;
         const result = getFencedResult(outcome, reported);
         if (result.kind === "failure") {
@@ -186,6 +194,7 @@
   onStreamedResponse(answer: Answer, streamed: StreamedResponse): void {
     const link = this.#current?.choice.link;
     this.#onResponse(answer, { status: streamed.head.status, bytes: 0 });
+    this.#isStreaming = true;
     this.#stopTimers();
     this.#dispatcher.state.timers.add(this.details.deadlineMilliseconds, this);
     this.#callers.writeStreamed({
@@ -236,6 +245,36 @@
     this.fail({ disposition, reason, message: getRefusalMessage(reason) });
   }
 
+  /**
+   * Refuses the call unless a byte of it may have been sent to a target. Calls
+   * of the local target go on, because the request that made them is at work.
+   */
+  refuseIfUnsent(): void {
+    const isSent = this.#isStreaming ||
+      this.#current?.attempt?.mayHaveBeenSent === true;
+    if (!this.#isEnded && !isSent && this.#options.parent === undefined) {
+      this.#collector?.stop();
+      this.#cancelAttempt("cancelled");
+      this.#refuse("stopping");
+    }
+  }
+
+  /** Ends the call because the process ends. Does not wait for the ledger. */
+  abort(): void {
+    const { needsClaim } = this.details;
+    if (this.#isEnded) {
+      if (this.#fencedFailure !== undefined) {
+        this.#fencedFailure = undefined;
+        this.#reportFailure(createAbortFailure("unknown"));
+      }
+      return;
+    }
+    this.#collector?.stop();
+    const isNotRun = this.#cancelAttempt("failed") === "not-run" &&
+      !this.#mayHaveRun && !needsClaim;
+    this.#reportFailure(createAbortFailure(isNotRun ? "not-run" : "unknown"));
+  }
+
   cancelWithParent(): void {
     if (!this.#isEnded) {
       this.#collector?.stop();
@@ -281,6 +320,13 @@
   }
 
   #startAttempt(): void {
+    if (
+      this.#dispatcher.state.isStopLimitNear &&
+      this.#options.parent === undefined
+    ) {
+      this.#refuse("stopping");
+      return;
+    }
     if (this.#account.remaining < 1) {
       this.#refuse("allowance-spent");
       return;
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -207,6 +207,16 @@
     }
   }
 
+  /** Refuses the calls of callers outside that no target can have received. */
+  refuseUnsentCalls(): void {
+    [...this.#calls].forEach((call) => call.refuseIfUnsent());
+  }
+
+  /** Ends all calls because the process ends. */
+  abortCalls(): void {
+    [...this.#calls].forEach((call) => call.abort());
+  }
+
   /** Closes idle connections to other nodes. */
   stop(): void {
     this.#pools.stop();
--- a/src/node/peer_request_handler.ts
+++ b/src/node/peer_request_handler.ts
@@ -18,6 +18,7 @@
 export class PeerRequestHandler {
   readonly #state: NodeState;
   readonly #dispatcher: TargetDispatcher;
+  readonly #calls = new Set<InboundCall>();
 
   /**
    * @param state State that the components of the node share.
@@ -28,6 +29,21 @@
     this.#dispatcher = dispatcher;
   }
 
+  /** Gets the number of calls of other nodes in progress. */
+  get callCount(): number {
+    return this.#calls.size;
+  }
+
+  /** Refuses the calls that the target cannot have received. */
+  refuseUnsentCalls(): void {
+    [...this.#calls].forEach((call) => call.refuseIfUnsent());
+  }
+
+  /** Ends all calls because the process ends. */
+  abortCalls(): void {
+    [...this.#calls].forEach((call) => call.abort());
+  }
+
   /** Validates a request of another node and starts its call. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const { view, settings, clock, peerCredential } = this.#state;
@@ -83,7 +99,7 @@
     }
     const framing = copyHeaders(request.rawHeaders);
     const key = request.headers["idempotency-key"] as string | undefined;
-    new InboundCall(this.#dispatcher, this.#state, {
+    const call = new InboundCall(this.#dispatcher, this.#state, {
       details: {
         plan,
         requestId: context.requestId,
@@ -105,7 +121,10 @@
       allowance: context.allowance,
       request,
       response,
-    }).start();
+      onEnd: (ended) => this.#calls.delete(ended),
+    });
+    this.#calls.add(call);
+    call.start();
   }
 
   #refuse(
--- a/src/node/refusal_messages.ts
+++ b/src/node/refusal_messages.ts
@@ -1,4 +1,8 @@
-import type { RefusalReason } from "../request/mod.ts";
+import type {
+  CallFailure,
+  Disposition,
+  RefusalReason,
+} from "../request/mod.ts";
 
 const messages: Readonly<Record<RefusalReason, string>> = {
   "unknown-route": "No route matches the service, method and path",
@@ -39,3 +43,17 @@
 export function getRefusalMessage(reason: RefusalReason): string {
   return messages[reason];
 }
+
+/**
+ * Creates the failure of a call that ends because its node stops.
+ * @param disposition Whether the call ran, as far as is known.
+ */
+export function createAbortFailure(disposition: Disposition): CallFailure {
+  return disposition === "not-run"
+    ? { disposition, reason: "stopping", message: messages.stopping }
+    : {
+      disposition: "unknown",
+      reason: "target-timeout",
+      message: "The node stopped before the target responded",
+    };
+}
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -106,8 +106,12 @@
     headers.length = length;
   }
 
+  get mayHaveBeenSent(): boolean {
+    return this.#exchange.mayHaveBeenSent;
+  }
+
   cancel(): Disposition {
-    const mayHaveRun = this.#exchange.mayHaveBeenSent;
+    const mayHaveRun = this.mayHaveBeenSent;
     this.#exchange.cancel();
     return mayHaveRun ? "unknown" : "not-run";
   }
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -160,6 +160,10 @@
     }
   }
 
+  get mayHaveBeenSent(): boolean {
+    return this.#phase === "ended" || this.#exchange?.mayHaveBeenSent === true;
+  }
+
   cancel(): Disposition {
     const phase = this.#phase;
     if (phase === "ended") {
@@ -170,8 +174,7 @@
       this.#dispatcher.onCallCancelled(this);
       return "not-run";
     }
-    const mayHaveRun = this.#exchange !== undefined &&
-      this.#exchange.mayHaveBeenSent;
+    const mayHaveRun = this.mayHaveBeenSent;
     if (mayHaveRun && phase === "running" && this.#claim !== undefined) {
       this.#detach();
       return "unknown";
