Merge the answers at the stop limit

Both sides tracked the open responses of a listener. The connection that records who ended it also tells now when its last response was sent, so that one list serves both.

--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -44,6 +44,8 @@
 export interface Attempt {
   /** What the attempt waits for. */
   readonly phase: CallPhase;
+  /** Whether a byte of the request may have been sent. */
+  readonly mayHaveBeenSent: boolean;
   /**
    * Cancels the attempt; its sink is not called afterwards.
    * @returns Whether the call ran, as far as is known.
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -4,10 +4,11 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import type { Duplex } from "node:stream";
 import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
+import { BusyConnections } from "./busy_connections.ts";
 import { ListenerResponse } from "./listener_response.ts";
 import {
   type ListenerState,
@@ -57,6 +58,7 @@
   readonly #handle: HttpListenerOptions["handle"];
   readonly #onUnanswered: (unanswered: UnansweredConnection) => void;
   readonly #connections = new WeakMap<object, OpenConnection>();
+  readonly #busyConnections = new BusyConnections();
   readonly #state: ListenerState = {
     isDraining: false,
     closeReason: undefined,
@@ -133,13 +135,26 @@
     this.#state.isDraining = true;
   }
 
-  /** Refuses new connections, and resolves when all open ones are closed. */
-  close(): Promise<void> {
+  /**
+   * Refuses new connections, delivers the open responses, closes idle
+   * connections, and resolves when all connections are closed.
+   */
+  async close(): Promise<void> {
+    this.startDraining();
     this.#state.closeReason ??= "listener-closed";
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
+    const closed = new Promise<void>((resolve) => {
+      // The method of the HTTP server also closes connections whose responses
+      // were written but not sent.
+      NetServer.prototype.close.call(this.#server, () => resolve());
     });
+    await Promise.race([this.#busyConnections.whenNone(), closed]);
+    this.#server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Waits until the open responses are delivered or their callers left. */
+  whenDelivered(): Promise<void> {
+    return this.#busyConnections.whenNone();
   }
 
   /** Closes all connections at the stop limit, also those with open requests. */
@@ -160,6 +175,7 @@
       response.shouldKeepAlive = false;
     }
     connection.add(response);
+    this.#busyConnections.add(connection);
     this.#handle(request, response);
   }
 
@@ -170,6 +186,7 @@
         socket,
         listener: this.#state,
         onUnanswered: this.#onUnanswered,
+        onIdle: (idle) => this.#busyConnections.remove(idle),
       });
       this.#connections.set(socket, connection);
     }
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -28,7 +28,7 @@
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
 import { getConnectionEnd, setResponseCall } from "./listener_response.ts";
 import type { NodeState } from "./node_state.ts";
-import { getRefusalMessage } from "./refusal_messages.ts";
+import { createAbortFailure, getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
 import { TargetCall } from "./target_call.ts";
 import type { TargetDispatcher } from "./target_dispatcher.ts";
@@ -40,6 +40,8 @@
   readonly allowance: number;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Called at the end of the call. */
+  onEnd(call: InboundCall): void;
 }
 
 /** Runs a call that another node sent to the local target. */
@@ -145,6 +147,24 @@
     );
   }
 
+  /** Refuses the call unless a byte of it may have been sent to the target. */
+  refuseIfUnsent(): void {
+    if (!this.#isEnded && this.#call?.mayHaveBeenSent !== true) {
+      this.abort();
+    }
+  }
+
+  /** Ends the call because the process ends. */
+  abort(): void {
+    if (this.#isEnded) {
+      return;
+    }
+    this.#collector?.stop();
+    const disposition = this.#call?.cancel() ?? "not-run";
+    const { reason, message } = createAbortFailure(disposition);
+    this.#refuse(disposition, reason, message);
+  }
+
   #onBody(body: CallBody): void {
     this.#collector = undefined;
     const { details, allowance } = this.#options;
@@ -217,5 +237,6 @@
     );
     this.#state.bodyMemory.release(this.#reservedBytes);
     this.#reservedBytes = 0;
+    this.#options.onEnd(this);
   }
 }
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -49,6 +49,8 @@
   readonly socket: Duplex;
   readonly listener: ListenerState;
   onUnanswered(unanswered: UnansweredConnection): void;
+  /** Called when no request is open any more, also because the socket closed. */
+  onIdle(connection: OpenConnection): void;
 }
 
 /**
@@ -119,6 +121,9 @@
     }
     // Responses are sent in the order of their requests.
     this.#responses.shift();
+    if (!this.hasOpenRequests) {
+      this.#options.onIdle(this);
+    }
     if (socket.writableEnded) {
       const reason = listener.isDraining
         ? "draining"
@@ -130,6 +135,7 @@
   #onClose(): void {
     if (this.hasOpenRequests) {
       this.#options.onUnanswered({ end: this.end, responses: this.#responses });
+      this.#options.onIdle(this);
     }
   }
 }
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -111,8 +111,12 @@
     return this.#exchange.mayHaveBeenSent ? "at-node" : "connecting";
   }
 
+  get mayHaveBeenSent(): boolean {
+    return this.#exchange.mayHaveBeenSent;
+  }
+
   cancel(): Disposition {
-    const mayHaveRun = this.#exchange.mayHaveBeenSent;
+    const mayHaveRun = this.mayHaveBeenSent;
     this.#exchange.cancel();
     return mayHaveRun ? "unknown" : "not-run";
   }
