End all pipelined requests of a caller that leaves

What targets saw: work for callers that had left. Of several pipelined requests on a connection, only the first one was cancelled when its caller left; the others kept their slots and targets until they ended by themselves.

Cause: Node.js emits "close" for the response that is being sent only, and the calls listen to that event.

The connection closes the responses that wait behind the first one when its socket closes.

--- a/src/node/http_listener_test.ts
+++ b/src/node/http_listener_test.ts
@@ -105,3 +105,23 @@
   assert.match(received, /body of \/1;[^]*refused;$/);
   assert.deepEqual(handled.map(({ path }) => path), ["/1", "/2"]);
 });
+
+test("all pipelined requests of a caller that leaves end", async (context) => {
+  const closedPaths: (string | undefined)[] = [];
+  let handled = 0;
+  const listener = new HttpListener({
+    endpoint: { host: "127.0.0.1", port: 0 },
+    handle: (request, response) => {
+      handled++;
+      response.on("close", () => closedPaths.push(request.url));
+    },
+  });
+  await listener.listen();
+  context.after(() => listener.closeImmediately());
+  const socket = connect(listener.port, "127.0.0.1");
+  socket.write(formatRequests(["/1", "/2", "/3"]));
+  await waitFor(() => handled === 3);
+  socket.destroy();
+  await waitFor(() => closedPaths.includes("/1"));
+  assert.deepEqual(closedPaths.sort(), ["/1", "/2", "/3"]);
+});
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -137,6 +137,18 @@
       this.#options.onUnanswered({ end: this.end, responses: this.#responses });
       this.#options.onIdle(this);
     }
+    this.#responses.forEach(closeIfWaiting);
+  }
+}
+
+/**
+ * Closes a response that waits behind another one. Node.js does that only for
+ * the response that is being sent.
+ */
+function closeIfWaiting(response: ListenerResponse): void {
+  if (response.socket === null) {
+    response.destroy();
+    response.emit("close");
   }
 }
 
