Keep the connection after the refusal of a request without a body

What callers saw: at any time, not only at a stop, requests that they had pipelined ended without a response when a request in front of them was refused. With a load that makes nodes refuse calls (503), that is many times a second.

Cause: a refusal closes the connection unless the request is complete, because the rest of its body would be left unread. Node.js sets `complete` only after the request was handled, so that each refusal on arrival closed the connection, also those of requests that have no body. Node.js sends nothing behind such a response, but the node had passed on what it had parsed behind it.

This change removes the needless close: a request without a body leaves nothing unread, so its refusal keeps the connection, and callers need no second connection and no resend for the requests behind it.

--- a/src/node/caller_response.ts
+++ b/src/node/caller_response.ts
@@ -6,6 +6,7 @@
 } from "../request/mod.ts";
 import type { StreamedResponse } from "./attempt.ts";
 import { endWithBody } from "./end_with_body.ts";
+import { hasUnreadBody } from "./has_unread_body.ts";
 import { pipeBody } from "./pipe_body.ts";
 import { maximumStreamedBodyBytes, type ResponseHead } from "./exchange.ts";
 
@@ -96,7 +97,7 @@
   if (options.answer !== undefined) {
     headers.push("dogwoodwalk-answer", options.answer);
   }
-  if (!response.req.complete) {
+  if (hasUnreadBody(response.req)) {
     // The rest of the request is not read, so the connection is not reused.
     response.shouldKeepAlive = false;
   }
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -26,6 +26,7 @@
 } from "./call_protocol.ts";
 export type { CallDetails } from "./call_details.ts";
 export type { ResponseHead } from "./exchange.ts";
+export { hasUnreadBody } from "./has_unread_body.ts";
 export { HttpListener, type HttpListenerOptions } from "./http_listener.ts";
 export { createUnansweredReporter } from "./report_unanswered.ts";
 export {
