End a process at one limit that is measured from the signal

What operators saw: processes that were still there at the end of the grace time. What callers saw: a process that got SIGTERM while it started ended at once, with requests in its listeners.

Causes: - The steps of a stop had limits of their own, or none. At a control instance: 500 ms of drain, up to the whole stop limit (grace time minus 1 s) for proposals, the write in progress without limit, 500 ms and 1 s for responses. - process.exit() blocks until all file operations of the thread pool have ended, so that a disk that does not respond also held a finished stop. - SIGTERM was handled only once the start had completed.

One timer is armed at the signal. At its end, the process logs "stop limit reached" and kills itself, which unlike process.exit() waits for nothing.

Ruled out: a shorter limit for each step, whose sum still depends on the number of steps.

--- a/src/bin/dogwoodwalk_control.ts
+++ b/src/bin/dogwoodwalk_control.ts
@@ -7,12 +7,15 @@
   createMetrics,
   formatFinding,
   handleUnexpectedErrors,
+  stopOnSignal,
   systemClock,
 } from "../common/mod.ts";
 import { createReplicatedLog } from "../consensus/mod.ts";
-import { type RunningControl, startControl } from "../control/mod.ts";
+import { startControl } from "../control/mod.ts";
 import { type ControlSettings, parseControlSettings } from "../settings/mod.ts";
 
+/** Time after the stop limit at which the process ends, although it hangs. */
+const exitMarginMilliseconds = 2000;
 const exitCodes = { failed: 1, invalidInput: 2 } as const;
 
 async function main(): Promise<void> {
@@ -49,6 +52,12 @@
     clock: systemClock,
     mayContinue: false,
   });
+  const setStarted = stopOnSignal({
+    signals: ["SIGTERM", "SIGINT"],
+    limitMilliseconds: settings.stopLimitMilliseconds + exitMarginMilliseconds,
+    log: eventLog,
+    flush: (onWritten) => onWritten(),
+  });
   const control = await startControl({
     settings,
     token: token.value,
@@ -66,7 +75,12 @@
         onFailure: () => metrics.increment("control.storage_failed", {}),
       }),
   });
-  stopOnSignal(control, (signal) => eventLog.info("stopping", { signal }));
+  setStarted({
+    stop: async () => {
+      await control.stop();
+      return 0;
+    },
+  });
 }
 
 function readSettings(file: string): ControlSettings | undefined {
@@ -87,23 +101,6 @@
   return parsed.value;
 }
 
-function stopOnSignal(
-  control: RunningControl,
-  onSignal: (signal: string) => void,
-): void {
-  let isStopping = false;
-  const stop = (signal: string) => {
-    if (isStopping) {
-      return;
-    }
-    isStopping = true;
-    onSignal(signal);
-    control.stop().then(() => process.exit(0), () => process.exit(1));
-  };
-  process.on("SIGTERM", () => stop("SIGTERM"));
-  process.on("SIGINT", () => stop("SIGINT"));
-}
-
 main().catch((error) => {
   process.stderr.write(`dogwoodwalk-control: ${(error as Error).message}\n`);
   process.exit(exitCodes.failed);
--- a/src/bin/dogwoodwalk_node.ts
+++ b/src/bin/dogwoodwalk_node.ts
@@ -11,12 +11,16 @@
   createMetrics,
   formatFinding,
   handleUnexpectedErrors,
+  stopOnSignal,
   systemClock,
 } from "../common/mod.ts";
 import { parseDocument } from "../document/mod.ts";
 import { ControlLink, NodeProcess, PeerCredential } from "../node/mod.ts";
 import { type NodeSettings, parseNodeSettings } from "../settings/mod.ts";
 
+/** Time after the stop limit at which the process ends, although it hangs. */
+const exitMarginMilliseconds = 2000;
+
 const program = new Command("dogwoodwalk-node")
   .description("Runs the node beside one target.")
   .argument("<settings>", "settings file (TOML)")
@@ -56,25 +60,26 @@
   if (settings.documentFile !== undefined) {
     applyDocumentFile(node, settings.documentFile);
   }
+  const setStarted = stopOnSignal({
+    signals: ["SIGTERM", "SIGINT"],
+    limitMilliseconds: settings.stopLimitMilliseconds + exitMarginMilliseconds,
+    log,
+    flush: (onWritten) => onWritten(),
+  });
   try {
     await node.start();
   } catch (error) {
     exitWithError(`Cannot listen: ${(error as Error).message}`, 1);
   }
   const link = connectControl(node, settings, token);
-  let isStopping = false;
-  const stop = async (): Promise<void> => {
-    if (isStopping) {
-      return;
-    }
-    isStopping = true;
-    link?.announceLeave();
-    const { abortedCalls } = await node.stop();
-    await link?.stop();
-    process.exit(abortedCalls > 0 ? 1 : 0);
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+  setStarted({
+    stop: async () => {
+      link?.announceLeave();
+      const { abortedCalls } = await node.stop();
+      await link?.stop();
+      return abortedCalls > 0 ? 1 : 0;
+    },
+  });
 }
 
 function connectControl(
--- a/src/common/log_output.ts
+++ b/src/common/log_output.ts
@@ -13,6 +13,11 @@
   write(line: string): void;
   /** Writes all buffered lines and blocks until done; for process exit. */
   flush(): void;
+  /**
+   * Starts to write all buffered lines.
+   * @param onWritten Called when they are written or cannot be.
+   */
+  drain(onWritten: () => void): void;
 }
 
 /**
@@ -43,5 +48,6 @@
   return {
     write: (line) => void stream.write(line),
     flush: () => stream.flushSync(),
+    drain: (onWritten) => stream.flush(() => onWritten()),
   };
 }
--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -2,6 +2,11 @@
 export { ManualClock } from "./manual_clock.ts";
 export { createSeededRandom, type RandomSource } from "./random_source.ts";
 export { handleUnexpectedErrors } from "./handle_unexpected_errors.ts";
+export {
+  stopOnSignal,
+  type StopOnSignalOptions,
+  type Stoppable,
+} from "./stop_on_signal.ts";
 export { type Finding, formatFinding } from "./finding.ts";
 export { failed, ok, type Result } from "./result.ts";
 export { getBytesHash, getStableHash } from "./stable_hash.ts";
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -77,8 +77,13 @@
   readonly port: number;
   /** Replaces the addresses to which this instance sends join requests. */
   setSeedAddresses(addresses: readonly string[]): void;
-  /** Refuses new calls, completes those in flight and closes the files. */
-  stop(): Promise<void>;
+  /**
+   * Refuses new calls, completes those in flight and closes the files. Waits for
+   * file operations in progress without a limit.
+   * @param options Time limit for proposals in flight, by default from the
+   * settings. Connections of callers are closed up to 500 ms later.
+   */
+  stop(options?: { limitMilliseconds?: number }): Promise<void>;
 }
 
 /**
@@ -156,18 +161,21 @@
     port,
     setSeedAddresses: (addresses) =>
       membershipManager?.setSeedAddresses(addresses),
-    stop: async () => {
+    stop: async (stopOptions = {}) => {
       timers.forEach(clearInterval);
       membershipManager?.stop();
       nodeSessions.stop();
       // The log replicates through the server, so the server must run until
       // the last proposal has its result.
-      const isDone = await proposer.stop(settings.stopLimitMilliseconds);
+      const isDone = await proposer.stop(
+        stopOptions.limitMilliseconds ?? settings.stopLimitMilliseconds,
+      );
       if (!isDone) {
         eventLog.warn("shutdown timed out with proposals in flight");
       }
-      await log.stop();
-      await shutDown(server);
+      // The stop of the log ends what still waits for it, and then waits for
+      // the disk, which must not delay the responses.
+      await Promise.all([log.stop(), shutDown(server)]);
       metrics.close();
     },
   };
