--- a/src/control/membership_manager.ts
+++ b/src/control/membership_manager.ts
@@ -19,6 +19,7 @@
   chooseMemberToRemove,
   getJoinStep,
   type JoinStep,
+  memberRemovalTimeoutMilliseconds,
 } from "./membership_rules.ts";
 
 /** Interval at which an instance checks its membership in the group. */
@@ -40,6 +41,8 @@
   readonly address: string;
   /** Addresses of instances that may be members of the group. */
   readonly seedAddresses: readonly string[];
+  /** Number of disks of instances that may be lost at once. */
+  readonly toleratedLosses: number;
   readonly interceptors: readonly Interceptor[];
 }
 
@@ -64,6 +67,8 @@
   #nextCandidate = 0;
   #isJoinInFlight = false;
   #isChangeInFlight = false;
+  /** Monotonic time at which this leader last made an instance a voter. */
+  #lastPromotionMilliseconds = -Infinity;
 
   /** @param options Replicated log, seed addresses and dependencies. */
   constructor(options: MembershipManagerOptions) {
@@ -204,7 +209,13 @@
   }
 
   #removeUnresponsiveMember(status: ConsensusStatus): void {
-    const id = chooseMemberToRemove(status);
+    const { toleratedLosses, clock } = this.#options;
+    const newVoterAge = clock.monotonicMilliseconds() -
+      this.#lastPromotionMilliseconds;
+    const id = chooseMemberToRemove(status, {
+      toleratedLosses,
+      hasNewVoter: newVoterAge < memberRemovalTimeoutMilliseconds,
+    });
     if (id !== undefined) {
       void this.#changeMembers({ kind: "remove", id }, "");
     }
@@ -218,9 +229,12 @@
       return;
     }
     this.#isChangeInFlight = true;
-    const { log, eventLog } = this.#options;
+    const { log, eventLog, clock } = this.#options;
     const result = await log.changeMembers(step);
     this.#isChangeInFlight = false;
+    if (step.kind === "promote" && result.kind === "ok") {
+      this.#lastPromotionMilliseconds = clock.monotonicMilliseconds();
+    }
     eventLog.info("group change", {
       step: step.kind,
       address,
--- a/src/control/membership_rules.ts
+++ b/src/control/membership_rules.ts
@@ -6,8 +6,14 @@
  * requests to join again.
  */
 export const memberRemovalTimeoutMilliseconds = 10_000;
-/** Minimum number of voters that remain after an unresponsive voter is removed. */
-const minimumVoters = 3;
+/**
+ * Time without contact after which the leader removes a member while the group
+ * has a new voter. It covers an election, and ends before a successor of the
+ * member counts as caught up.
+ */
+export const earlyRemovalTimeoutMilliseconds = 3000;
+/** Losses of disks at once that a group tolerates unless its settings differ. */
+export const defaultToleratedLosses = 1;
 
 /** A membership change that the leader makes to let an instance join. */
 export type JoinStep =
@@ -52,20 +58,41 @@
     : { kind: "add", address, id };
 }
 
+/** Settings of {@link chooseMemberToRemove}. */
+export interface RemovalOptions {
+  /** Number of disks that may be lost at once. */
+  readonly toleratedLosses: number;
+  /** Whether an instance became a voter recently. */
+  readonly hasNewVoter: boolean;
+}
+
 /**
- * Chooses an unresponsive member to remove; non-voters come first.
+ * Chooses an unresponsive member to remove; non-voters come first. An
+ * unresponsive voter stays when fewer voters would remain than the group needs
+ * to keep a majority after the tolerated losses of disks: it may return with its
+ * disk, while a voter whose disk is lost never responds again.
  * @param group The group as its leader knows it.
+ * @param options Tolerated losses, and whether there is a new voter.
  * @returns The identity of the member, or `undefined` when all members stay.
  */
-export function chooseMemberToRemove(group: Group): string | undefined {
+export function chooseMemberToRemove(
+  group: Group,
+  { toleratedLosses, hasNewVoter }: RemovalOptions,
+): string | undefined {
+  // A new voter may be the successor of an unresponsive one. Together they
+  // raise the majority, so that the tolerated losses could leave none.
+  const timeout = hasNewVoter
+    ? earlyRemovalTimeoutMilliseconds
+    : memberRemovalTimeoutMilliseconds;
   const unresponsive = group.members.filter((each) =>
-    (group.lastContactAgesMilliseconds.get(each.id) ?? 0) >
-      memberRemovalTimeoutMilliseconds
+    (group.lastContactAgesMilliseconds.get(each.id) ?? 0) > timeout
   );
   const nonVoter = unresponsive.find((each) => !each.isVoter);
   if (nonVoter !== undefined) {
     return nonVoter.id;
   }
   const voters = group.members.filter((each) => each.isVoter);
+  const minimumVoters = 2 * Math.max(toleratedLosses, defaultToleratedLosses) +
+    1;
   return voters.length > minimumVoters ? unresponsive[0]?.id : undefined;
 }
