Close a connection only when its caller has read the last response

What callers saw: the last response of a connection was cut in the middle, or did not arrive, when they had sent more behind the request: the next pipelined request, a request on a kept connection, or the rest of a refused body.

Cause: Node.js closes the socket as soon as the operating system has taken over the response. Bytes that arrive after that reset the connection, and a reset discards the part of the response that was not delivered. A drain makes each response the last one of its connection, so that a planned stop met it most.

The listener now closes its own direction only, discards what arrives, and closes when the caller does, after 2 s at the latest. A graceful close waits for such connections up to its limit.

Evidence: linger_on_close_test.ts. A caller that reads late and had sent a request, or other bytes, behind the last one got 195,584 of more than 300,000 bytes before; the close ended before its caller.

Ruled out: bytes behind the request as the cause without a close; the same transfer on a connection that is kept is complete.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -9,6 +9,7 @@
 import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
 import { BusyConnections } from "./busy_connections.ts";
+import { lingerOnClose } from "./linger_on_close.ts";
 import { ListenerResponse } from "./listener_response.ts";
 import {
   type ListenerState,
@@ -84,8 +85,13 @@
     }, (request, response) => {
       this.#acceptRequest(request, response);
     });
+    this.#server.on("connection", lingerOnClose);
     this.#server.on("clientError", (error, socket) => {
       const connection = this.#connections.get(socket);
+      if (connection?.isClosing === true && !connection.hasOpenRequests) {
+        // What the caller sends behind the last response is discarded.
+        return;
+      }
       connection?.setEndByError(error);
       if (connection?.hasOpenRequests === true) {
         // An error response would be read as the response to the open request,
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -49,7 +49,10 @@
   readonly socket: Duplex;
   readonly listener: ListenerState;
   onUnanswered(unanswered: UnansweredConnection): void;
-  /** Called when no request is open any more, also because the socket closed. */
+  /**
+   * Called when no request is open any more, and a connection that ends with its
+   * last response is closed.
+   */
   onIdle(connection: OpenConnection): void;
 }
 
@@ -121,7 +124,7 @@
     }
     // Responses are sent in the order of their requests.
     this.#responses.shift();
-    if (!this.hasOpenRequests) {
+    if (!this.hasOpenRequests && !this.isClosing) {
       this.#options.onIdle(this);
     }
     if (socket.writableEnded) {
@@ -135,8 +138,8 @@
   #onClose(): void {
     if (this.hasOpenRequests) {
       this.#options.onUnanswered({ end: this.end, responses: this.#responses });
-      this.#options.onIdle(this);
     }
+    this.#options.onIdle(this);
     this.#responses.forEach(closeIfWaiting);
   }
 }
