Read the rest of a body whose request was answered

What callers saw: after an upload that its target answered early, the next request on the connection got no response. A refusal during an upload was lost by a reset.

Cause: a body that was paused because its destination was full, or because it was too large, stayed paused when its request ended. Node.js discards the rest only of a body that nobody has begun to read. The connection was never read again: neither the next request nor the end that a closing connection waits for.

The rest is discarded now. Evidence: unread_body_test.ts; before, no response to the second request within 10 s, and EPIPE instead of the refusal.

--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -123,7 +123,11 @@
       return;
     }
     // Responses are sent in the order of their requests.
-    this.#responses.shift();
+    const response = this.#responses.shift();
+    if (this.isClosing) {
+      // The socket closes when all bytes of the caller were read.
+      response?.req.resume();
+    }
     if (!this.hasOpenRequests && !this.isClosing) {
       this.#options.onIdle(this);
     }
--- a/src/node/pipe_body.ts
+++ b/src/node/pipe_body.ts
@@ -42,13 +42,15 @@
     destination.off("close", onClose);
     if (error === undefined) {
       destination.end();
+    } else {
+      // An unread rest would block the next message of the connection.
+      source.resume();
     }
     options.onEnd(error, bytes);
   };
   const onData = (chunk: Buffer): void => {
     bytes += chunk.length;
     if (bytes > options.limit) {
-      source.pause();
       finish("too-large");
     } else if (!destination.write(chunk)) {
       source.pause();
