Accept waiting connections before a listener closes

What callers saw: a connection that was established while a process stopped was reset, although the process went on for seconds.

Cause: a closed listening socket resets the connections that the process has not accepted. The listener closed it at the end of other work of the same turn, so connections of that time were lost. The stop of a control instance ends its gRPC server in that turn since it does both at once.

The listener closes the socket right after a poll for events now, when no connection waits.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -148,11 +148,10 @@
   async close(): Promise<void> {
     this.startDraining();
     this.#state.closeReason ??= "listener-closed";
-    const closed = new Promise<void>((resolve) => {
-      // The method of the HTTP server also closes connections whose responses
-      // were written but not sent.
-      NetServer.prototype.close.call(this.#server, () => resolve());
-    });
+    // The system resets connections that wait to be accepted. After a poll for
+    // events, there are none.
+    await new Promise((resolve) => setImmediate(resolve));
+    const closed = this.#stopListening();
     await Promise.race([this.#busyConnections.whenNone(), closed]);
     this.#server.closeIdleConnections();
     await closed;
@@ -212,10 +211,20 @@
 
   /** Refuses new connections and closes the open ones. */
   async closeImmediately(): Promise<void> {
-    const closed = this.close();
+    this.#state.closeReason ??= "listener-closed";
+    const closed = this.#stopListening();
     this.#server.closeAllConnections();
     await closed;
   }
+
+  /** Refuses new connections, and resolves when all open ones are closed. */
+  #stopListening(): Promise<void> {
+    return new Promise((resolve) => {
+      // The method of the HTTP server also closes connections whose responses
+      // were written but not sent.
+      NetServer.prototype.close.call(this.#server, () => resolve());
+    });
+  }
 }
 
 /** Responds to a malformed or incomplete request with an error. */
