Accept a changed mark of the data folder where no folder is copied

Callers could see: after two disks were lost and all other machines lost power, no leader for good, if the lock file of the others was a new one. Cause: the mark of a data folder is the inode and the time of its lock file, which was never synced itself. A changed mark means a copy, such as a restored backup, and the start of a copy needs the confirmation of every voter; voters whose disks are lost never confirm. That the platform's disks change the mark is not shown: look for "data folder was moved or copied" in its logs. Why: the platform keeps or loses a disk. A disk that is rolled back is still found by the recorded positions.

--- a/src/consensus/durable_storage.ts
+++ b/src/consensus/durable_storage.ts
@@ -37,6 +37,11 @@
   readonly log: Log;
   /** Creates the identifiers of instances and starts; random by default. */
   readonly createId?: () => string;
+  /**
+   * Whether the folder may be a copy, such as a restored backup; true by
+   * default. The start of a copy needs the confirmation of every voter.
+   */
+  readonly mayBeCopy?: boolean | undefined;
 }
 
 /** Durable storage of one instance in its data folder. */
@@ -114,7 +119,9 @@
       ) {
         throwCorrupt("hard_state", "it is missing, but other files exist");
       }
-      if (hardState && stored?.folderMark !== lock.folderMark) {
+      const isMarkChecked = options.mayBeCopy ?? true;
+      const isMarked = stored?.folderMark === lock.folderMark;
+      if (hardState && isMarkChecked && !isMarked) {
         options.log.warn("data folder was moved or copied");
         hardState = { ...hardState, isMoved: true };
         await replaceFile(files, "hard_state", [encodeHardState(hardState)]);
--- a/src/consensus/node_file_system.ts
+++ b/src/consensus/node_file_system.ts
@@ -1,4 +1,4 @@
-import { closeSync, fstatSync, openSync } from "node:fs";
+import { closeSync, fstatSync, fsyncSync, openSync } from "node:fs";
 import { mkdir, open, readFile, rename, rm } from "node:fs/promises";
 import { dirname, join } from "node:path";
 import fsExt from "fs-ext";
@@ -75,6 +75,8 @@
     }
     throw error;
   }
+  // The mark has to outlast a loss of power, although nothing is written.
+  fsyncSync(descriptor);
   const { ino, birthtimeNs } = fstatSync(descriptor, { bigint: true });
   return {
     folderMark: `${ino}:${birthtimeNs}`,
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -17,7 +17,7 @@
 ): Promise<ReplicatedLog> {
   const storage = await DurableStorage.open(
     options.files ?? createNodeFileSystem(options.dataFolder),
-    { log: options.log },
+    { log: options.log, mayBeCopy: options.mayFolderBeCopy },
   );
   if (storage.state.snapshot.index > 0) {
     options.stateMachine.restoreSnapshot(storage.snapshotData);
--- a/src/consensus/replicated_log_types.ts
+++ b/src/consensus/replicated_log_types.ts
@@ -84,6 +84,11 @@
   readonly token?: string | undefined;
   /** gRPC server to use, which the caller binds; one is created by default. */
   readonly server?: Server | undefined;
+  /**
+   * Whether the data folder may be a copy, such as a restored backup; true by
+   * default. False where a disk is either kept or lost.
+   */
+  readonly mayFolderBeCopy?: boolean;
   /** Number of entries after which a snapshot is taken; 4096 by default. */
   readonly snapshotEntries?: number;
   /** Called once when the storage has failed and the instance has stopped. */
