--- a/src/consensus/durable_storage.ts
+++ b/src/consensus/durable_storage.ts
@@ -37,6 +37,11 @@
   readonly log: Log;
   /** Creates the identifiers of instances and starts; random by default. */
   readonly createId?: () => string;
+  /**
+   * Whether the folder may be a copy, such as a restored backup; true by
+   * default. The start of a copy needs the confirmation of every voter.
+   */
+  readonly mayBeCopy?: boolean | undefined;
 }
 
 /** Durable storage of one instance in its data folder. */
@@ -114,7 +119,9 @@
       ) {
         throwCorrupt("hard_state", "it is missing, but other files exist");
       }
-      if (hardState && stored?.folderMark !== lock.folderMark) {
+      const isMarkChecked = options.mayBeCopy ?? true;
+      const isMarked = stored?.folderMark === lock.folderMark;
+      if (hardState && isMarkChecked && !isMarked) {
         options.log.warn("data folder was moved or copied");
         hardState = { ...hardState, isMoved: true };
         await replaceFile(files, "hard_state", [encodeHardState(hardState)]);
@@ -284,7 +291,9 @@
   const { payloads, validLength } = readRecords("log", bytes);
   const { entries, peers } = replayRecords(payloads);
   const entriesAfterSnapshot = getEntriesAfter(snapshot, entries);
-  if (entriesAfterSnapshot === undefined) {
+  // A new log gets its header like the other files, by a rename: a header that
+  // is torn by a loss of power would look like damage.
+  if (entriesAfterSnapshot === undefined || validLength < fileHeaderBytes) {
     await replaceFile(files, "log", [encodeLogRecord([], peers)]);
     return { file: await files.open("log"), entries: [], peers };
   }
@@ -296,9 +305,6 @@
     });
     await file.truncate(validLength);
   }
-  if (validLength < fileHeaderBytes) {
-    await file.append(createFileHeader());
-  }
   await file.sync();
   await files.syncFolder();
   return { file, entries: entriesAfterSnapshot, peers };
