Answer the requests before invalid bytes on their connection

What callers saw: a malformed or late request, or one with too large headers, closed the connection at once, and the requests in front of it that had been passed on ended without a response.

Cause: an error response cannot be written while requests are open, because it would be taken for the response to the first of them. The listener destroyed the socket instead.

Evidence: four new cases of http_listener_test.ts. The callers got none of two responses before the change, and get both with it.

After such an error, the listener sends the responses to the requests that were received completely, in their order, and closes the connection behind the last of them without an error response. A request whose own body is invalid can have no response; its connection ends once those in front of it are answered.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
@@ -92,12 +92,12 @@
         // What the caller sends behind the last response is discarded.
         return;
       }
-      connection?.setEndByError(error);
       if (connection?.hasOpenRequests === true) {
         // An error response would be read as the response to the open request,
         // and would claim "not-run" although its body may be reaching a target.
-        socket.destroy();
+        connection.endByError(error);
       } else {
+        connection?.setEndByError(error);
         sendClientError(error, socket);
       }
     });
@@ -185,7 +185,7 @@
     this.#handle(request, response);
   }
 
-  #getConnection(socket: Duplex): OpenConnection {
+  #getConnection(socket: Socket): OpenConnection {
     let connection = this.#connections.get(socket);
     if (connection === undefined) {
       connection = new OpenConnection({
--- a/src/node/http_listener_test.ts
+++ b/src/node/http_listener_test.ts
@@ -125,3 +125,60 @@
   await waitFor(() => closedPaths.includes("/1"));
   assert.deepEqual(closedPaths.sort(), ["/1", "/2", "/3"]);
 });
+
+const invalidBytes = [
+  { name: "are not HTTP", waitMilliseconds: 20, bytes: "\u0000\r\n\r\n" },
+  {
+    name: "are an incomplete request",
+    waitMilliseconds: 2500,
+    bytes: "GET /vie",
+  },
+  {
+    name: "have too large headers",
+    waitMilliseconds: 20,
+    bytes: `GET / HTTP/1.1\r\nx: ${"x".repeat(20_000)}\r\n\r\n`,
+  },
+  {
+    name: "are a request with an invalid body",
+    waitMilliseconds: 20,
+    bytes:
+      "POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+  },
+];
+for (const { name, waitMilliseconds, bytes } of invalidBytes) {
+  // Guards against an error that cuts the responses to the requests before it.
+  test(`requests are answered although the bytes behind them ${name}`, async (context) => {
+    const handled: HandledRequest[] = [];
+    const listener = new HttpListener({
+      endpoint: { host: "127.0.0.1", port: 0 },
+      handle: (request, response) => {
+        request.resume();
+        handled.push({ path: request.url ?? "", response });
+      },
+      headersMilliseconds: 300,
+    });
+    await listener.listen();
+    context.after(() => listener.closeImmediately());
+    const socket = connect(listener.port, "127.0.0.1");
+    context.after(() => socket.destroy());
+    let received = "";
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => received += chunk);
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.write(formatRequests(["/1", "/2"]) + bytes);
+    await waitFor(() => handled.length >= 2);
+    await Promise.race([
+      new Promise((resolve) => setTimeout(resolve, waitMilliseconds)),
+      closed,
+    ]);
+    for (const { path, response } of handled.slice(0, 2).reverse()) {
+      response.end(path);
+    }
+    await closed;
+    const responses = received.split("HTTP/1.1 ").slice(1);
+    assert.deepEqual(
+      responses.map((each) => `${each.slice(0, 3)} ${each.slice(-2)}`),
+      ["200 /1", "200 /2"],
+    );
+  });
+}
