Answer calls with keys that are refused at the stop limit

What callers saw: a call with a key that a stopping node refused at its limit waited for the fence of the key, and was cut 200 ms later.

Cause: the stop answers pending fences at its limit, but a call that is read after that, such as one that waited for a busy process, started another one.

Evidence: the new test with a ledger that does not answer got no response within 5 s before the change, and 504 `unknown` with it. A second test shows that a fence which is pending at the limit was answered before too.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -279,6 +279,7 @@
     if (calls > 0) {
       this.state.log.error("calls aborted at the stop limit", { calls });
     }
+    this.state.isStopLimitReached = true;
     this.#peerRequestHandler.abortCalls();
     this.originDispatcher.abortCalls();
     return calls;
@@ -367,6 +368,7 @@
     levels: new LevelTable({ clock, classCount: 1 }),
     isStopping: false,
     isStopLimitNear: false,
+    isStopLimitReached: false,
   };
 }
 
--- a/src/node/node_state.ts
+++ b/src/node/node_state.ts
@@ -43,4 +43,6 @@
    * not sent to a target, because the stop has almost reached its limit.
    */
   isStopLimitNear: boolean;
+  /** Whether calls are ended at once, without waiting for the ledger. */
+  isStopLimitReached: boolean;
 }
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -185,6 +185,10 @@
       this.#reportFailure(reported);
       return;
     }
+    if (this.#dispatcher.state.isStopLimitReached) {
+      this.#reportFailure(createAbortFailure("unknown"));
+      return;
+    }
     // The call is marked as ended while the fence is pending, and its deadline
     // no longer applies: the caller gets the outcome of the fence.
     this.#stopTimers();
--- a/src/node/stop_limit_test.ts
+++ b/src/node/stop_limit_test.ts
@@ -11,6 +11,7 @@
   startPair,
   type TestPair,
 } from "../../tests/support/test_pair.ts";
+import { unavailableLedger } from "./ledger_port.ts";
 
 /** Slots of the services in the test document. */
 const slots = 4;
@@ -140,3 +141,41 @@
     "503 not-run target-draining",
   ]);
 });
+
+test("a call with a key that arrives at the stop limit is answered", async (context) => {
+  const ledger = {
+    ...unavailableLedger,
+    fence: () => new Promise<never>(() => {}),
+  };
+  const pair = await startPair("front-1", { ledger });
+  context.after(() => pair.close());
+  pair.node.state.isStopping = true;
+  pair.node.state.isStopLimitReached = true;
+  const outcome = getOutcome(sendCall({
+    port: pair.outside,
+    method: "POST",
+    path: "/transfers",
+    headers: { "Idempotency-Key": "key-1" },
+    signal: AbortSignal.timeout(5000),
+  }));
+  assert.equal(await outcome, "504 unknown target-timeout");
+});
+
+test("a stop answers a call whose key is being fenced", async (context) => {
+  const ledger = {
+    ...unavailableLedger,
+    fence: () => new Promise<never>(() => {}),
+  };
+  const pair = await startPair("front-1", { ledger });
+  context.after(() => pair.close());
+  pair.node.state.isStopping = true;
+  const outcome = getOutcome(sendCall({
+    port: pair.outside,
+    method: "POST",
+    path: "/transfers",
+    headers: { "Idempotency-Key": "key-1" },
+  }));
+  await waitFor(() => pair.node.originDispatcher.callCount === 1);
+  await pair.node.stop({ limitMilliseconds: 300 });
+  assert.equal(await outcome, "504 unknown target-timeout");
+});
