Accept all waiting connections before a listener closes

Cause: Node.js accepts one connection in each turn of its event loop.

The listener accepts now until a turn brings no connection, for 200 ms at most. A listener whose stop limit passes meanwhile closes its connections, also those that were accepted since.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -32,6 +32,9 @@
  */
 const keepAliveTimeoutMilliseconds = 10_000;
 
+/** Time for which a closing listener accepts connections that wait. */
+const acceptLimitMilliseconds = 200;
+
 /** Settings of an {@link HttpListener}. */
 export interface HttpListenerOptions {
   readonly endpoint: Endpoint;
@@ -60,6 +63,7 @@
   readonly #onUnanswered: (unanswered: UnansweredConnection) => void;
   readonly #connections = new WeakMap<object, OpenConnection>();
   readonly #busyConnections = new BusyConnections();
+  #acceptedConnections = 0;
   readonly #state: ListenerState = {
     isDraining: false,
     closeReason: undefined,
@@ -85,7 +89,10 @@
     }, (request, response) => {
       this.#acceptRequest(request, response);
     });
-    this.#server.on("connection", lingerOnClose);
+    this.#server.on("connection", (socket) => {
+      this.#acceptedConnections++;
+      lingerOnClose(socket);
+    });
     this.#server.on("clientError", (error, socket) => {
       const connection = this.#connections.get(socket);
       if (connection?.isClosing === true && !connection.hasOpenRequests) {
@@ -148,10 +155,11 @@
   async close(): Promise<void> {
     this.startDraining();
     this.#state.closeReason ??= "listener-closed";
-    // The system resets connections that wait to be accepted. After a poll for
-    // events, there are none.
-    await new Promise((resolve) => setImmediate(resolve));
+    await this.#acceptWaitingConnections();
     const closed = this.#stopListening();
+    if (this.#state.closeReason === "stop-limit") {
+      this.#server.closeAllConnections();
+    }
     await Promise.race([this.#busyConnections.whenNone(), closed]);
     this.#server.closeIdleConnections();
     await closed;
@@ -217,6 +225,23 @@
     await closed;
   }
 
+  /**
+   * Accepts the connections that wait, which would be reset otherwise. Node.js
+   * accepts one in each turn of its event loop.
+   */
+  async #acceptWaitingConnections(): Promise<void> {
+    const end = performance.now() + acceptLimitMilliseconds;
+    let accepted: number;
+    do {
+      accepted = this.#acceptedConnections;
+      // The first callback may run before the next poll for connections.
+      await new Promise((resolve) => setImmediate(resolve));
+      await new Promise((resolve) => setImmediate(resolve));
+    } while (
+      this.#acceptedConnections > accepted && performance.now() < end
+    );
+  }
+
   /** Refuses new connections, and resolves when all open ones are closed. */
   #stopListening(): Promise<void> {
     return new Promise((resolve) => {
