Log the phases of a stop, the calls that it ends, and documents by index

Cause: the log of a stop had its start and its end.

Change: - "stop phase" and "stop phase ended" for each phase of nodes and control instances, with the time since the stop began, the duration and what is waited for: calls by phase, open responses, proposals in flight, sessions. "document recorded" for each change: revision, index, term, and at the leader the addresses that hold it on disk. `manifest` and "document change" have applied index and term. - "response not delivered" and "caller left" name the target.

Ruled out: a line for each replayed document, as there can be hundreds; and a timer of its own for the recovery, which uses the check of availability.

--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -9,6 +9,7 @@
 } from "./stop_on_signal.ts";
 export { type Finding, formatFinding } from "./finding.ts";
 export { failed, ok, type Result } from "./result.ts";
+export { StopPhases } from "./stop_phases.ts";
 export { getBytesHash, getStableHash } from "./stable_hash.ts";
 export {
   createMetrics,
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -10,13 +10,19 @@
   isLoopbackHost,
   type Token,
 } from "../authentication/mod.ts";
-import { type Log, type Metrics, systemClock } from "../common/mod.ts";
+import {
+  type Log,
+  type Metrics,
+  StopPhases,
+  systemClock,
+} from "../common/mod.ts";
 import { parseDocument } from "../document/mod.ts";
 import { ForwardService, GroupService } from "../protocol/generated/control.ts";
 import { LedgerService } from "../protocol/generated/ledger.ts";
 import { OperatorService } from "../protocol/generated/operator.ts";
 import type { ControlSettings } from "../settings/mod.ts";
 import type { DocumentParser } from "./parsed_document_cache.ts";
+import { DocumentLog } from "./document_log.ts";
 import { ControlStateMachine } from "./control_state_machine.ts";
 import { MembershipManager } from "./membership_manager.ts";
 import { defaultToleratedLosses } from "./membership_rules.ts";
@@ -111,6 +117,12 @@
   const server = new Server(createServerOptions(token));
   const stateMachine = new ControlStateMachine();
   const log = await options.openLog(stateMachine, server);
+  const documentLog = new DocumentLog({
+    stateMachine,
+    log,
+    eventLog,
+    clock: systemClock,
+  });
   const proposer = new Proposer({
     log,
     address: settings.address,
@@ -155,6 +167,7 @@
   const port = await listen(server, settings);
   eventLog.info("listening", { address: settings.address, port });
   const timers = startTimers({
+    documentLog,
     stateMachine,
     log,
     proposer,
@@ -171,18 +184,29 @@
     stop: async (stopOptions = {}) => {
       timers.forEach(clearInterval);
       membershipManager?.stop();
-      nodeSessions.stop();
+      const phases = new StopPhases(eventLog, systemClock);
+      await phases.run("sessions", () => nodeSessions.stop(), () => ({
+        sessions: nodeSessions.sessionHost.sessionCount,
+      }));
       // The log replicates through the server, so the server must run until
       // the last proposal has its result.
-      const isDone = await proposer.stop(
-        stopOptions.limitMilliseconds ?? settings.stopLimitMilliseconds,
+      const isDone = await phases.run(
+        "proposals",
+        () =>
+          proposer.stop(
+            stopOptions.limitMilliseconds ?? settings.stopLimitMilliseconds,
+          ),
+        () => ({ inFlight: proposer.inFlightCount }),
       );
       if (!isDone) {
         eventLog.warn("shutdown timed out with proposals in flight");
       }
       // The stop of the log ends what still waits for it, and then waits for
       // the disk, which must not delay the responses.
-      await Promise.all([log.stop(), shutDown(server)]);
+      await Promise.all([
+        phases.run("log", () => log.stop()),
+        phases.run("server", () => shutDown(server)),
+      ]);
       metrics.close();
     },
   };
@@ -206,13 +230,15 @@
 }
 
 function startTimers(parts: {
+  documentLog: DocumentLog;
   stateMachine: ControlStateMachine;
   log: ReplicatedLog;
   proposer: Proposer;
   nodeSessions: NodeSessionManager;
   options: ControlOptions;
 }): NodeJS.Timeout[] {
-  const { stateMachine, log, proposer, nodeSessions, options } = parts;
+  const { stateMachine, log, proposer, nodeSessions, options, documentLog } =
+    parts;
   const marker = new InForceMarker({
     history: stateMachine.history,
     fleet: nodeSessions.sessionHost,
@@ -224,10 +250,10 @@
       }),
   });
   return [
-    setInterval(
-      () => nodeSessions.checkAvailability(),
-      availabilityCheckIntervalMilliseconds,
-    ),
+    setInterval(() => {
+      nodeSessions.checkAvailability();
+      documentLog.checkRecovery();
+    }, availabilityCheckIntervalMilliseconds),
     setInterval(() => void marker.check(), inForceCheckIntervalMilliseconds),
     setInterval(
       () => nodeSessions.checkQuarantine(),
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -228,6 +228,8 @@
       operator,
       result: result?.kind,
       revision: result?.revision,
+      applied: this.#options.stateMachine.index,
+      term: this.#options.log.getStatus().term,
     });
     return {
       ...createChangeAnswer(undefined),
--- a/src/control/proposer.ts
+++ b/src/control/proposer.ts
@@ -49,6 +49,11 @@
     this.#options = options;
   }
 
+  /** Gets the number of commands without a result. */
+  get inFlightCount(): number {
+    return this.#inFlight;
+  }
+
   /**
    * Proposes a command. When the answer of the leader is lost, the refusal is
    * `outcome-unknown`: the command may still be applied.
--- a/src/node/busy_connections.ts
+++ b/src/node/busy_connections.ts
@@ -5,6 +5,15 @@
   readonly #connections = new Set<OpenConnection>();
   #waiters: (() => void)[] = [];
 
+  /** Gets the number of responses that are not sent completely. */
+  get responseCount(): number {
+    let count = 0;
+    for (const connection of this.#connections) {
+      count += connection.openRequestCount;
+    }
+    return count;
+  }
+
   /** Adds a connection that received a request. */
   add(connection: OpenConnection): void {
     this.#connections.add(connection);
--- a/src/node/call_phase.ts
+++ b/src/node/call_phase.ts
@@ -26,6 +26,8 @@
 export interface OpenCall {
   readonly requestId: string;
   readonly phase: CallPhase;
+  /** Target of the current attempt; `undefined` when there is none. */
+  readonly targetId: string | undefined;
   /** Whether the request may have been sent to a target or to its node. */
   readonly isPassedOn: boolean;
 }
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -43,7 +43,7 @@
   handle(request: IncomingMessage, response: ServerResponse): void;
   /**
    * Called once for each connection that ended while requests on it had no
-   * complete response.
+   * complete response, or were not read.
    */
   readonly onUnanswered?:
     | ((unanswered: UnansweredConnection) => void)
@@ -108,6 +108,11 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Gets the number of responses that are not sent completely. */
+  get openResponseCount(): number {
+    return this.#busyConnections.responseCount;
+  }
+
   /** Opens the listener. */
   listen(): Promise<void> {
     return new Promise((resolve, reject) => {
@@ -175,6 +180,7 @@
       // Node.js sends no response behind the one that closes the connection. The
       // caller learns from that one that this request was not read.
       request.resume();
+      connection.addUnread();
       return;
     }
     if (this.#state.isDraining) {
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -80,6 +80,10 @@
     return this.#call?.phase ?? initial;
   }
 
+  get targetId(): string {
+    return this.#state.settings.nodeId;
+  }
+
   get isPassedOn(): boolean {
     return this.#hasResponse || this.phase === "at-target";
   }
@@ -200,7 +204,11 @@
         hash: details.hash,
         priority: "failure",
         event: "response not delivered",
-        fields: { reason: end.reason, phase },
+        fields: {
+          reason: end.reason,
+          phase,
+          target: this.targetId,
+        },
       });
     }
   }
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -4,8 +4,10 @@
   type Clock,
   disabledMetrics,
   type Log,
+  type LogFields,
   type Metrics,
   type RandomSource,
+  StopPhases,
   systemClock,
 } from "../common/mod.ts";
 import type { EnvironmentDocument } from "../document/mod.ts";
@@ -15,11 +17,13 @@
 import { type CrashReport, SuspectList } from "../suspects/mod.ts";
 import { handleAnnouncement } from "./handle_announcement.ts";
 import { BodyMemoryBudget } from "./body_memory_budget.ts";
+import type { OpenCall } from "./call_phase.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { CallCounters } from "./call_counters.ts";
 import { writeFailure, writeJson } from "./caller_response.ts";
 import { DecisionLog } from "./decision_log.ts";
 import { DeadlineTimers } from "./deadline_timers.ts";
+import { describeOpenWork } from "./describe_open_work.ts";
 import { DocumentView } from "./document_view.ts";
 import { HttpListener } from "./http_listener.ts";
 import { type LedgerPort, unavailableLedger } from "./ledger_port.ts";
@@ -223,30 +227,47 @@
     state.log.info("stopping", { calls: this.callCount });
     this.outside.startDraining();
     this.node.startDraining();
+    const phases = new StopPhases(state.log, state.clock);
+    const getWaitsFor = () => this.#describeOpenWork();
     const start = performance.now();
     const end = start + limitMilliseconds;
     if (options.acceptMilliseconds !== undefined) {
-      await new Promise((resolve) =>
-        setTimeout(resolve, options.acceptMilliseconds)
+      await phases.run(
+        "accepting",
+        () =>
+          new Promise((resolve) =>
+            setTimeout(resolve, options.acceptMilliseconds)
+          ),
+        getWaitsFor,
       );
     }
     state.isStopping = true;
-    await waitUntil(
-      Math.min(end, start + drainPropagationMilliseconds),
-      () => false,
-    );
-    await waitUntil(
-      end - unsentRefusalMilliseconds,
-      () => !this.#hasCalls,
-    );
+    await phases.run("propagation", () =>
+      waitUntil(
+        Math.min(end, start + drainPropagationMilliseconds),
+        () => false,
+      ), getWaitsFor);
+    await phases.run("calls", () =>
+      waitUntil(
+        end - unsentRefusalMilliseconds,
+        () => !this.#hasCalls,
+      ), getWaitsFor);
     if (this.#hasCalls) {
       state.isStopLimitNear = true;
       this.#peerRequestHandler.refuseUnsentCalls();
       this.originDispatcher.refuseUnsentCalls();
-      await waitUntil(end, () => !this.#hasCalls);
+      await phases.run(
+        "sent-calls",
+        () => waitUntil(end, () => !this.#hasCalls),
+        getWaitsFor,
+      );
     }
     const abortedCalls = this.#abortCalls();
-    await this.#closeListeners(end + deliveryMilliseconds);
+    await phases.run(
+      "listeners",
+      () => this.#closeListeners(end + deliveryMilliseconds),
+      getWaitsFor,
+    );
     this.targetDispatcher.stop();
     this.originDispatcher.stop();
     state.timers.stop();
@@ -255,12 +276,24 @@
     return { abortedCalls };
   }
 
+  #describeOpenWork(): LogFields {
+    const listeners = [this.outside, this.node, this.loopback];
+    return describeOpenWork({
+      originCalls: this.originDispatcher.calls,
+      targetCalls: this.targetDispatcher.calls,
+      responses: listeners.reduce(
+        (sum, each) => sum + each.openResponseCount,
+        0,
+      ),
+    });
+  }
+
   #onUnanswered(listener: string, unanswered: UnansweredConnection): void {
     countUnanswered(this.#metrics, listener, unanswered);
     this.state.decisions.record({
       requestId: unanswered.responses[0]?.call?.requestId ?? "",
       hash: 0,
-      priority: "failure",
+      priority: unanswered.responses.length > 0 ? "failure" : "routine",
       event: unansweredEvent,
       fields: describeUnanswered(listener, unanswered),
     });
@@ -277,13 +310,32 @@
   #abortCalls(): number {
     const calls = this.callCount;
     if (calls > 0) {
-      this.state.log.error("calls aborted at the stop limit", { calls });
+      this.state.log.error("calls aborted at the stop limit", {
+        calls,
+        ...this.#describeOpenWork(),
+      });
+    }
+    for (const call of this.originDispatcher.calls) {
+      this.#recordAbort(call);
+    }
+    for (const call of this.#peerRequestHandler.calls) {
+      this.#recordAbort(call);
     }
     this.#peerRequestHandler.abortCalls();
     this.originDispatcher.abortCalls();
     return calls;
   }
 
+  #recordAbort({ requestId, phase, targetId }: OpenCall): void {
+    this.state.decisions.record({
+      requestId,
+      hash: 0,
+      priority: "failure",
+      event: "call aborted",
+      fields: { phase, target: targetId },
+    });
+  }
+
   /** Delivers the open responses until a time, and closes the listeners. */
   async #closeListeners(endMilliseconds: number): Promise<void> {
     const limitMilliseconds = endMilliseconds - performance.now();
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -42,6 +42,8 @@
   readonly end: ConnectionEnd;
   /** Incomplete responses, in the order of their requests. */
   readonly responses: readonly ListenerResponse[];
+  /** Requests that were not read, because an earlier response was the last. */
+  readonly unread: number;
 }
 
 /** Settings of an {@link OpenConnection}. */
@@ -64,6 +66,7 @@
   readonly #options: OpenConnectionOptions;
   readonly #responses: ListenerResponse[] = [];
   #latest: ListenerResponse | undefined;
+  #unread = 0;
   #end: ConnectionEnd | undefined;
 
   /** @param options The socket and its listener. */
@@ -82,6 +85,11 @@
     return this.#responses.length > 0;
   }
 
+  /** Gets the number of requests without a complete response. */
+  get openRequestCount(): number {
+    return this.#responses.length;
+  }
+
   /** Checks whether the connection is closed after the responses added so far. */
   get isClosing(): boolean {
     return this.#latest?.shouldKeepAlive === false;
@@ -106,6 +114,11 @@
     response.once("finish", this.#onResponseFinished);
   }
 
+  /** Counts a request that is not read. */
+  addUnread(): void {
+    this.#unread++;
+  }
+
   /** Records the cause of the end, unless there was an earlier one. */
   setEnd(end: ConnectionEnd): void {
     this.#end ??= end;
@@ -136,11 +149,16 @@
   };
 
   #onClose(): void {
-    if (this.hasOpenRequests) {
-      this.#options.onUnanswered({ end: this.end, responses: this.#responses });
+    const responses = this.#responses;
+    if (responses.length > 0 || this.#unread > 0) {
+      this.#options.onUnanswered({
+        end: this.end,
+        responses,
+        unread: this.#unread,
+      });
     }
     this.#options.onIdle(this);
-    this.#responses.forEach(closeIfWaiting);
+    responses.forEach(closeIfWaiting);
   }
 }
 
--- a/src/node/open_connection_test.ts
+++ b/src/node/open_connection_test.ts
@@ -195,6 +195,23 @@
   assert.deepEqual(unanswered, []);
 });
 
+// Guards against requests behind the last response of a connection that leave
+// no trace: their callers saw a closed connection.
+test("requests that are not read are reported with the end of their connection", async (context) => {
+  const { socket, responses, unanswered, listener } = await open(context, 1);
+  listener.startDraining();
+  socket.write(request.repeat(3));
+  await waitFor(() => responses.length === 2);
+  for (const response of responses) {
+    response.end("x");
+  }
+  await waitFor(() => unanswered.length > 0);
+  const [first] = unanswered;
+  assert.deepEqual(first?.responses, []);
+  assert.deepEqual(first?.end, { closedBy: "node", reason: "draining" });
+  assert.equal(first?.unread, 2);
+});
+
 // Guards against counters that grow by connection where requests are meant.
 test("unanswered requests are counted by listener, end and reason", async (context) => {
   const { socket, unanswered } = await open(context, 3);
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -126,8 +126,16 @@
     if (this.#collector !== undefined) {
       return "receiving";
     }
-    const ended = this.#isEnded ? "ended" : "waiting";
-    return this.#current?.attempt?.phase ?? ended;
+    if (this.#isEnded) {
+      return "ended";
+    }
+    return this.#isStreaming
+      ? "delivering"
+      : this.#current?.attempt?.phase ?? "waiting";
+  }
+
+  get targetId(): string | undefined {
+    return this.#current?.choice.targetId;
   }
 
   get isPassedOn(): boolean {
@@ -588,7 +596,7 @@
 
   #onAllDisconnected(end: ConnectionEnd | undefined): void {
     if (!this.#isEnded) {
-      const { phase } = this;
+      const { phase, targetId } = this;
       this.#collector?.stop();
       this.#cancelAttempt("cancelled");
       const counters = this.details.plan.counters[this.details.classIndex];
@@ -598,6 +606,7 @@
       this.#logDecision("failure", event, {
         reason: end?.reason,
         phase,
+        target: targetId,
         attempts: this.#attempts,
         remaining: this.#getRemainingMilliseconds(),
       });
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -41,6 +41,11 @@
     this.#targetDispatcher = targetDispatcher;
   }
 
+  /** Gets the calls in progress. */
+  get calls(): Iterable<OriginCall> {
+    return this.#calls;
+  }
+
   /** Gets the number of calls in progress. */
   get callCount(): number {
     return this.#calls.size;
--- a/src/node/peer_request_handler.ts
+++ b/src/node/peer_request_handler.ts
@@ -29,6 +29,11 @@
     this.#dispatcher = dispatcher;
   }
 
+  /** Gets the calls of other nodes in progress. */
+  get calls(): Iterable<InboundCall> {
+    return this.#calls;
+  }
+
   /** Gets the number of calls of other nodes in progress. */
   get callCount(): number {
     return this.#calls.size;
--- a/src/node/report_unanswered.ts
+++ b/src/node/report_unanswered.ts
@@ -17,7 +17,7 @@
  */
 export function describeUnanswered(
   listener: string,
-  { end, responses }: UnansweredConnection,
+  { end, responses, unread }: UnansweredConnection,
 ): LogFields {
   return {
     listener,
@@ -25,14 +25,17 @@
     reason: end.reason,
     open: responses.length,
     passedOn: responses.filter((each) => each.call?.isPassedOn).length,
-    requests: responses.slice(0, maximumNamedRequests)
-      .map(describeResponse).join(","),
+    unread: unread === 0 ? undefined : unread,
+    requests: responses.length === 0
+      ? undefined
+      : responses.slice(0, maximumNamedRequests).map(describeResponse)
+        .join(","),
   };
 }
 
 /**
  * Counts a connection that ended while requests on it had no complete response,
- * and the requests.
+ * these requests, and those that were not read.
  * @param metrics Metrics to add to.
  * @param listener Name of the listener.
  * @param unanswered The connection.
@@ -40,11 +43,16 @@
 export function countUnanswered(
   metrics: Metrics,
   listener: string,
-  { end, responses }: UnansweredConnection,
+  { end, responses, unread }: UnansweredConnection,
 ): void {
   const tags = { listener, closedBy: end.closedBy, reason: end.reason };
-  metrics.increment("connections.unanswered", tags);
-  metrics.increment("requests.unanswered", tags, responses.length);
+  if (responses.length > 0) {
+    metrics.increment("connections.unanswered", tags);
+    metrics.increment("requests.unanswered", tags, responses.length);
+  }
+  if (unread > 0) {
+    metrics.increment("requests.unread", tags, unread);
+  }
 }
 
 /**
--- a/src/node/target_dispatcher.ts
+++ b/src/node/target_dispatcher.ts
@@ -68,6 +68,11 @@
     });
   }
 
+  /** Gets the queued and running calls. */
+  get calls(): Iterable<TargetCall> {
+    return this.#calls.values();
+  }
+
   /** Gets the number of queued and running calls. */
   get callCount(): number {
     return this.#calls.size;
