Log the holders of a document at the moment of its commit

Cause: "document recorded" was described a turn of the event loop after the commit, when further members could hold it; and "state recovered" was logged by instances that had not found their group yet.

Change: the fields are taken when the change is applied. "state recovered" waits for a leader, for what was on the disk and for what the group has committed.

--- a/src/control/document_log.ts
+++ b/src/control/document_log.ts
@@ -1,4 +1,4 @@
-import type { Clock, Log } from "../common/mod.ts";
+import type { Clock, Log, LogFields } from "../common/mod.ts";
 import type { ConsensusStatus, ReplicatedLog } from "../consensus/mod.ts";
 import type {
   ControlStateMachine,
@@ -25,8 +25,8 @@
   readonly #options: DocumentLogOptions;
   readonly #startedMilliseconds: number;
   readonly #initialLastIndex: number;
-  /** Index of the latest change by environment, until it is logged. */
-  readonly #changedIndexes = new Map<string, number>();
+  /** Fields of the latest change by environment, until it is logged. */
+  readonly #changes = new Map<string, LogFields>();
   readonly #knownRevisions = new Map<string, number>();
   #isRecovered = false;
 
@@ -56,8 +56,8 @@
   }
 
   /**
-   * Logs once that all entries that were on the disk at the start are applied.
-   * Entries after the snapshot are applied only when a leader is known.
+   * Logs once that what was on the disk at the start, and what the group has
+   * committed since, is applied.
    */
   checkRecovery(): void {
     if (this.#isRecovered) {
@@ -65,13 +65,18 @@
     }
     const { log, eventLog, clock } = this.#options;
     const status = log.getStatus();
-    if (status.isolated || status.appliedIndex < this.#initialLastIndex) {
+    const recoveredIndex = Math.max(
+      1,
+      this.#initialLastIndex,
+      status.commitIndex,
+    );
+    if (status.leader === undefined || status.appliedIndex < recoveredIndex) {
       return;
     }
     this.#isRecovered = true;
     eventLog.info("state recovered", {
       role: status.role,
-      leader: status.leader?.address,
+      leader: status.leader.address,
       term: status.term,
       snapshot: status.snapshotIndex,
       applied: status.appliedIndex,
@@ -95,10 +100,10 @@
       : [change.environment];
     for (const environment of environments) {
       if (this.#updateRevision(environment)) {
-        if (this.#changedIndexes.size === 0) {
+        if (this.#changes.size === 0) {
           setImmediate(() => this.#logChanges());
         }
-        this.#changedIndexes.set(environment, stateMachine.index);
+        this.#changes.set(environment, this.#describeChange(environment));
       }
     }
   }
@@ -114,23 +119,28 @@
     return true;
   }
 
-  #logChanges(): void {
-    const { stateMachine, log, eventLog } = this.#options;
+  #describeChange(environment: string): LogFields {
+    const { stateMachine, log } = this.#options;
+    const { index, history } = stateMachine;
+    const current = history.getCurrent(environment);
     const status = log.getStatus();
-    for (const [environment, index] of this.#changedIndexes) {
-      const current = stateMachine.history.getCurrent(environment);
-      eventLog.info("document recorded", {
-        environment,
-        revision: current?.revision,
-        changeId: current?.changeId.slice(0, shortIdLength),
-        digest: current?.digest.slice(0, shortIdLength),
-        index,
-        term: status.term,
-        role: status.role,
-        onDisk: formatHolders(status, index),
-      });
+    return {
+      environment,
+      revision: current?.revision,
+      changeId: current?.changeId.slice(0, shortIdLength),
+      digest: current?.digest.slice(0, shortIdLength),
+      index,
+      term: status.term,
+      role: status.role,
+      onDisk: formatHolders(status, index),
+    };
+  }
+
+  #logChanges(): void {
+    for (const fields of this.#changes.values()) {
+      this.#options.eventLog.info("document recorded", fields);
     }
-    this.#changedIndexes.clear();
+    this.#changes.clear();
   }
 
   /** Formats the current revision of each environment. */
--- a/src/control/document_log_test.ts
+++ b/src/control/document_log_test.ts
@@ -20,11 +20,11 @@
   bootCount: 2,
   role: "follower",
   term: 3,
-  isolated: true,
   members,
   matchIndexes: new Map(),
   snapshotIndex: 0,
   appliedIndex: 0,
+  commitIndex: 0,
   lastIndex: 2,
 } as unknown as ConsensusStatus;
 
@@ -88,7 +88,8 @@
     revisions: undefined,
   }]);
   applyDocument(stateMachine, { index: 1, baseRevision: 0 });
-  update({ appliedIndex: 1, isolated: false });
+  const leader = { id: "b", address: "10.0.0.1:b" };
+  update({ appliedIndex: 1, commitIndex: 2, leader });
   documentLog.checkRecovery();
   assert.equal(lines.length, 1, "an entry of the disk is not applied yet");
   applyDocument(stateMachine, { index: 2, baseRevision: 1 });
@@ -99,7 +100,7 @@
   assert.deepEqual(lines.slice(1), [{
     event: "state recovered",
     role: "follower",
-    leader: undefined,
+    leader: "10.0.0.1:b",
     term: 4,
     snapshot: 0,
     applied: 2,
