Add a soak with stops, changes and drains under load

Cause: requests that a client had sent behind a response with Connection: close reached a target and were never answered, and no test kept its clients on their connections until the process was gone. Change: soak/ plays a plan drawn from a seed against running processes and checks every request from what callers and targets see. The stand-in target records the start of a run, the run that made the call, and calls that end without an answer; the cluster of the strike fund takes its sizes and keeps the output of processes.

--- /dev/null
+++ b/soak/exchange.ts
@@ -0,0 +1,95 @@
+import type { ParsedResponse } from "./response_parser.ts";
+
+/** A request of a client. */
+export interface SoakRequest {
+  /** Identity of the request, which its response repeats. */
+  readonly id: string;
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  /** Idempotency key; absent for a request that may run twice. */
+  readonly key?: string | undefined;
+  readonly body: string;
+  /** Bytes by which the target enlarges its response. */
+  readonly fillerBytes: number;
+}
+
+/** What a node told the caller about a request. */
+export type Disposition = "ran" | "not-run" | "unknown";
+
+/** How an exchange ended. */
+export type ExchangeEnd =
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    /** `ran` for a response of the target. */
+    readonly disposition: Disposition;
+    /** Reason of a node's refusal or failure; absent for a target's response. */
+    readonly reason: string | undefined;
+    /** Identity of the request that the target answered. */
+    readonly answeredId: string | undefined;
+    readonly fillerBytes: number;
+  }
+  | {
+    readonly kind: "unanswered";
+    /** Error code of the connection, or `closed` if the peer closed it. */
+    readonly cause: string;
+    readonly hasPartialResponse: boolean;
+  };
+
+/** A request that was sent, and what its client received. */
+export interface Exchange {
+  readonly request: SoakRequest;
+  readonly client: string;
+  /** Name of the node that the client was connected to. */
+  readonly node: string;
+  readonly sentMilliseconds: number;
+  /** Whether an earlier response of the connection had `Connection: close`. */
+  isBehindClose: boolean;
+  endMilliseconds: number;
+  /** Absent while the client waits. */
+  end?: ExchangeEnd;
+}
+
+/**
+ * Encodes a request for its connection.
+ * @param request The request.
+ * @param member Identity of the caller.
+ * @returns The text to send.
+ */
+export function encodeRequest(request: SoakRequest, member: string): string {
+  const { id, method, path, key, body, fillerBytes } = request;
+  return [
+    `${method} ${path} HTTP/1.1`,
+    "Host: soak",
+    `X-Call: ${id}`,
+    `X-Member: ${member}`,
+    ...(fillerBytes > 0 ? [`X-Filler-Bytes: ${fillerBytes}`] : []),
+    ...(key === undefined ? [] : [`Idempotency-Key: ${key}`]),
+    ...(body === "" ? [] : [`Content-Length: ${Buffer.byteLength(body)}`]),
+    "",
+    body,
+  ].join("\r\n");
+}
+
+/**
+ * Reads what a complete response says about its request.
+ * @param response The response.
+ * @returns The end of the exchange.
+ * @throws {SyntaxError} If the body is not the JSON of a target or node.
+ */
+export function describeResponse(response: ParsedResponse): ExchangeEnd {
+  const { status, headers, body } = response;
+  const content = JSON.parse(body.toString()) as {
+    call?: string;
+    filler?: string;
+  };
+  return {
+    kind: "answered",
+    status,
+    disposition:
+      (headers.get("dogwoodwalk-disposition") ?? "ran") as Disposition,
+    reason: headers.get("dogwoodwalk-reason"),
+    answeredId: content.call,
+    fillerBytes: content.filler?.length ?? 0,
+  };
+}
--- /dev/null
+++ b/soak/run_soak.ts
@@ -0,0 +1,82 @@
+// Plays planned and unplanned stops, document changes and drains against running
+// processes under load, and checks what callers and targets see:
+//   npm run build && node dist/soak/run_soak.js --seed 1
+// Exits with 1 if a rule was broken.
+import { Command, InvalidArgumentError } from "commander";
+import { formatKeyValues } from "../src/common/mod.ts";
+import { runSoak } from "./soak_run.ts";
+import { formatViolation } from "./violation.ts";
+
+interface SoakOptions {
+  readonly seed: number;
+  readonly firstSeed?: number;
+  readonly lastSeed?: number;
+  readonly seconds: number;
+  readonly nodes: number;
+  readonly control: number;
+}
+
+/** Violations that are printed; the folder of the run has all of them. */
+const maximumPrintedViolations = 20;
+
+function parseWholeNumber(text: string): number {
+  if (!/^\d+$/.test(text)) {
+    throw new InvalidArgumentError("Expected a whole number.");
+  }
+  return Number(text);
+}
+
+function printLine(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+/** Plays one seed and reports whether no rule was broken. */
+async function runSeed(seed: number, options: SoakOptions): Promise<boolean> {
+  const { seconds, nodes, control } = options;
+  const start = performance.now();
+  const { violations, counts, folder } = await runSoak({
+    seed,
+    seconds,
+    nodeCount: nodes,
+    controlCount: control,
+  });
+  violations.slice(0, maximumPrintedViolations)
+    .forEach((each) => printLine(formatViolation(each)));
+  printLine(formatKeyValues({
+    seed,
+    result: violations.length === 0 ? "passed" : "failed",
+    violations: violations.length,
+    seconds: Math.round((performance.now() - start) / 1000),
+    ...counts,
+  }));
+  if (folder !== undefined) {
+    printLine(formatKeyValues({
+      logs: folder,
+      repeat:
+        `node dist/soak/run_soak.js --seed ${seed} --seconds ${seconds} --nodes ${nodes} --control ${control}`,
+    }));
+  }
+  return violations.length === 0;
+}
+
+// Exiting kills the processes that the run started.
+process.on("SIGINT", () => process.exit(130));
+process.on("SIGTERM", () => process.exit(143));
+
+const options = new Command("run_soak")
+  .description("Plays stops and changes under load, and checks every request.")
+  .option("--seed <number>", "seed of the plan", parseWholeNumber, 1)
+  .option("--first-seed <number>", "first of several seeds", parseWholeNumber)
+  .option("--last-seed <number>", "last of several seeds", parseWholeNumber)
+  .option("--seconds <number>", "time of the plan", parseWholeNumber, 20)
+  .option("--nodes <number>", "nodes, with a target each", parseWholeNumber, 8)
+  .option("--control <number>", "control instances", parseWholeNumber, 3)
+  .parse().opts<SoakOptions>();
+const firstSeed = options.firstSeed ?? options.seed;
+const lastSeed = options.lastSeed ?? firstSeed;
+let failures = 0;
+for (let seed = firstSeed; seed <= lastSeed; seed++) {
+  failures += await runSeed(seed, options) ? 0 : 1;
+}
+printLine(formatKeyValues({ seeds: lastSeed - firstSeed + 1, failures }));
+process.exit(failures > 0 ? 1 : 0);
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -35,18 +35,27 @@
   readonly controlCount: number;
   readonly environment: string;
   readonly nodes: readonly ClusterNodeOptions[];
+  /** Time limit of a node for calls in flight after SIGTERM; 5 s by default. */
+  readonly stopLimitMilliseconds?: number | undefined;
+  /** Keeps the output of each process in a file of the cluster's folder. */
+  readonly keepsOutput?: boolean | undefined;
 }
 
 /** Control instances, nodes and stand-in targets, each a process of its own. */
 export class Cluster {
-  readonly processes = new ProcessGroup();
   readonly folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-"));
+  readonly processes: ProcessGroup;
   readonly environment: string;
+  readonly stopLimitMilliseconds: number;
   #controlAddresses: string[] = [];
   #nodes: ClusterNode[] = [];
 
   private constructor(options: ClusterOptions) {
     this.environment = options.environment;
+    this.stopLimitMilliseconds = options.stopLimitMilliseconds ?? 5000;
+    this.processes = new ProcessGroup(
+      options.keepsOutput ? { outputFolder: this.folder } : {},
+    );
   }
 
   /** Gets the addresses of the control instances. */
@@ -116,10 +125,15 @@
     );
   }
 
-  /** Stops all processes and removes their files. */
-  async stop(): Promise<void> {
+  /**
+   * Stops all processes and removes their files.
+   * @param options Whether the files are kept.
+   */
+  async stop(options: { keepsFiles?: boolean } = {}): Promise<void> {
     await this.processes.stopAll();
-    rmSync(this.folder, { recursive: true, force: true });
+    if (options.keepsFiles !== true) {
+      rmSync(this.folder, { recursive: true, force: true });
+    }
   }
 
   async #startControlInstances(count: number): Promise<void> {
@@ -184,7 +198,7 @@
 node = "127.0.0.1:${node.node}"
 loopback = "127.0.0.1:${node.loopback}"
 control_addresses = ${JSON.stringify(this.#controlAddresses)}
-stop_limit_ms = 5000
+stop_limit_ms = ${this.stopLimitMilliseconds}
 `;
   }
 }
--- a/tests/support/free_ports.ts
+++ b/tests/support/free_ports.ts
@@ -17,13 +17,15 @@
  * @returns The ports.
  */
 export async function getFreePorts(count: number): Promise<number[]> {
-  const start = lowestPort + (process.pid % portRanges) * portsPerRange;
+  const start = (process.pid % portRanges) * portsPerRange;
+  const rangeSize = Math.max(portsPerRange, 2 * count);
   const ports: number[] = [];
   for (let attempts = 0; ports.length < count; attempts++) {
-    if (attempts > 2 * portsPerRange) {
+    if (attempts > 2 * rangeSize) {
       throw new Error(`Found ${ports.length} free ports of ${count}`);
     }
-    const port = start + nextOffset++ % portsPerRange;
+    const offset = start + nextOffset++ % rangeSize;
+    const port = lowestPort + offset % (portRanges * portsPerRange);
     if (!ports.includes(port) && await isFree(port)) {
       ports.push(port);
     }
--- a/tests/support/process_group.ts
+++ b/tests/support/process_group.ts
@@ -1,4 +1,6 @@
 import { type ChildProcess, spawn } from "node:child_process";
+import { appendFileSync } from "node:fs";
+import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
 /** Folder of the compiled project. */
@@ -19,8 +21,11 @@
 export class ProcessGroup {
   readonly #processes = new Map<string, GroupProcess>();
   readonly #onExit = (): void => this.killAll();
+  readonly #outputFolder: string | undefined;
 
-  constructor() {
+  /** @param options Folder in which the output of each process is kept. */
+  constructor(options: { outputFolder?: string } = {}) {
+    this.#outputFolder = options.outputFolder;
     // If this process fails, the processes that it started are killed as well.
     process.on("exit", this.#onExit);
   }
@@ -50,6 +55,9 @@
     for (const output of [child.stdout, child.stderr]) {
       output.setEncoding("utf8");
       output.on("data", (text: string) => {
+        if (this.#outputFolder !== undefined && !name.startsWith("run-")) {
+          appendFileSync(join(this.#outputFolder, `${name}.log`), text);
+        }
         outputLines.push(...text.split("\n").filter((line) => line !== ""));
         outputLines.splice(
           0,
--- a/tests/support/run_record.ts
+++ b/tests/support/run_record.ts
@@ -8,14 +8,21 @@
  * @returns The runs, file by file, each in the order of its file.
  */
 export function readRuns(files: readonly string[]): StandInRun[] {
-  const runs = files.flatMap(readFile);
+  const runs = files.flatMap(readRecord);
   const shed = new Set(
     runs.filter((each) => each.end === "shed").map((each) => each.request),
   );
-  return runs.filter((each) => !shed.has(each.request));
+  return runs.filter((each) =>
+    !shed.has(each.request) && each.end !== "call-broken"
+  );
 }
 
-function readFile(file: string): StandInRun[] {
+/**
+ * Reads every entry of a record file.
+ * @param file The record file of a target.
+ * @returns The entries in the order of the file.
+ */
+export function readRecord(file: string): StandInRun[] {
   if (!existsSync(file)) {
     return []; // no call was recorded yet
   }
--- a/tests/support/stand_in_target.ts
+++ b/tests/support/stand_in_target.ts
@@ -58,7 +58,19 @@
   /** Value of the header x-call, by which a test identifies its call. */
   readonly call: string;
   readonly bytes: number;
-  end: "running" | "completed" | "cancelled" | "crashed" | "failed" | "shed";
+  /** Value of dogwoodwalk-request of the run that made this call. */
+  readonly parent: string;
+  /** Time at which the run started, in milliseconds since the epoch. */
+  readonly startMilliseconds: number;
+  /** `call-broken` in a record: a call of the run ended without an answer. */
+  end:
+    | "running"
+    | "completed"
+    | "cancelled"
+    | "crashed"
+    | "failed"
+    | "shed"
+    | "call-broken";
 }
 
 /** A call that was received completely and has not been answered. */
@@ -242,7 +254,11 @@
             return;
           }
           finish(status < 400 ? "completed" : "failed");
-          const text = JSON.stringify({ call: run.call, path: run.path });
+          const text = JSON.stringify({
+            call: run.call,
+            path: run.path,
+            ...createFiller(request.headers["x-filler-bytes"]),
+          });
           response.writeHead(status, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(text),
@@ -262,6 +278,8 @@
       key: String(headers["idempotency-key"] ?? ""),
       call: String(headers["x-call"] ?? ""),
       bytes: body.length,
+      parent: String(headers["x-parent"] ?? ""),
+      startMilliseconds: Date.now(),
       end: "running",
     };
     this.runs.push(run);
@@ -269,7 +287,10 @@
     return run;
   }
 
-  /** Appends a run to the record file: when it starts, and when it is shed. */
+  /**
+   * Appends a run to the record file: when it starts, when it is shed, and when
+   * one of its calls ends without an answer.
+   */
   #writeRecord(run: StandInRun): void {
     if (this.#options.recordFile !== undefined) {
       appendFileSync(this.#options.recordFile, JSON.stringify(run) + "\n");
@@ -284,6 +305,10 @@
     const prefix = Object.keys(calls).find((each) => run.path.startsWith(each));
     for (const [index, call] of (calls[prefix ?? ""] ?? []).entries()) {
       const status = await this.#makeCall(call, headers);
+      if (status === "broken") {
+        this.#writeRecord({ ...run, end: "call-broken" });
+        return 502;
+      }
       if (status === "not-run" && index === 0) {
         return status;
       }
@@ -297,8 +322,11 @@
   #makeCall(
     call: StandInCall,
     headers: IncomingMessage["headers"],
-  ): Promise<number | "not-run"> {
-    const forwardedHeaders: Record<string, string> = { host: call.service };
+  ): Promise<number | "not-run" | "broken"> {
+    const forwardedHeaders: Record<string, string> = {
+      host: call.service,
+      "x-parent": String(headers["dogwoodwalk-request"] ?? ""),
+    };
     for (
       const name of ["dogwoodwalk-request", "idempotency-key", "x-call"]
     ) {
@@ -322,9 +350,9 @@
               ? "not-run"
               : response.statusCode ?? 502,
           ));
-        response.on("error", () => resolve(502));
+        response.on("error", () => resolve("broken"));
       });
-      outgoing.on("error", () => resolve(502));
+      outgoing.on("error", () => resolve("broken"));
       outgoing.end();
     });
   }
@@ -336,3 +364,8 @@
     setTimeout(() => this.#reportedLoad = load, delayMilliseconds).unref();
   }
 }
+
+/** Creates the part of a body that makes it as large as a test asks for. */
+function createFiller(bytes: string | string[] | undefined) {
+  return bytes === undefined ? {} : { filler: "f".repeat(Number(bytes)) };
+}
--- a/tests/support/strike_fund_cluster.ts
+++ b/tests/support/strike_fund_cluster.ts
@@ -8,7 +8,8 @@
 import { readRuns } from "./run_record.ts";
 import type { StandInRun } from "./stand_in_target.ts";
 
-const document = fileURLToPath(
+/** Path of the document that the cluster has in force. */
+export const strikeFundDocument: string = fileURLToPath(
   new URL("../../../examples/strike-fund.toml", import.meta.url),
 );
 const rosterCall = {
@@ -22,6 +23,14 @@
   readonly portalCount: number;
   readonly treasuryCount: number;
   readonly treasuryServiceMilliseconds: number;
+  /** Number of targets of the roster registry; 2 by default. */
+  readonly rosterCount?: number;
+  /** Service time of the portal and the registry; 0 by default. */
+  readonly serviceMilliseconds?: number;
+  /** Number of control instances; 3 by default. */
+  readonly controlCount?: number;
+  readonly stopLimitMilliseconds?: number;
+  readonly keepsOutput?: boolean;
 }
 
 /** Result of one call, as its caller sees it. */
@@ -33,7 +42,7 @@
 }
 
 /**
- * Starts three control instances and the services of the strike fund example,
+ * Starts the control instances and the services of the strike fund example,
  * except the attendance archive, and waits until calls succeed.
  * @param options Numbers of targets, and the service time of the treasury.
  * @returns The running cluster.
@@ -42,15 +51,17 @@
   options: StrikeFundClusterOptions,
 ): Promise<Cluster> {
   const cluster = await Cluster.start({
-    controlCount: 3,
+    controlCount: options.controlCount ?? 3,
     environment: "trial",
     nodes: createNodeOptions(options),
+    stopLimitMilliseconds: options.stopLimitMilliseconds,
+    keepsOutput: options.keepsOutput,
   });
   try {
     const applyResult = await cluster.runCommand(
       "apply",
       "trial",
-      document,
+      strikeFundDocument,
       "--base",
       "0",
       "--wait",
@@ -139,6 +150,7 @@
       service: "member-portal",
       target: {
         slots: 36,
+        serviceMilliseconds: options.serviceMilliseconds ?? 0,
         calls: {
           "/transfers": [
             { service: "treasury", method: "POST", path: "/transfers" },
@@ -158,10 +170,13 @@
         calls: { "/": [rosterCall] },
       },
     })),
-    ...repeat(2, (number) => ({
+    ...repeat(options.rosterCount ?? 2, (number) => ({
       name: `roster-${number}`,
       service: "roster-registry",
-      target: { slots: 10 },
+      target: {
+        slots: 10,
+        serviceMilliseconds: options.serviceMilliseconds ?? 0,
+      },
     })),
   ];
 }
