Send unknown routes and malformed requests among pipelined ones in the soak

Change: clients also send requests without a route, and malformed ones behind valid ones; a violation names the response that closed the connection.

--- a/soak/check_exchanges.ts
+++ b/soak/check_exchanges.ts
@@ -58,7 +58,8 @@
     sentMilliseconds,
     endMilliseconds,
   );
-  if (end?.kind === "answered" || isDisturbed) {
+  const mayBeUnanswered = exchange.request.isMalformed === true || isDisturbed;
+  if (end?.kind === "answered" || mayBeUnanswered) {
     return [];
   }
   if (end === undefined) {
@@ -67,7 +68,7 @@
   if (runs.length > 0 || end.hasPartialResponse) {
     return [createViolation("lost", describe(exchange, runs))];
   }
-  const wasRead = end.cause === "closed" && !exchange.isBehindClose &&
+  const wasRead = end.cause === "closed" && exchange.closedBy === undefined &&
     endMilliseconds - sentMilliseconds >= receivedMilliseconds;
   return wasRead
     ? [createViolation("read-unanswered", describe(exchange, runs))]
@@ -120,14 +121,17 @@
 }
 
 function describe(exchange: Exchange, runs: readonly TargetRun[]) {
-  const { request, client, node, end, isBehindClose } = exchange;
+  const { request, client, node, end, closedBy } = exchange;
   return {
     request: request.id,
     client,
     node,
     sent: new Date(exchange.sentMilliseconds).toISOString(),
     milliseconds: exchange.endMilliseconds - exchange.sentMilliseconds,
-    behindClose: isBehindClose,
+    closedBy: closedBy?.request.id,
+    closeReason: closedBy?.end?.kind === "answered"
+      ? closedBy.end.reason
+      : undefined,
     ...(end?.kind === "answered"
       ? { status: end.status, disposition: end.disposition, reason: end.reason }
       : { cause: end?.cause, partial: end?.hasPartialResponse }),
--- a/soak/client_connection.ts
+++ b/soak/client_connection.ts
@@ -23,7 +23,7 @@
   readonly #open: Exchange[] = [];
   #cause = "closed";
   #isEnded = false;
-  #hasReceivedClose = false;
+  #closedBy: Exchange | undefined;
 
   private constructor(options: ClientConnectionOptions, socket: Socket) {
     this.#options = options;
@@ -64,7 +64,7 @@
 
   /** Reports whether a response had `Connection: close`. */
   get hasReceivedClose(): boolean {
-    return this.#hasReceivedClose;
+    return this.#closedBy !== undefined;
   }
 
   /** Gets the number of requests that wait for their response. */
@@ -94,9 +94,9 @@
         if (exchange === undefined) {
           throw new Error("A response without a request");
         }
-        exchange.isBehindClose = this.#hasReceivedClose;
+        exchange.closedBy = this.#closedBy;
         if (response.headers.get("connection") === "close") {
-          this.#hasReceivedClose = true;
+          this.#closedBy ??= exchange;
         }
         this.#end(exchange, describeResponse(response));
       }
@@ -118,7 +118,7 @@
     this.#isEnded = true;
     let { hasPartialResponse } = this.#parser;
     for (const exchange of this.#open.splice(0)) {
-      exchange.isBehindClose = this.#hasReceivedClose;
+      exchange.closedBy = this.#closedBy;
       this.#end(exchange, {
         kind: "unanswered",
         cause: this.#cause,
--- a/soak/exchange.ts
+++ b/soak/exchange.ts
@@ -11,6 +11,8 @@
   readonly body: string;
   /** Bytes by which the target enlarges its response. */
   readonly fillerBytes: number;
+  /** Whether the bytes are no valid request, so that any answer is right. */
+  readonly isMalformed?: boolean;
 }
 
 /** What a node told the caller about a request. */
@@ -43,8 +45,8 @@
   /** Name of the node that the client was connected to. */
   readonly node: string;
   readonly sentMilliseconds: number;
-  /** Whether an earlier response of the connection had `Connection: close`. */
-  isBehindClose: boolean;
+  /** The earlier exchange of the connection that had `Connection: close`. */
+  closedBy?: Exchange | undefined;
   endMilliseconds: number;
   /** Absent while the client waits. */
   end?: ExchangeEnd;
@@ -57,10 +59,11 @@
  * @returns The text to send.
  */
 export function encodeRequest(request: SoakRequest, member: string): string {
-  const { id, method, path, key, body, fillerBytes } = request;
+  const { id, method, path, key, body, fillerBytes, isMalformed } = request;
   return [
     `${method} ${path} HTTP/1.1`,
     "Host: soak",
+    ...(isMalformed ? ["a line without a colon"] : []),
     `X-Call: ${id}`,
     `X-Member: ${member}`,
     ...(fillerBytes > 0 ? [`X-Filler-Bytes: ${fillerBytes}`] : []),
--- a/soak/soak_client.ts
+++ b/soak/soak_client.ts
@@ -10,6 +10,7 @@
     | "keep-alive"
     | "pipelining"
     | "stubborn"
+    | "erring"
     | "slow-reader"
     | "fresh";
   /** Requests that are sent before the first of them is answered. */
@@ -20,6 +21,8 @@
   readonly isFresh: boolean;
   readonly readPauseMilliseconds: number;
   readonly fillerBytes: number;
+  /** Share of the requests that are malformed. */
+  readonly malformedShare: number;
 }
 
 const keepAlive: ViewBehavior = {
@@ -29,6 +32,7 @@
   isFresh: false,
   readPauseMilliseconds: 0,
   fillerBytes: 0,
+  malformedShare: 0,
 };
 
 /** The behaviors that clients have in turn. */
@@ -43,6 +47,7 @@
     fillerBytes: 1_000_000,
   },
   { ...keepAlive, kind: "stubborn", window: 4, ignoresClose: true },
+  { ...keepAlive, kind: "erring", window: 4, malformedShare: 0.02 },
   { ...keepAlive, kind: "fresh", isFresh: true },
 ];
 
@@ -56,6 +61,8 @@
 /** Sends of one transfer, the first one included. */
 const maximumSends = 10;
 const resendShare = 0.3;
+/** Share of the requests for which there is no route. */
+const unknownRouteShare = 0.05;
 
 /** Settings of a client. */
 export interface SoakClientOptions {
@@ -78,22 +85,27 @@
   behavior: ViewBehavior,
   options: SoakClientOptions,
 ): Promise<void> {
+  const { random, isRunning } = options;
   const channel = new ClientChannel(options, behavior);
   let sends = 0;
-  while (options.isRunning()) {
+  while (isRunning()) {
     if (!await channel.open(node)) {
       await sleep(refusalPauseMilliseconds);
       continue;
     }
-    while (options.isRunning() && channel.canSend) {
-      while (channel.openCount < behavior.window) {
+    while (isRunning() && channel.canSend) {
+      while (channel.canSend && channel.openCount < behavior.window) {
         const id = `${options.name}-${++sends}`;
+        const path = random() < unknownRouteShare
+          ? "/unknown/"
+          : pathsByService[node.service];
         channel.send({
           id,
           method: "GET",
-          path: `${pathsByService[node.service]}${id}`,
+          path: `${path}${id}`,
           body: "",
           fillerBytes: behavior.fillerBytes,
+          isMalformed: random() < behavior.malformedShare,
         });
       }
       const exchange = await channel.nextEnd();
@@ -158,6 +170,7 @@
   #connection: ClientConnection | undefined;
   #node: ClusterNode | undefined;
   #waiters: ((exchange: Exchange) => void)[] = [];
+  #hasSentMalformed = false;
 
   constructor(options: SoakClientOptions, behavior: ViewBehavior) {
     this.#options = options;
@@ -167,6 +180,7 @@
   get canSend(): boolean {
     const connection = this.#connection;
     return connection !== undefined && connection.isOpen &&
+      !this.#hasSentMalformed &&
       (this.#behavior.ignoresClose || !connection.hasReceivedClose);
   }
 
@@ -177,6 +191,7 @@
   /** Connects to a node and reports whether it accepted the connection. */
   async open(node: ClusterNode): Promise<boolean> {
     this.#node = node;
+    this.#hasSentMalformed = false;
     this.#connection = await ClientConnection.open({
       port: node.outside,
       readPauseMilliseconds: this.#behavior.readPauseMilliseconds,
@@ -192,10 +207,10 @@
       client: `${this.#options.name}/${this.#behavior.kind}`,
       node: this.#node?.name ?? "",
       sentMilliseconds: Date.now(),
-      isBehindClose: false,
       endMilliseconds: 0,
     };
     this.#options.exchanges.push(exchange);
+    this.#hasSentMalformed ||= request.isMalformed === true;
     this.#connection?.send(
       exchange,
       encodeRequest(request, this.#options.name),
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -178,8 +178,9 @@
       notRun: countDisposition("not-run"),
       unknown: countDisposition("unknown"),
       unansweredBehindClose:
-        unanswered.filter((each) => each.isBehindClose).length,
-      unansweredOther: unanswered.filter((each) => !each.isBehindClose).length,
+        unanswered.filter((each) => each.closedBy !== undefined).length,
+      unansweredOther:
+        unanswered.filter((each) => each.closedBy === undefined).length,
     };
   }
 
@@ -198,7 +199,9 @@
     ]);
     write(
       "exchanges.jsonl",
-      this.#exchanges.map((each) => JSON.stringify(each)),
+      this.#exchanges.map((each) =>
+        JSON.stringify({ ...each, closedBy: each.closedBy?.request.id })
+      ),
     );
   }
 
