--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 npm run --silent build
-if [ $# -eq 0 ]; then set -- src platform tests; fi
+if [ $# -eq 0 ]; then set -- src platform tests soak; fi
 mapfile -t files < <(
   for folder in "$@"; do
     git ls-files --cached --others --exclude-standard -- "$folder/*_test.ts"
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -4,11 +4,13 @@
 // Exits with 1 if a rule was broken.
 import { Command, InvalidArgumentError } from "commander";
 import { formatKeyValues } from "../src/common/mod.ts";
+import { regressionSeeds } from "./regression_seeds.ts";
 import { runSoak } from "./soak_run.ts";
 import { formatViolation } from "./violation.ts";
 
 interface SoakOptions {
-  readonly seed: number;
+  readonly seed: readonly number[];
+  readonly regression?: boolean;
   readonly firstSeed?: number;
   readonly lastSeed?: number;
   readonly seconds: number;
@@ -26,6 +28,23 @@
   return Number(text);
 }
 
+function collectSeed(text: string, seeds: readonly number[]): number[] {
+  return [...seeds, parseWholeNumber(text)];
+}
+
+function getSeeds(options: SoakOptions): number[] {
+  const { seed, regression, firstSeed, lastSeed } = options;
+  const seeds = [
+    ...seed,
+    ...(regression ? regressionSeeds.map((each) => each.seed) : []),
+  ];
+  if (firstSeed !== undefined) {
+    const count = (lastSeed ?? firstSeed) - firstSeed + 1;
+    seeds.push(...Array.from({ length: count }, (_, each) => firstSeed + each));
+  }
+  return seeds.length === 0 ? [1] : seeds;
+}
+
 function printLine(text: string): void {
   process.stdout.write(`${text}\n`);
 }
@@ -65,18 +84,24 @@
 
 const options = new Command("run_soak")
   .description("Plays stops and changes under load, and checks every request.")
-  .option("--seed <number>", "seed of the plan", parseWholeNumber, 1)
+  .option("--seed <number...>", "seeds of the plans", collectSeed, [])
+  .option("--regression", "play the seeds that found a fault")
   .option("--first-seed <number>", "first of several seeds", parseWholeNumber)
   .option("--last-seed <number>", "last of several seeds", parseWholeNumber)
   .option("--seconds <number>", "time of the plan", parseWholeNumber, 20)
   .option("--nodes <number>", "nodes, with a target each", parseWholeNumber, 8)
   .option("--control <number>", "control instances", parseWholeNumber, 3)
   .parse().opts<SoakOptions>();
-const firstSeed = options.firstSeed ?? options.seed;
-const lastSeed = options.lastSeed ?? firstSeed;
-let failures = 0;
-for (let seed = firstSeed; seed <= lastSeed; seed++) {
-  failures += await runSeed(seed, options) ? 0 : 1;
+const seeds = getSeeds(options);
+const failed: number[] = [];
+for (const seed of seeds) {
+  if (!await runSeed(seed, options)) {
+    failed.push(seed);
+  }
 }
-printLine(formatKeyValues({ seeds: lastSeed - firstSeed + 1, failures }));
-process.exit(failures > 0 ? 1 : 0);
+printLine(formatKeyValues({
+  seeds: seeds.length,
+  failures: failed.length,
+  failed: failed.join(","),
+}));
+process.exit(failed.length > 0 ? 1 : 0);
--- /dev/null
+++ b/soak/soak_plan_test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSoakPlan } from "./soak_plan.ts";
+
+const size = { seconds: 60, nodeCount: 8, controlCount: 3 };
+
+test("a seed repeats its plan, and another seed has another one", () => {
+  const plan = createSoakPlan({ ...size, seed: 7 });
+  assert.deepEqual(createSoakPlan({ ...size, seed: 7 }), plan);
+  assert.notDeepEqual(createSoakPlan({ ...size, seed: 8 }), plan);
+});
+
+test("plans have every kind of action, for processes that exist", () => {
+  const actions = Array.from(
+    { length: 20 },
+    (_, seed) => createSoakPlan({ ...size, seed }),
+  ).flat().map(({ action }) => action);
+  assert.deepEqual(
+    [...new Set(actions.map((action) => action.kind))].sort(),
+    ["apply", "drain", "freeze", "kill", "roll", "stop"],
+  );
+  for (const action of actions) {
+    if (action.kind === "stop") {
+      const count = action.process === "node"
+        ? size.nodeCount
+        : size.controlCount;
+      assert.ok(action.index >= 0 && action.index < count);
+    }
+  }
+});
