--- a/scripts/run_soak.sh
+++ b/scripts/run_soak.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 npm run --silent build
-if [ $# -eq 0 ]; then set -- --seed 4 10; fi
+if [ $# -eq 0 ]; then set -- --seed 6 23 --seconds 12; fi
 exec node --enable-source-maps dist/soak/run_soak.js "$@"
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -21,6 +21,7 @@
 import {
   runTransferClient,
   runViewClient,
+  type ViewBehavior,
   viewBehaviors,
 } from "./soak_client.ts";
 import { separateEntries, type SoakObservation } from "./soak_observation.ts";
@@ -40,7 +41,9 @@
 /** Above every deadline of the document and the time that slow readers take. */
 const stopLimitMilliseconds = 10_000;
 const serviceMilliseconds = 40;
-const viewClientsPerNode = 2;
+/** Clients, which bound the load of runs with many nodes. */
+const maximumViewClients = 48;
+const maximumTransferClients = 12;
 /** Time in which every request that was sent must have ended. */
 const lastAnswerMilliseconds = 60_000;
 
@@ -218,18 +221,14 @@
       getNodes(this.#cluster, service)
     );
     return [
-      ...nodes.flatMap((node, index) =>
-        Array.from({ length: viewClientsPerNode }, (_, client) => {
-          const number = index * viewClientsPerNode + client;
-          const behavior = viewBehaviors[number % viewBehaviors.length];
-          return runViewClient(
-            node,
-            behavior as typeof viewBehaviors[number],
-            createOptions(`v${number}`, number),
-          );
-        })
+      ...[...nodes, ...nodes].slice(0, maximumViewClients).map((node, index) =>
+        runViewClient(
+          node,
+          viewBehaviors[(index + seed) % viewBehaviors.length] as ViewBehavior,
+          createOptions(`v${index}`, index),
+        )
       ),
-      ...nodes.map((_, index) =>
+      ...nodes.slice(0, maximumTransferClients).map((_, index) =>
         runTransferClient(
           transferNodes[index % 2] ?? [],
           createOptions(`t${index}`, 500 + index),
