--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -4,9 +4,10 @@
 // Exits with 1 if a rule was broken.
 import { Command, InvalidArgumentError } from "commander";
 import { formatKeyValues } from "../src/common/mod.ts";
+import { groupBy } from "./group_by.ts";
 import { regressionSeeds } from "./regression_seeds.ts";
 import { runSoak } from "./soak_run.ts";
-import { formatViolation } from "./violation.ts";
+import { formatViolation, type Violation } from "./violation.ts";
 
 interface SoakOptions {
   readonly seed: readonly number[];
@@ -49,6 +50,16 @@
   process.stdout.write(`${text}\n`);
 }
 
+/** Counts violations by the rule that was broken. */
+function countKinds(
+  violations: readonly Violation[],
+): Record<string, number> {
+  const groups = groupBy(violations, ({ kind }) => kind);
+  return Object.fromEntries(
+    [...groups].map(([kind, group]) => [kind, group.length]),
+  );
+}
+
 /** Plays one seed and reports whether no rule was broken. */
 async function runSeed(seed: number, options: SoakOptions): Promise<boolean> {
   const { seconds, nodes, control } = options;
@@ -66,6 +77,7 @@
     result: violations.length === 0 ? "passed" : "failed",
     violations: violations.length,
     seconds: Math.round((performance.now() - start) / 1000),
+    ...countKinds(violations),
     ...counts,
   }));
   if (folder !== undefined) {
