--- a/soak/check_exchanges_test.ts
+++ b/soak/check_exchanges_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { checkDrains } from "./check_drains.ts";
 import { checkExchanges } from "./check_exchanges.ts";
+import { checkNestedCalls } from "./check_nested_calls.ts";
 import { checkTransfers } from "./check_transfers.ts";
 import type { Exchange, ExchangeEnd } from "./exchange.ts";
 import { ProcessTimeline } from "./process_timeline.ts";
@@ -73,7 +75,9 @@
   readonly name: string;
   readonly exchanges: readonly Exchange[];
   readonly runs?: readonly TargetRun[];
+  readonly brokenCalls?: readonly TargetRun[];
   readonly killed?: string;
+  readonly drainedMilliseconds?: number;
   readonly violations: readonly string[];
 }[] = [
   {
@@ -148,9 +152,39 @@
     runs: [createRun("k-1", "k"), createRun("k-2", "k")],
     violations: ["ran-twice"],
   },
+  {
+    name: "a broken call of a target that reached another target",
+    exchanges: [createExchange("a", { ...answered, status: 502 })],
+    runs: [createRun("a"), { ...createRun("a"), parent: "token-a" }],
+    brokenCalls: [createRun("a")],
+    violations: ["lost-nested"],
+  },
+  {
+    name: "a broken call of a request that was given up",
+    exchanges: [createExchange("a", { ...refused, disposition: "unknown" })],
+    runs: [createRun("a"), { ...createRun("a"), parent: "token-a" }],
+    brokenCalls: [createRun("a")],
+    violations: [],
+  },
+  {
+    name: "a run at a target that was drained before",
+    exchanges: [complete],
+    runs: [createRun("a")],
+    drainedMilliseconds: 90_000,
+    violations: ["work-after-drain"],
+  },
+  {
+    name: "a run at a target that has just been drained",
+    exchanges: [complete],
+    runs: [createRun("a")],
+    drainedMilliseconds: 99_000,
+    violations: [],
+  },
 ];
 
-for (const { name, exchanges, runs = [], killed, violations } of cases) {
+for (const each of cases) {
+  const { name, exchanges, runs = [], brokenCalls = [], violations } = each;
+  const { killed, drainedMilliseconds = Infinity } = each;
   test(`${name}: ${violations.join() || "no violation"}`, () => {
     const timeline = new ProcessTimeline();
     if (killed !== undefined) {
@@ -165,11 +199,17 @@
       exchanges,
       timeline,
       runs,
-      brokenCalls: [],
+      brokenCalls,
     };
     const found = [
       ...checkExchanges(observation),
       ...checkTransfers(observation),
+      ...checkNestedCalls(observation),
+      ...checkDrains(observation, [{
+        node: "portal-2",
+        confirmedMilliseconds: drainedMilliseconds,
+        endMilliseconds: Infinity,
+      }]),
     ];
     assert.deepEqual(found.map(({ kind }) => kind), violations);
   });
