--- a/src/common/stop_on_signal.ts
+++ b/src/common/stop_on_signal.ts
@@ -18,10 +18,7 @@
 /** Options of {@link stopOnSignal}. */
 export interface StopOnSignalOptions {
   readonly signals: readonly NodeJS.Signals[];
-  /**
-   * Gets the time after the signal at which the process ends in any case, in
-   * milliseconds.
-   */
+  /** Time after the signal at which the process ends in any case. */
   readonly limitMilliseconds: number;
   readonly log: Log;
   /**
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -44,7 +44,7 @@
 const quarantineCheckIntervalMilliseconds = 1000;
 const gaugeIntervalMilliseconds = 5000;
 /** Time that responses in flight have to complete after the log has stopped. */
-const shutdownTimeoutMilliseconds = 500;
+export const shutdownTimeoutMilliseconds = 500;
 /** Largest gRPC message; equal to the limit of the replicated log's transport. */
 const maximumMessageBytes = 64 * 1024 * 1024;
 
--- a/src/control/mod.ts
+++ b/src/control/mod.ts
@@ -3,6 +3,7 @@
   createInterceptors,
   type OpenLog,
   type RunningControl,
+  shutdownTimeoutMilliseconds,
   startControl,
 } from "./control_process.ts";
 export { ControlStateMachine, formatVersion } from "./control_state_machine.ts";
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -170,9 +170,22 @@
     await closed;
   }
 
-  /** Waits until the open responses are delivered or their callers left. */
-  whenDelivered(): Promise<void> {
-    return this.#busyConnections.whenNone();
+  /**
+   * Closes the listener as {@link close} does, within a limit.
+   * @param limitMilliseconds Time after which open connections are closed.
+   */
+  async closeGracefully(limitMilliseconds: number): Promise<void> {
+    const timer = setTimeout(() => this.closeConnections(), limitMilliseconds);
+    await this.close();
+    clearTimeout(timer);
+  }
+
+  /** Refuses new connections and closes the open ones. */
+  async closeImmediately(): Promise<void> {
+    this.#state.closeReason ??= "listener-closed";
+    const closed = this.#stopListening();
+    this.#server.closeAllConnections();
+    await closed;
   }
 
   /** Closes all connections at the stop limit, also those with open requests. */
@@ -212,25 +225,6 @@
     return connection;
   }
 
-  /**
-   * Refuses new connections, closes idle ones, and waits for the responses to
-   * requests that were accepted.
-   * @param limitMilliseconds Time after which open connections are closed.
-   */
-  async closeGracefully(limitMilliseconds: number): Promise<void> {
-    const timer = setTimeout(() => this.closeConnections(), limitMilliseconds);
-    await this.close();
-    clearTimeout(timer);
-  }
-
-  /** Refuses new connections and closes the open ones. */
-  async closeImmediately(): Promise<void> {
-    this.#state.closeReason ??= "listener-closed";
-    const closed = this.#stopListening();
-    this.#server.closeAllConnections();
-    await closed;
-  }
-
   /**
    * Accepts the connections that wait, which would be reset otherwise. Node.js
    * accepts one in each turn of its event loop.
