Answer pipelined requests around those that Node.js refuses by itself

What callers saw: a request of HTTP/1.1 without Host, of HTTP/1.0 with a kept connection, with an Upgrade header or with CONNECT cost the requests behind it their responses, although they were passed on and ran (Host, HTTP/1.0), or were discarded without a trace (Upgrade). CONNECT also cut the requests in front of it.

Cause: Node.js decides these cases before or after the request handler, so the listener did not know that the connection ends. It answers a missing Host with 400 and `Connection: close`, ends a response to HTTP/1.0 without length with its connection, drops the bytes behind an upgrade that no listener takes, and destroys the socket of a CONNECT.

Change: the listener refuses a missing Host itself, on a connection that stays open. Requests of HTTP/1.0 and with Upgrade get the last response of their connection, so that those behind them count as unread. A CONNECT is treated like invalid bytes: the requests in front are answered first; alone it gets 400. Its socket is destroyed with the others at the stop limit.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -6,7 +6,7 @@
 } from "node:http";
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
+import { encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
 import { BusyConnections } from "./busy_connections.ts";
 import { lingerOnClose } from "./linger_on_close.ts";
@@ -16,9 +16,8 @@
   OpenConnection,
   type UnansweredConnection,
 } from "./open_connection.ts";
+import { maximumHeaderBytes, sendClientError } from "./send_client_error.ts";
 
-/** Maximum size of the request line and headers together. */
-const maximumHeaderBytes = 16 * 1024;
 /** Time limit for receiving the headers of a request. */
 const defaultHeadersTimeoutMilliseconds = 10_000;
 /**
@@ -63,6 +62,7 @@
   readonly #onUnanswered: (unanswered: UnansweredConnection) => void;
   readonly #connections = new WeakMap<object, OpenConnection>();
   readonly #busyConnections = new BusyConnections();
+  readonly #refusedTunnels = new Set<Duplex>();
   #acceptedConnections = 0;
   readonly #state: ListenerState = {
     isDraining: false,
@@ -80,6 +80,8 @@
     >({
       ServerResponse: ListenerResponse,
       maxHeaderSize: maximumHeaderBytes,
+      // Node.js would close the connection behind its own refusal.
+      requireHostHeader: false,
       headersTimeout: options.headersMilliseconds ??
         defaultHeadersTimeoutMilliseconds,
       requestTimeout: requestTimeoutMilliseconds,
@@ -94,20 +96,9 @@
       lingerOnClose(socket);
     });
     this.#server.on("clientError", (error, socket) => {
-      const connection = this.#connections.get(socket);
-      if (connection?.isClosing === true && !connection.hasOpenRequests) {
-        // What the caller sends behind the last response is discarded.
-        return;
-      }
-      if (connection?.hasOpenRequests === true) {
-        // An error response would be read as the response to the open request,
-        // and would claim "not-run" although its body may be reaching a target.
-        connection.endByError(error);
-      } else {
-        connection?.setEndByError(error);
-        sendClientError(error, socket);
-      }
+      this.#endByClientError(error, socket);
     });
+    this.#server.on("connect", (_, socket) => this.#refuseTunnel(socket));
   }
 
   /** Gets the port of the open listener. */
@@ -163,7 +154,7 @@
     await this.#acceptWaitingConnections();
     const closed = this.#stopListening();
     if (this.#state.closeReason === "stop-limit") {
-      this.#server.closeAllConnections();
+      this.#destroyConnections();
     }
     await Promise.race([this.#busyConnections.whenNone(), closed]);
     this.#server.closeIdleConnections();
@@ -184,14 +175,14 @@
   async closeImmediately(): Promise<void> {
     this.#state.closeReason ??= "listener-closed";
     const closed = this.#stopListening();
-    this.#server.closeAllConnections();
+    this.#destroyConnections();
     await closed;
   }
 
   /** Closes all connections at the stop limit, also those with open requests. */
   closeConnections(): void {
     this.#state.closeReason = "stop-limit";
-    this.#server.closeAllConnections();
+    this.#destroyConnections();
   }
 
   #acceptRequest(request: IncomingMessage, response: ListenerResponse): void {
@@ -203,12 +194,59 @@
       connection.addUnread();
       return;
     }
-    if (this.#state.isDraining) {
+    if (this.#state.isDraining || endsConnection(request)) {
       response.shouldKeepAlive = false;
     }
     connection.add(response);
     this.#busyConnections.add(connection);
-    this.#handle(request, response);
+    if (request.headers.host === undefined && request.httpVersion === "1.1") {
+      refuseMissingHost(request, response);
+    } else {
+      this.#handle(request, response);
+    }
+  }
+
+  #endByClientError(error: Error & { code?: string }, socket: Duplex): void {
+    const connection = this.#connections.get(socket);
+    if (connection?.isClosing === true && !connection.hasOpenRequests) {
+      // What the caller sends behind the last response is discarded.
+      return;
+    }
+    if (connection?.hasOpenRequests === true) {
+      // An error response would be read as the response to the open request,
+      // and would claim "not-run" although its body may be reaching a target.
+      connection.endByError(error);
+    } else {
+      connection?.setEndByError(error);
+      sendClientError(error, socket);
+    }
+  }
+
+  /**
+   * Refuses a request with method CONNECT. Node.js has removed its own listeners
+   * from the socket, and does not list it as a connection any more.
+   */
+  #refuseTunnel(socket: Duplex): void {
+    const connection = this.#getConnection(socket as Socket);
+    this.#refusedTunnels.add(socket);
+    socket.once("close", () => this.#refusedTunnels.delete(socket));
+    socket.on("error", (error) => {
+      connection.setEndByError(error);
+      socket.destroy();
+    });
+    socket.once("end", () => {
+      if (connection.hasOpenRequests) {
+        socket.destroy();
+      }
+    });
+    socket.on("drain", () => connection.resumeResponse());
+    socket.resume();
+    this.#endByClientError(new Error("CONNECT is not supported"), socket);
+  }
+
+  #destroyConnections(): void {
+    this.#server.closeAllConnections();
+    this.#refusedTunnels.forEach((each) => each.destroy());
   }
 
   #getConnection(socket: Socket): OpenConnection {
@@ -252,47 +290,30 @@
   }
 }
 
-/** Responds to a malformed or incomplete request with an error. */
-function sendClientError(
-  error: Error & { code?: string },
-  socket: Duplex,
-): void {
-  if (!socket.writable || error.code === "ECONNRESET") {
-    socket.destroy();
-    return;
-  }
-  const { status, failure } = describeClientError(error.code);
-  const body = encodeErrorBody(failure, "");
-  socket.end(
-    `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\n` +
-      `Content-Length: ${Buffer.byteLength(body)}\r\n` +
-      `dogwoodwalk-disposition: ${failure.disposition}\r\n` +
-      `dogwoodwalk-reason: ${failure.reason}\r\n` +
-      `Connection: close\r\n\r\n${body}`,
-  );
+/**
+ * Checks whether nothing behind a request can be read: a caller of HTTP/1.0 may
+ * need the end of the connection to know the end of the response, and Node.js
+ * discards what follows an upgrade that it ignores.
+ */
+function endsConnection({ httpVersion, headers }: IncomingMessage): boolean {
+  return httpVersion === "1.0" || headers.upgrade !== undefined;
 }
 
-function describeClientError(
-  code: string | undefined,
-): { status: string; failure: CallFailure } {
-  const disposition = "not-run";
-  if (code === "HPE_HEADER_OVERFLOW") {
-    const message = `The headers exceed ${maximumHeaderBytes} bytes`;
-    return {
-      status: "431 Request Header Fields Too Large",
-      failure: { disposition, reason: "too-large", message },
-    };
-  }
-  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
-    const message = "The request was not received completely in time";
-    return {
-      status: "408 Request Timeout",
-      failure: { disposition, reason: "malformed-request", message },
-    };
-  }
-  const message = "The request is not valid HTTP/1.1";
-  return {
-    status: "400 Bad Request",
-    failure: { disposition, reason: "malformed-request", message },
-  };
+/** Refuses a request of HTTP/1.1 without Host (RFC 9112, section 3.2). */
+function refuseMissingHost(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  request.resume();
+  const failure = {
+    disposition: "not-run",
+    reason: "malformed-request",
+    message: "The request has no Host header",
+  } as const;
+  response.writeHead(400, {
+    "content-type": "application/json",
+    "dogwoodwalk-disposition": failure.disposition,
+    "dogwoodwalk-reason": failure.reason,
+  });
+  response.end(encodeErrorBody(failure, ""));
 }
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -151,6 +151,11 @@
     }
   }
 
+  /** Continues the response that is being sent once the socket takes bytes. */
+  resumeResponse(): void {
+    this.#responses[0]?.emit("drain");
+  }
+
   readonly #onResponseFinished = (): void => {
     const { socket, listener } = this.#options;
     if (socket.destroyed) {
--- /dev/null
+++ b/src/node/send_client_error.ts
@@ -0,0 +1,55 @@
+import type { Duplex } from "node:stream";
+import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
+
+/** Maximum size of the request line and headers together. */
+export const maximumHeaderBytes = 16 * 1024;
+
+/**
+ * Responds to a malformed or incomplete request with an error, and closes its
+ * connection.
+ * @param error Error of the HTTP parser.
+ * @param socket Connection of the request.
+ */
+export function sendClientError(
+  error: Error & { code?: string },
+  socket: Duplex,
+): void {
+  if (!socket.writable || error.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  const { status, failure } = describeClientError(error.code);
+  const body = encodeErrorBody(failure, "");
+  socket.end(
+    `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\n` +
+      `Content-Length: ${Buffer.byteLength(body)}\r\n` +
+      `dogwoodwalk-disposition: ${failure.disposition}\r\n` +
+      `dogwoodwalk-reason: ${failure.reason}\r\n` +
+      `Connection: close\r\n\r\n${body}`,
+  );
+}
+
+function describeClientError(
+  code: string | undefined,
+): { status: string; failure: CallFailure } {
+  const disposition = "not-run";
+  if (code === "HPE_HEADER_OVERFLOW") {
+    const message = `The headers exceed ${maximumHeaderBytes} bytes`;
+    return {
+      status: "431 Request Header Fields Too Large",
+      failure: { disposition, reason: "too-large", message },
+    };
+  }
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    const message = "The request was not received completely in time";
+    return {
+      status: "408 Request Timeout",
+      failure: { disposition, reason: "malformed-request", message },
+    };
+  }
+  const message = "The request is not valid HTTP/1.1";
+  return {
+    status: "400 Bad Request",
+    failure: { disposition, reason: "malformed-request", message },
+  };
+}
