Send the responses in front of one that breaks off

What callers saw: of two pipelined requests, the second was answered by a response that broke off while it waited. The caller, which read late, got 195,584 bytes of the first response, of 300,000.

Cause: Node.js destroys the socket as soon as a waiting response that was destroyed is its turn, that is, when the kernel has taken the response in front.

Change: a waiting response that is destroyed ends its connection after the responses in front, in the same way as a last response. No byte of it is written, and no further request of the connection is passed on.

Before: the new test failed with "195584 bytes". After: it passes, with the 150 tests of listeners and of platform/.

--- a/src/node/listener_response.ts
+++ b/src/node/listener_response.ts
@@ -1,7 +1,10 @@
 import { type IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { CallPhase, OpenCall } from "./call_phase.ts";
 import type { ConnectionEnd, OpenConnection } from "./open_connection.ts";
 
+const abortedEnd = { closedBy: "node", reason: "response-aborted" } as const;
+
 /** A response of an {@link HttpListener}, with what is known of its request. */
 export class ListenerResponse extends ServerResponse<IncomingMessage> {
   /** The call that the response is for; `undefined` if the node answers. */
@@ -19,21 +22,29 @@
     return this.call?.phase ?? "handling";
   }
 
-  /** Destroys the connection, so that the response does not seem complete. */
+  /**
+   * Destroys the connection, so that the response does not seem complete. A
+   * response that waits behind others ends the connection after these.
+   */
   override destroy(error?: Error): this {
     const { openConnection } = this;
-    if (openConnection !== undefined) {
-      const setEnd = () =>
-        openConnection.setEnd({ closedBy: "node", reason: "response-aborted" });
-      // Destroying a response that waits behind another one has no effect until
-      // it is assigned to the socket.
-      if (this.socket === null) {
-        this.once("socket", setEnd);
-      } else {
-        setEnd();
-      }
+    if (openConnection === undefined || this.socket !== null) {
+      openConnection?.setEnd(abortedEnd);
+      return super.destroy(error);
+    }
+    this.destroyed = true;
+    openConnection.endAfterResponses(abortedEnd);
+    return this;
+  }
+
+  /** Sends what was written, once the responses in front are sent. */
+  override assignSocket(socket: Socket): void {
+    if (this.destroyed) {
+      this.openConnection?.setEnd(abortedEnd);
+      socket.destroySoon();
+    } else {
+      super.assignSocket(socket);
     }
-    return super.destroy(error);
   }
 }
 
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -127,6 +127,11 @@
     this.#end ??= end;
   }
 
+  /** Passes no further request on, because the connection will end. */
+  endAfterResponses(end: ConnectionEnd): void {
+    this.#endAfterResponses ??= end;
+  }
+
   /** Records the end by an error of the socket or of the HTTP parser. */
   setEndByError(error: Error & { code?: string }): void {
     this.setEnd(getEndByError(error));
@@ -147,7 +152,7 @@
       this.setEnd(end);
       socket.destroy();
     } else {
-      this.#endAfterResponses ??= end;
+      this.endAfterResponses(end);
     }
   }
 
