Close connections without a request when a listener closes

What operators saw: one connection that was opened ahead and carried no request held a planned stop until its limit, close to SIGKILL.

Cause: Node.js does not count a connection as idle before its first request was answered, so closeIdleConnections leaves it open.

Change: the listener keeps the sockets without a request and destroys those without received bytes together with the idle ones, once no response is open. A connection that carries a part of a request stays, as before.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -63,6 +63,8 @@
   readonly #connections = new WeakMap<object, OpenConnection>();
   readonly #busyConnections = new BusyConnections();
   readonly #refusedTunnels = new Set<Duplex>();
+  /** Connections without a request, which Node.js does not count as idle. */
+  readonly #newSockets = new Set<Socket>();
   #acceptedConnections = 0;
   readonly #state: ListenerState = {
     isDraining: false,
@@ -94,6 +96,8 @@
     this.#server.on("connection", (socket) => {
       this.#acceptedConnections++;
       lingerOnClose(socket);
+      this.#newSockets.add(socket);
+      socket.once("close", () => this.#newSockets.delete(socket));
     });
     this.#server.on("clientError", (error, socket) => {
       this.#endByClientError(error, socket);
@@ -157,7 +161,7 @@
       this.#destroyConnections();
     }
     await Promise.race([this.#busyConnections.whenNone(), closed]);
-    this.#server.closeIdleConnections();
+    this.#closeIdleConnections();
     await closed;
   }
 
@@ -244,6 +248,15 @@
     this.#endByClientError(new Error("CONNECT is not supported"), socket);
   }
 
+  #closeIdleConnections(): void {
+    this.#server.closeIdleConnections();
+    for (const socket of this.#newSockets) {
+      if (socket.bytesRead === 0) {
+        socket.destroy();
+      }
+    }
+  }
+
   #destroyConnections(): void {
     this.#server.closeAllConnections();
     this.#refusedTunnels.forEach((each) => each.destroy());
@@ -252,6 +265,7 @@
   #getConnection(socket: Socket): OpenConnection {
     let connection = this.#connections.get(socket);
     if (connection === undefined) {
+      this.#newSockets.delete(socket);
       connection = new OpenConnection({
         socket,
         listener: this.#state,
--- a/src/node/listener_close_test.ts
+++ b/src/node/listener_close_test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { request } from "node:http";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { HttpListener } from "./http_listener.ts";
 
@@ -33,3 +35,19 @@
   assert.equal(received, largeBytes);
   await closed;
 });
+
+test("a connection without a request does not delay a graceful close to its limit", async (context) => {
+  const listener = new HttpListener({
+    endpoint: { host: "127.0.0.1", port: 0 },
+    handle: (_request, response) => response.end(),
+  });
+  await listener.listen();
+  context.after(() => listener.closeImmediately());
+  const socket = connect(listener.port, "127.0.0.1");
+  context.after(() => socket.destroy());
+  socket.on("error", () => {});
+  await once(socket, "connect");
+  const start = performance.now();
+  await listener.closeGracefully(limitMilliseconds);
+  assert.ok(performance.now() - start < limitMilliseconds / 2);
+});
