Pass on requests with an unknown expectation, and linger after an error

A request whose Expect header Node.js does not know got 417 from Node.js itself: the listener did not see it, so that it was neither counted nor the last one while the listener drains. An intermediary may ignore expectations of the next hop, so the request is handled like any other; Expect is not forwarded.

The error response to a malformed request was followed by a reset when more malformed bytes arrived, which could discard it. Its connection now closes as that of a last response does.

The tests of unusual requests also show that the body of a request behind an ignored upgrade is not taken for a request, which was so before.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -102,6 +102,9 @@
     this.#server.on("clientError", (error, socket) => {
       this.#endByClientError(error, socket);
     });
+    this.#server.on("checkExpectation", (request, response) => {
+      this.#acceptRequest(request, response);
+    });
     this.#server.on("connect", (_, socket) => this.#refuseTunnel(socket));
   }
 
--- a/src/node/send_client_error.ts
+++ b/src/node/send_client_error.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
 
@@ -8,12 +9,16 @@
  * Responds to a malformed or incomplete request with an error, and closes its
  * connection.
  * @param error Error of the HTTP parser.
- * @param socket Connection of the request.
+ * @param socket Connection of the request, a socket of a listener.
  */
 export function sendClientError(
   error: Error & { code?: string },
   socket: Duplex,
 ): void {
+  if (socket.writableEnded) {
+    // What the caller sends behind the error response is discarded.
+    return;
+  }
   if (!socket.writable || error.code === "ECONNRESET") {
     socket.destroy();
     return;
@@ -27,6 +32,7 @@
       `dogwoodwalk-reason: ${failure.reason}\r\n` +
       `Connection: close\r\n\r\n${body}`,
   );
+  (socket as Socket).destroySoon();
 }
 
 function describeClientError(
