Answer a keyed request that is refused early with unknown

Callers saw: a transfer had run, its resend came to a node that had just started, and the node refused it with 503, disposition not-run ("This node has no document yet"). A caller that trusts it sends the transfer under a new key.

Cause: not-run must hold for all sends of a key, which OriginCall ensures with a fence. Refusals before there is a call knew nothing of keys and always said not-run. The same cause acted on a route that an older document does not have, on a path that is not accepted, on a nested call whose parent has ended, and on a body above the limit of the document.

Change: the protocol says which key a request carries, and a refusal without a call says unknown if there is one. Without a route the scope of the key is not known, so it cannot be fenced there: the host may name a service that only newer documents have. Holding the request until the document arrives was ruled out: a caller with a key can send again at any time, and held requests need limits of their own.

Why it works: not-run is left only where no key can have been used before.

--- a/soak/known_faults.ts
+++ b/soak/known_faults.ts
@@ -23,12 +23,6 @@
     isCauseOf: ({ kind, fields }) =>
       kind === "work-after-drain" && fields["restarted"] === true,
   },
-  {
-    entry: "soak: a node without a document answers a resend with not-run",
-    isCauseOf: ({ kind, fields }) =>
-      kind === "false-not-run" && fields["reason"] === "no-target" &&
-      fields["key"] !== undefined,
-  },
   {
     entry: "soak: a deadline cuts a response that is being read",
     isCauseOf: ({ kind, fields }) =>
--- a/src/node/default_protocol.ts
+++ b/src/node/default_protocol.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import { fieldLimits } from "../request/mod.ts";
 import type {
   AcceptedCall,
@@ -15,6 +16,7 @@
 /** The protocol of dogwoodwalk itself. */
 export const defaultProtocol: CallProtocol = {
   buffersResponses: false,
+  getKey,
   getNestedClassIndex: (classIndex) => classIndex,
   parseRequest,
   addTargetHeaders: (headers, { token }) => headers.push(tokenHeader, token),
@@ -30,7 +32,7 @@
   if (plan === undefined) {
     return { kind: "refused", reason: "unknown-route" };
   }
-  const key = request.headers["idempotency-key"] as string | undefined;
+  const key = getKey(request);
   if (key !== undefined && key.length > fieldLimits.keyLength) {
     const message =
       `The key is longer than ${fieldLimits.keyLength} characters`;
@@ -47,6 +49,10 @@
   return { kind: "accepted", plan, parent, key };
 }
 
+function getKey({ headers }: IncomingMessage): string | undefined {
+  return headers["idempotency-key"] as string | undefined;
+}
+
 /**
  * Finds the plan of a call. Its host is the name of the service; for callers
  * outside, any other host means the service of this node.
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -6,6 +6,7 @@
 import { type Attempt, createAttemptFailure } from "./attempt.ts";
 import type { CallDetails } from "./call_details.ts";
 import { createCallDetails } from "./call_entry.ts";
+import { getEarlyDisposition } from "./early_refusal.ts";
 import { addDiscoveredServices } from "./reported_levels.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
 import { copyHeaders } from "./forwarded_headers.ts";
@@ -276,7 +277,9 @@
     options: { target?: RequestTarget; message?: string },
   ): void {
     const message = options.message ?? getRefusalMessage(reason);
-    const failure: CallFailure = { disposition: "not-run", reason, message };
+    const { protocol } = this.state;
+    const disposition = getEarlyDisposition(protocol, response.req);
+    const failure: CallFailure = { disposition, reason, message };
     const { service } = this.state.settings;
     const counters = this.state.counters.get(service, "none");
     counters.refused.set(reason, (counters.refused.get(reason) ?? 0) + 1);
@@ -286,7 +289,7 @@
       priority: "failure",
       event: "call not accepted",
       fields: {
-        disposition: failure.disposition,
+        disposition,
         reason,
         message,
         host: options.target?.host,
@@ -294,6 +297,6 @@
         revision: this.state.view?.revision,
       },
     });
-    this.state.protocol.writeFailure(response, failure, "");
+    protocol.writeFailure(response, failure, "");
   }
 }
