Answer a refused outcome query with unknown

Callers saw: an outcome query that came to a node that had just started, or whose document did not have the service yet, got 400 with the disposition not-run. A caller reads it as the outcome of the request that it asks about, which may have run.

Cause: the disposition described the query itself.

Change: a refused query says unknown, and a node without a document gives 503 no-target instead of 400, because the query is not at fault.

Why it works: only the ledger's answer to the fence says not-run now.

--- a/src/node/claims_test.ts
+++ b/src/node/claims_test.ts
@@ -178,6 +178,35 @@
   );
 });
 
+const unansweredQueries = [
+  {
+    name: "without a document",
+    hasDocument: false,
+    service: "front",
+    expected: "unknown no-target",
+  },
+  {
+    name: "whose document does not have the service yet",
+    hasDocument: true,
+    service: "newer",
+    expected: "unknown malformed-request",
+  },
+];
+for (const { name, hasDocument, service, expected } of unansweredQueries) {
+  test(`a node ${name} does not answer an outcome query with not-run`, async (context) => {
+    const front = await start(context, new FakeLedger());
+    if (!hasDocument) {
+      front.node.state.view = undefined;
+    }
+    const query = await sendCall({
+      port: front.outside,
+      path: `/dogwoodwalk/outcome?service=${service}&key=k1`,
+    });
+    assert.equal(getReason(query), expected);
+    assert.doesNotMatch(query.body, /not-run/);
+  });
+}
+
 test("a claim is released when the target left while the claim was pending", async (context) => {
   const ledger = new FakeLedger();
   const front = await start(context, ledger);
--- a/src/node/outcome_query.ts
+++ b/src/node/outcome_query.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import { fieldLimits } from "../request/mod.ts";
+import { type CallFailure, fieldLimits } from "../request/mod.ts";
 import { writeFailure, writeJson } from "./caller_response.ts";
 import type { FenceOutcome } from "./ledger_port.ts";
 import type { NodeState } from "./node_state.ts";
@@ -26,11 +26,9 @@
   const key = query.get("key") ?? "";
   const queryError = getQueryError(state, service, key);
   if (queryError !== undefined) {
-    writeFailure(response, {
-      disposition: "not-run",
-      reason: "malformed-request",
-      message: queryError,
-    }, { requestId: "" });
+    // Says nothing about the request with the key.
+    const failure = { disposition: "unknown", ...queryError } as const;
+    writeFailure(response, failure, { requestId: "" });
     return;
   }
   state.ledger.fence({ service, key }).then((outcome) => {
@@ -51,13 +49,21 @@
   state: NodeState,
   service: string,
   key: string,
-): string | undefined {
+): Pick<CallFailure, "reason" | "message"> | undefined {
+  const reason = "malformed-request";
   if (key === "" || key.length > fieldLimits.keyLength) {
-    return `Expected "key" with 1 to ${fieldLimits.keyLength} characters`;
+    const message =
+      `Expected "key" with 1 to ${fieldLimits.keyLength} characters`;
+    return { reason, message };
   }
-  return state.view?.hasService(service)
-    ? undefined
-    : 'Expected "service" to name a service of the document';
+  if (state.view === undefined) {
+    return { reason: "no-target", message: "This node has no document yet" };
+  }
+  if (!state.view.hasService(service)) {
+    const message = 'Expected "service" to name a service of the document';
+    return { reason, message };
+  }
+  return undefined;
 }
 
 function formatOutcome(
