Do not call a request not-run whose key cannot be read

Callers saw: a transfer had run, and the response to its resend said not-run because its headers arrived too late (408), were too large (431), were not valid (400) or had no Host.

Cause: the listener answers these itself, and called all of them not-run. The headers are no part of the payload, so an earlier send of the same transfer can have had headers that were accepted, or have arrived in time.

Change: the owner of the listener tells the disposition of refusals. A node with keys says unknown if there is a key or the headers could not be read. Listeners without keys (the platform, other nodes) say not-run as before. Ruled out: looking for the key in the bytes that were received, because it may be in those that were not. The price: callers without a key are no longer told not-run when their headers cannot be read.

Why it works: not-run is only said of a request whose headers were read and have no key.

--- a/src/node/early_refusal.ts
+++ b/src/node/early_refusal.ts
@@ -8,14 +8,20 @@
  * the call the key cannot be fenced, so only a request without a key is
  * certainly `not-run`.
  * @param protocol The protocol of the caller.
- * @param request The request.
- * @returns `unknown` for a request with a key, `not-run` for any other.
+ * @param request The request; `undefined` when its headers could not be read.
+ * @returns `unknown` for a request that may have a key, `not-run` for any other.
  */
 export function getEarlyDisposition(
   protocol: CallProtocol,
-  request: IncomingMessage,
+  request: IncomingMessage | undefined,
 ): Disposition {
-  const key = protocol.getKey?.(request);
+  if (protocol.getKey === undefined) {
+    return "not-run";
+  }
+  if (request === undefined) {
+    return "unknown";
+  }
+  const key = protocol.getKey(request);
   // No node accepts a request with a longer key.
   return key === undefined || key.length > fieldLimits.keyLength
     ? "not-run"
--- a/src/node/early_refusal_test.ts
+++ b/src/node/early_refusal_test.ts
@@ -52,6 +52,34 @@
     rest: body,
     expected: ["499", "cancelled"],
   },
+  {
+    name: "without Host",
+    head: "POST /transfers HTTP/1.1\r\n",
+    rest: body,
+    expected: ["400", "malformed-request"],
+  },
+];
+
+const unreadableRequests: readonly {
+  readonly name: string;
+  readonly bytes: string;
+  readonly expected: string;
+}[] = [
+  {
+    name: "whose headers are too large",
+    bytes: `${transfer}X: ${"x".repeat(20_000)}\r\n${body}`,
+    expected: "431 unknown too-large",
+  },
+  {
+    name: "whose headers do not arrive in time",
+    bytes: transfer,
+    expected: "408 unknown malformed-request",
+  },
+  {
+    name: "with an invalid header",
+    bytes: `${transfer}no header\r\n${body}`,
+    expected: "400 unknown malformed-request",
+  },
 ];
 
 /** Sends bytes on a new connection, and reads until it ends. */
@@ -113,3 +141,10 @@
     assert.equal(await send(""), `${status} not-run ${reason}`);
   });
 }
+
+for (const { name, bytes, expected } of unreadableRequests) {
+  test(`a node does not call a transfer that ran elsewhere not-run when it cannot read a resend ${name}`, async (context) => {
+    const { outside } = await startPairs(context, {});
+    assert.equal(getOutcome(await sendBytes(outside, bytes)), expected);
+  });
+}
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -6,7 +6,7 @@
 } from "node:http";
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { encodeErrorBody } from "../request/mod.ts";
+import { type Disposition, encodeErrorBody } from "../request/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
 import { BusyConnections } from "./busy_connections.ts";
 import { lingerOnClose } from "./linger_on_close.ts";
@@ -52,6 +52,13 @@
     | undefined;
   /** Time limit for receiving the headers of a request. */
   readonly headersMilliseconds?: number | undefined;
+  /**
+   * Gets the disposition of a request that the listener refuses; `not-run` when
+   * absent. The request is undefined when its headers could not be read.
+   */
+  readonly getDisposition?:
+    | ((request: IncomingMessage | undefined) => Disposition)
+    | undefined;
 }
 
 /** An HTTP listener of the node. */
@@ -60,6 +67,7 @@
   readonly #endpoint: Endpoint;
   readonly #handle: HttpListenerOptions["handle"];
   readonly #onUnanswered: (unanswered: UnansweredConnection) => void;
+  readonly #getDisposition: (request?: IncomingMessage) => Disposition;
   readonly #connections = new WeakMap<object, OpenConnection>();
   readonly #busyConnections = new BusyConnections();
   readonly #refusedTunnels = new Set<Duplex>();
@@ -76,6 +84,7 @@
     this.#endpoint = options.endpoint;
     this.#handle = options.handle;
     this.#onUnanswered = options.onUnanswered ?? (() => {});
+    this.#getDisposition = options.getDisposition ?? (() => "not-run");
     this.#server = createServer<
       typeof IncomingMessage,
       typeof ListenerResponse
@@ -207,7 +216,8 @@
     connection.add(response);
     this.#busyConnections.add(connection);
     if (request.headers.host === undefined && request.httpVersion === "1.1") {
-      refuseMissingHost(request, response);
+      const disposition = this.#getDisposition(request);
+      refuseMissingHost(request, response, disposition);
     } else {
       this.#handle(request, response);
     }
@@ -225,7 +235,7 @@
       connection.endByError(error);
     } else {
       connection?.setEndByError(error);
-      sendClientError(error, socket);
+      sendClientError(error, socket, this.#getDisposition());
     }
   }
 
@@ -320,16 +330,17 @@
 function refuseMissingHost(
   request: IncomingMessage,
   response: ServerResponse,
+  disposition: Disposition,
 ): void {
   request.resume();
   const failure = {
-    disposition: "not-run",
+    disposition,
     reason: "malformed-request",
     message: "The request has no Host header",
   } as const;
   response.writeHead(400, {
     "content-type": "application/json",
-    "dogwoodwalk-disposition": failure.disposition,
+    "dogwoodwalk-disposition": disposition,
     "dogwoodwalk-reason": failure.reason,
   });
   response.end(encodeErrorBody(failure, ""));
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -25,7 +25,8 @@
 import { DeadlineTimers } from "./deadline_timers.ts";
 import { describeOpenWork } from "./describe_open_work.ts";
 import { DocumentView } from "./document_view.ts";
-import { HttpListener } from "./http_listener.ts";
+import { getEarlyDisposition } from "./early_refusal.ts";
+import { HttpListener, type HttpListenerOptions } from "./http_listener.ts";
 import { type LedgerPort, unavailableLedger } from "./ledger_port.ts";
 import type { UnansweredConnection } from "./open_connection.ts";
 import { PeerRequestHandler } from "./peer_request_handler.ts";
@@ -129,11 +130,14 @@
       this.targetDispatcher,
     );
     const { headersMilliseconds } = options;
+    const getDisposition: HttpListenerOptions["getDisposition"] = (request) =>
+      getEarlyDisposition(this.state.protocol, request);
     this.outside = new HttpListener({
       endpoint: settings.outside,
       handle: (request, response) => this.#onOutside(request, response),
       onUnanswered: (each) => this.#onUnanswered("outside", each),
       headersMilliseconds,
+      getDisposition,
     });
     this.node = new HttpListener({
       endpoint: settings.node,
@@ -147,6 +151,7 @@
       handle: (request, response) => this.#onLoopback(request, response),
       onUnanswered: (each) => this.#onUnanswered("loopback", each),
       headersMilliseconds,
+      getDisposition,
     });
   }
 
--- a/src/node/send_client_error.ts
+++ b/src/node/send_client_error.ts
@@ -1,6 +1,10 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { type CallFailure, encodeErrorBody } from "../request/mod.ts";
+import {
+  type CallFailure,
+  type Disposition,
+  encodeErrorBody,
+} from "../request/mod.ts";
 
 /** Maximum size of the request line and headers together. */
 export const maximumHeaderBytes = 16 * 1024;
@@ -10,10 +14,12 @@
  * connection.
  * @param error Error of the HTTP parser.
  * @param socket Connection of the request, a socket of a listener.
+ * @param disposition Disposition of the request.
  */
 export function sendClientError(
   error: Error & { code?: string },
   socket: Duplex,
+  disposition: Disposition,
 ): void {
   if (socket.writableEnded) {
     // What the caller sends behind the error response is discarded.
@@ -23,7 +29,8 @@
     socket.destroy();
     return;
   }
-  const { status, failure } = describeClientError(error.code);
+  const { status, ...description } = describeClientError(error.code);
+  const failure: CallFailure = { disposition, ...description };
   const body = encodeErrorBody(failure, "");
   socket.end(
     `HTTP/1.1 ${status}\r\nContent-Type: application/json\r\n` +
@@ -37,25 +44,27 @@
 
 function describeClientError(
   code: string | undefined,
-): { status: string; failure: CallFailure } {
-  const disposition = "not-run";
+): { status: string } & Pick<CallFailure, "reason" | "message"> {
   if (code === "HPE_HEADER_OVERFLOW") {
     const message = `The headers exceed ${maximumHeaderBytes} bytes`;
     return {
       status: "431 Request Header Fields Too Large",
-      failure: { disposition, reason: "too-large", message },
+      reason: "too-large",
+      message,
     };
   }
   if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
     const message = "The request was not received completely in time";
     return {
       status: "408 Request Timeout",
-      failure: { disposition, reason: "malformed-request", message },
+      reason: "malformed-request",
+      message,
     };
   }
   const message = "The request is not valid HTTP/1.1";
   return {
     status: "400 Bad Request",
-    failure: { disposition, reason: "malformed-request", message },
+    reason: "malformed-request",
+    message,
   };
 }
