Let the ledger decide between payloads of one key

Callers saw: a transfer had run at one node; its resend came to a node where another payload with the same key waited for its claim, and got not-run key-conflict instead of the response of the transfer.

Cause: a node compared the payloads of its own calls and refused the later one. Which of them holds the key is known to the ledger only.

Change: a call with another payload no longer joins and is not refused; it goes on, and its claim is denied or gets the stored response. Ruled out: fencing the key before the refusal, because a fence tells the state of the key and not whose payload it is.

Why it works: the ledger denies a claim with another fingerprint, and answers one with the fingerprint that ran.

--- a/src/node/claims_test.ts
+++ b/src/node/claims_test.ts
@@ -105,6 +105,23 @@
   });
 }
 
+test("a resend of a transfer that ran gets its response, although another payload with its key waits", async (context) => {
+  const ledger = new FakeLedger();
+  const first = await start(context, ledger);
+  const second = await start(context, ledger, { nodeId: "front-2" });
+  const ran = await transfer(first, { body: "amount=5" });
+  let continueClaim = (): void => {};
+  ledger.beforeClaim = () => new Promise((resolve) => continueClaim = resolve);
+  const other = transfer(second, { body: "amount=6" });
+  await waitFor(() => ledger.claims.length === 2);
+  ledger.beforeClaim = () => Promise.resolve();
+  const resent = await transfer(second, { body: "amount=5" });
+  continueClaim();
+  assert.equal(resent.body, ran.body);
+  assert.equal(getReason(await other), "not-run key-conflict");
+  assert.equal(second.target.runs.length, 0);
+});
+
 test("a transfer without a key is refused where the route requires one", async (context) => {
   const front = await start(context, new FakeLedger());
   const response = await transfer(front, { key: "" });
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -181,8 +181,9 @@
   }
 
   /**
-   * Adds the caller of a call to an earlier call with the same key that is in
-   * progress at this node. Refuses the call if its fingerprint differs.
+   * Adds the caller of a call to an earlier call with the same key and payload
+   * that is in progress at this node. With another payload, the call goes on and
+   * the ledger decides, because either of them may have run at another node.
    * @param call The call; its body must have been read.
    * @returns Whether there was an earlier call, so that this one has ended.
    */
@@ -194,13 +195,10 @@
       this.#keyedCalls.add(service, key, call);
       return false;
     }
-    if (earlier.getClaimFingerprint() === call.getClaimFingerprint()) {
-      earlier.addCaller(call.removeCaller());
-    } else {
-      const reason = "key-conflict";
-      const message = getRefusalMessage(reason);
-      call.fail({ disposition: "not-run", reason, message });
+    if (earlier.getClaimFingerprint() !== call.getClaimFingerprint()) {
+      return false;
     }
+    earlier.addCaller(call.removeCaller());
     return true;
   }
 
