Send a drain to an instance that forgot it, whoever owns its record

Operators saw: a drained target was taken for ready for good after its node and the control instance of its session had restarted, although the other instances knew of the drain.

Cause: an instance that receives an older record sends its newer one only if it owns it. The owner of this one was the former process of the restarted instance. Digests did not help: they do not cover targets that have ended, and an instance ignores what others say of its own former processes.

Change: the receiver sends its record also if the older one forgets a drain.

Evidence: the new test on the code before ended with 'Condition not met within 30000 ms: the drain is restored'; it passes now. The tests of membership, session_server and control_client: 52 pass, 1 fail: 'a node leaves an isolated instance within half of the jitter' took 1807 ms instead of 1500 ms beside other load; it measures time, and the change is not on its path.

Why it works: the restarted instance merges the newer record and sends it to the node, which drains its target again.

--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -130,6 +130,36 @@
   });
 }
 
+test("a target stays drained when its node and the instance of its session restart", async () => {
+  const instances = await startControl(2);
+  const [first, second] = instances;
+  assert.ok(first !== undefined && second !== undefined);
+  const observer = startNode([second.address], "observer");
+  const getState = () => observer.getStates("balances")["n1-target"];
+  const node = startNode([first.address], "n1");
+  node.announce("ready");
+  await waitUntil(() => getState() === "ready", "the target is ready");
+  node.announce("draining");
+  await waitUntil(() => getState() === "draining", "the target is drained");
+  await node.session.stop();
+  await waitUntil(() => getState() === undefined, "the target has left");
+  first.kill();
+  const restartedFirst = new FakeControlInstance({ instanceId: "control-0" });
+  cleanUps.push(() => restartedFirst.kill());
+  await restartedFirst.listen(first.port);
+  restartedFirst.peers = [second.peer];
+  const restarted = startNode([first.address], "n1", {
+    onDrainRequest: () => restarted.announce("draining"),
+  });
+  restarted.announce("ready");
+  const states = new Set<string | undefined>();
+  await waitUntil(() => {
+    states.add(getState());
+    return getState() === "draining";
+  }, "the drain is restored");
+  assert.equal(states.has("ready"), false);
+});
+
 /**
  * Starts two instances. Nodes connect to the first one, through a proxy that can
  * stop forwarding without closing connections.
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -522,9 +522,12 @@
       ) {
         this.#forgottenDrains.add(key);
       }
-      if (order === "older" && isOwn) {
+      const isForgotten = previous !== undefined &&
+        isForgottenDrain(target, previous);
+      if (order === "older" && (isOwn || isForgotten)) {
         // The sender missed the newer record. Digests may not show it, because
-        // they do not cover targets that have ended, so it is sent again.
+        // they do not cover targets that have ended, so it is sent again. The
+        // owner of a drained one may have restarted and cannot send it.
         this.#ownTargetChanges.add(key);
       }
     }
