--- a/src/node/claims_test.ts
+++ b/src/node/claims_test.ts
@@ -105,6 +105,23 @@
   });
 }
 
+test("a resend of a transfer that ran gets its response, although another payload with its key waits", async (context) => {
+  const ledger = new FakeLedger();
+  const first = await start(context, ledger);
+  const second = await start(context, ledger, { nodeId: "front-2" });
+  const ran = await transfer(first, { body: "amount=5" });
+  let continueClaim = (): void => {};
+  ledger.beforeClaim = () => new Promise((resolve) => continueClaim = resolve);
+  const other = transfer(second, { body: "amount=6" });
+  await waitFor(() => ledger.claims.length === 2);
+  ledger.beforeClaim = () => Promise.resolve();
+  const resent = await transfer(second, { body: "amount=5" });
+  continueClaim();
+  assert.equal(resent.body, ran.body);
+  assert.equal(getReason(await other), "not-run key-conflict");
+  assert.equal(second.target.runs.length, 0);
+});
+
 test("a transfer without a key is refused where the route requires one", async (context) => {
   const front = await start(context, new FakeLedger());
   const response = await transfer(front, { key: "" });
@@ -178,6 +195,35 @@
   );
 });
 
+const unansweredQueries = [
+  {
+    name: "without a document",
+    hasDocument: false,
+    service: "front",
+    expected: "unknown no-target",
+  },
+  {
+    name: "whose document does not have the service yet",
+    hasDocument: true,
+    service: "newer",
+    expected: "unknown malformed-request",
+  },
+];
+for (const { name, hasDocument, service, expected } of unansweredQueries) {
+  test(`a node ${name} does not answer an outcome query with not-run`, async (context) => {
+    const front = await start(context, new FakeLedger());
+    if (!hasDocument) {
+      front.node.state.view = undefined;
+    }
+    const query = await sendCall({
+      port: front.outside,
+      path: `/dogwoodwalk/outcome?service=${service}&key=k1`,
+    });
+    assert.equal(getReason(query), expected);
+    assert.doesNotMatch(query.body, /not-run/);
+  });
+}
+
 test("a claim is released when the target left while the claim was pending", async (context) => {
   const ledger = new FakeLedger();
   const front = await start(context, ledger);
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -6,6 +6,7 @@
 import { type Attempt, createAttemptFailure } from "./attempt.ts";
 import type { CallDetails } from "./call_details.ts";
 import { createCallDetails } from "./call_entry.ts";
+import { getEarlyDisposition } from "./early_refusal.ts";
 import { addDiscoveredServices } from "./reported_levels.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
 import { copyHeaders } from "./forwarded_headers.ts";
@@ -180,8 +181,9 @@
   }
 
   /**
-   * Adds the caller of a call to an earlier call with the same key that is in
-   * progress at this node. Refuses the call if its fingerprint differs.
+   * Adds the caller of a call to an earlier call with the same key and payload
+   * that is in progress at this node. With another payload, the call goes on and
+   * the ledger decides, because either of them may have run at another node.
    * @param call The call; its body must have been read.
    * @returns Whether there was an earlier call, so that this one has ended.
    */
@@ -193,13 +195,10 @@
       this.#keyedCalls.add(service, key, call);
       return false;
     }
-    if (earlier.getClaimFingerprint() === call.getClaimFingerprint()) {
-      earlier.addCaller(call.removeCaller());
-    } else {
-      const reason = "key-conflict";
-      const message = getRefusalMessage(reason);
-      call.fail({ disposition: "not-run", reason, message });
+    if (earlier.getClaimFingerprint() !== call.getClaimFingerprint()) {
+      return false;
     }
+    earlier.addCaller(call.removeCaller());
     return true;
   }
 
@@ -276,7 +275,9 @@
     options: { target?: RequestTarget; message?: string },
   ): void {
     const message = options.message ?? getRefusalMessage(reason);
-    const failure: CallFailure = { disposition: "not-run", reason, message };
+    const { protocol } = this.state;
+    const disposition = getEarlyDisposition(protocol, response.req);
+    const failure: CallFailure = { disposition, reason, message };
     const { service } = this.state.settings;
     const counters = this.state.counters.get(service, "none");
     counters.refused.set(reason, (counters.refused.get(reason) ?? 0) + 1);
@@ -286,7 +287,7 @@
       priority: "failure",
       event: "call not accepted",
       fields: {
-        disposition: failure.disposition,
+        disposition,
         reason,
         message,
         host: options.target?.host,
@@ -294,6 +295,6 @@
         revision: this.state.view?.revision,
       },
     });
-    this.state.protocol.writeFailure(response, failure, "");
+    protocol.writeFailure(response, failure, "");
   }
 }
