Deliver responses that are being read at their deadline

What callers saw: the target had answered, and a caller that read slowly was receiving the response (1 MB in the soak). At the deadline of the call the node closed the connection. The response was cut, the responses to the requests behind it were lost, and the log said "call failed" with disposition=not-run and reason=deadline-exceeded for a request that had run.

Cause: OriginCall.onStreamedResponse added the deadline timer again for the time of the delivery, and InboundCall at the node of the target kept its own. No attempt is open while a response is delivered, so that cancelling one reported not-run. abort() at the stop limit did the same.

Change: once a response has begun, the deadline bounds the time in which the node waits for the target, and not the time in which the caller reads. DeliveryLimit measures which side is the slower one. Beyond the deadline it ends a response when the sender was awaited for 200 ms in total, plus a quarter of the time in which the receiver was the slower side; and when the receiver takes no bytes for 10 s, unless it still receives earlier responses. The node of the target has longer limits (400 ms, 30 s), so that the node of the caller, which sees what the caller takes, decides. Back-pressure, the cancellation by a caller that leaves, and the stop limit are as before.

A response that is ended is logged as "response not delivered" with disposition=ran and its reason (deadline, no-progress, stop-limit, parent-ended), counted in calls.undelivered, and the connection has the same reason in its line and counters.

The quarter of the receiver's time is needed because a transfer of many chunks waits a moment for each of them; without it, a slow reader of a large body would use up the 200 ms.

The known fault is removed from the soak, and a response that is lost to a slow reader after any time fails a run again.

--- a/soak/known_faults.ts
+++ b/soak/known_faults.ts
@@ -8,8 +8,6 @@
   isCauseOf(violation: Violation): boolean;
 }
 
-/** Deadline of the views, after which their node gives a request up. */
-const viewDeadlineMilliseconds = 1500;
 /** Time since SIGTERM at which a node gives up its last calls. */
 const lastCallsMilliseconds = 9000;
 
@@ -29,13 +27,6 @@
       kind === "false-not-run" && fields["reason"] === "no-target" &&
       fields["key"] !== undefined,
   },
-  {
-    entry: "soak: a deadline cuts a response that is being read",
-    isCauseOf: ({ kind, fields }) =>
-      (kind === "lost" || kind === "read-unanswered") &&
-      String(fields["client"]).endsWith("/slow-reader") &&
-      Number(fields["oldestMilliseconds"]) >= viewDeadlineMilliseconds,
-  },
   {
     entry: "soak: the stop limit cuts a transfer whose key is being fenced",
     isCauseOf: ({ kind, fields }) =>
--- a/soak/known_faults_test.ts
+++ b/soak/known_faults_test.ts
@@ -23,6 +23,14 @@
     client: "v1/slow-reader",
     oldestMilliseconds: 900,
   }),
+  createViolation("lost", {
+    client: "v1/slow-reader",
+    oldestMilliseconds: 2000,
+  }),
+  createViolation("read-unanswered", {
+    client: "v1/slow-reader",
+    oldestMilliseconds: 2000,
+  }),
   createViolation("read-unanswered", { key: "k", stoppingMilliseconds: 4000 }),
   createViolation("read-unanswered", { key: "k" }),
   createViolation("ran-twice", { key: "k" }),
--- a/src/node/call_counters.ts
+++ b/src/node/call_counters.ts
@@ -1,6 +1,7 @@
 import type { Metrics } from "../common/mod.ts";
 import type { RefusalReason } from "../request/mod.ts";
 import type { RetryReason, RetryStopReason } from "../retries/mod.ts";
+import type { DeliveryFailure } from "./streamed_delivery.ts";
 
 /** Counters of one service and class at this node. */
 export interface ClassCounters {
@@ -16,6 +17,8 @@
   readonly refused: Map<RefusalReason, number>;
   /** Attempts at the local target that this node refused or that failed. */
   readonly failedAttempts: Map<RefusalReason, number>;
+  /** Calls whose response this node ended before it was delivered. */
+  readonly undelivered: Map<DeliveryFailure, number>;
   readonly retried: Map<RetryReason, number>;
   readonly notRetried: Map<RetryStopReason, number>;
 }
@@ -49,6 +52,7 @@
       resent: 0,
       refused: new Map(),
       failedAttempts: new Map(),
+      undelivered: new Map(),
       retried: new Map(),
       notRetried: new Map(),
     };
@@ -79,6 +83,7 @@
       resent: each.resent,
       refused: Object.fromEntries(each.refused),
       failedAttempts: Object.fromEntries(each.failedAttempts),
+      undelivered: Object.fromEntries(each.undelivered),
       retried: Object.fromEntries(each.retried),
       notRetried: Object.fromEntries(each.notRetried),
     }));
@@ -93,6 +98,7 @@
       this.#send("calls.resent", tags, each.resent);
       this.#sendReasons("calls.refused", tags, each.refused);
       this.#sendReasons("attempts.failed", tags, each.failedAttempts);
+      this.#sendReasons("calls.undelivered", tags, each.undelivered);
       this.#sendReasons("calls.retried", tags, each.retried);
       this.#sendReasons("calls.not_retried", tags, each.notRetried);
     }
--- a/src/node/caller_group.ts
+++ b/src/node/caller_group.ts
@@ -4,9 +4,13 @@
 import type { CallProtocol } from "./call_protocol.ts";
 import { getConnectionEnd } from "./listener_response.ts";
 import type { ConnectionEnd } from "./open_connection.ts";
-import { writeBuffered, writeStreamed } from "./caller_response.ts";
+import { writeBuffered } from "./caller_response.ts";
 import type { ResponseHead } from "./exchange.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
+import {
+  StreamedDelivery,
+  type StreamedDeliveryOptions,
+} from "./streamed_delivery.ts";
 
 /** A client that waits for the outcome of a call. */
 export interface Caller {
@@ -60,8 +64,12 @@
   /**
    * Streams a response to the first caller. The body can be read only once, so
    * the others get the failure `claim-ran`.
+   * @returns The delivery; `undefined` if no caller is left.
    */
-  writeStreamed(streamed: StreamedResponse): void {
+  writeStreamed(
+    streamed: StreamedResponse,
+    options: StreamedDeliveryOptions,
+  ): StreamedDelivery | undefined {
     const [first, ...others] = this.#callers;
     for (const { response } of others) {
       this.#protocol.writeFailure(response, {
@@ -72,9 +80,10 @@
     }
     if (first === undefined) {
       streamed.onEnd(false, 0);
-    } else {
-      writeStreamed(first.response, streamed, {});
+      options.onEnd("closed", 0);
+      return undefined;
     }
+    return new StreamedDelivery(first.response, streamed, options);
   }
 
   /** Writes a refusal or failure to all callers. */
--- a/src/node/caller_response.ts
+++ b/src/node/caller_response.ts
@@ -4,11 +4,9 @@
   encodeErrorBody,
   getReasonStatus,
 } from "../request/mod.ts";
-import type { StreamedResponse } from "./attempt.ts";
 import { endWithBody } from "./end_with_body.ts";
 import { hasUnreadBody } from "./has_unread_body.ts";
-import { pipeBody } from "./pipe_body.ts";
-import { maximumStreamedBodyBytes, type ResponseHead } from "./exchange.ts";
+import type { ResponseHead } from "./exchange.ts";
 
 /**
  * Writes a response whose body is buffered.
@@ -35,38 +33,6 @@
   endWithBody(response, options.body);
 }
 
-/**
- * Writes a response while it is received. When it is aborted, the connection
- * of the caller is destroyed, so that the response does not seem complete.
- * @param response Response to write to.
- * @param streamed The streamed response.
- * @param options The value of `dogwoodwalk-answer` for a node.
- */
-export function writeStreamed(
-  response: ServerResponse,
-  streamed: StreamedResponse,
-  options: { answer?: string | undefined },
-): void {
-  const { head } = streamed;
-  if (head.contentLength < 0 && head.isChunked) {
-    head.headers.push("Transfer-Encoding", "chunked");
-  }
-  if (options.answer !== undefined) {
-    head.headers.push("dogwoodwalk-answer", options.answer);
-  }
-  response.writeHead(head.status, head.statusMessage, head.headers);
-  pipeBody(streamed.response, response, {
-    chunks: streamed.chunks,
-    limit: maximumStreamedBodyBytes,
-    onEnd: (error, bytes) => {
-      if (error !== undefined) {
-        response.destroy();
-      }
-      streamed.onEnd(error === undefined, bytes);
-    },
-  });
-}
-
 /**
  * Writes a refusal or failure.
  * @param response Response to write to.
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -16,13 +16,10 @@
   type CallDetails,
   setFramingHeaders,
 } from "./call_details.ts";
-import {
-  writeBuffered,
-  writeFailure,
-  writeStreamed,
-} from "./caller_response.ts";
+import { writeBuffered, writeFailure } from "./caller_response.ts";
 import type { CallPhase, OpenCall } from "./call_phase.ts";
 import type { Expirable } from "./deadline_timers.ts";
+import { peerDeliveryTimes } from "./delivery_limit.ts";
 import { getRelevantLevels } from "./reported_levels.ts";
 import type { ResponseHead } from "./exchange.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
@@ -30,6 +27,7 @@
 import type { NodeState } from "./node_state.ts";
 import { createAbortFailure, getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
+import { type DeliveryFailure, StreamedDelivery } from "./streamed_delivery.ts";
 import { TargetCall } from "./target_call.ts";
 import type { TargetDispatcher } from "./target_dispatcher.ts";
 
@@ -53,6 +51,7 @@
   #call: TargetCall | undefined;
   #reservedBytes = 0;
   #hasResponse = false;
+  #delivery: StreamedDelivery | undefined;
   #isEnded = false;
 
   /**
@@ -119,13 +118,20 @@
 
   onStreamedResponse(answer: Answer, streamed: StreamedResponse): void {
     this.#hasResponse = true;
-    writeStreamed(this.#options.response, {
-      ...streamed,
-      onEnd: (isComplete, bytes) => {
-        streamed.onEnd(isComplete, bytes);
+    const { details, response } = this.#options;
+    const { deadlineMilliseconds } = details;
+    const { clock, timers } = this.#state;
+    timers.remove(deadlineMilliseconds, this);
+    this.#delivery = new StreamedDelivery(response, streamed, {
+      limit: { clock, timers, deadlineMilliseconds, times: peerDeliveryTimes },
+      answer: this.#encodeAnswerWithLevels(answer),
+      onEnd: (failure) => {
+        if (failure !== undefined && !this.#isEnded) {
+          this.#recordUndelivered(failure, "delivering");
+        }
         this.#end();
       },
-    }, { answer: this.#encodeAnswerWithLevels(answer) });
+    });
   }
 
   onFailure(failure: AttemptFailure): void {
@@ -163,6 +169,10 @@
     if (this.#isEnded) {
       return;
     }
+    if (this.#delivery !== undefined) {
+      this.#delivery.end("stop-limit");
+      return;
+    }
     this.#collector?.stop();
     const disposition = this.#call?.cancel() ?? "not-run";
     const { reason, message } = createAbortFailure(disposition);
@@ -196,23 +206,23 @@
 
   /** Logs that this node ended the connection; the caller's node logs its own. */
   #recordEnd(phase: CallPhase): void {
-    const { details, response } = this.#options;
-    const end = getConnectionEnd(response);
+    const end = getConnectionEnd(this.#options.response);
     if (end?.closedBy === "node") {
-      this.#state.decisions.record({
-        requestId: details.requestId,
-        hash: details.hash,
-        priority: "failure",
-        event: "response not delivered",
-        fields: {
-          reason: end.reason,
-          phase,
-          target: this.targetId,
-        },
-      });
+      this.#recordUndelivered(end.reason, phase);
     }
   }
 
+  #recordUndelivered(reason: DeliveryFailure, phase: CallPhase): void {
+    const { requestId, hash } = this.#options.details;
+    this.#state.decisions.record({
+      requestId,
+      hash,
+      priority: "failure",
+      event: "response not delivered",
+      fields: { reason, phase, target: this.targetId },
+    });
+  }
+
   #refuse(
     disposition: Disposition,
     reason: RefusalReason,
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -8,21 +8,31 @@
   /** The caller or the network reset it. */
   | "reset";
 
+/** Why a node ended a response before it was complete. */
+export type ResponseAbortReason =
+  /** The response could not be completed. */
+  | "response-aborted"
+  /** The deadline of its call passed before the rest arrived. */
+  | "deadline"
+  /** The caller took no bytes of it. */
+  | "no-progress"
+  /** The request during which its call was made has ended. */
+  | "parent-ended"
+  | "stop-limit";
+
 /** Why a node ended a connection. */
 export type NodeEndReason =
+  | ResponseAbortReason
   /** An earlier response was the last one because the node stops. */
   | "draining"
   /** An earlier response had `Connection: close` for another reason. */
   | "response-closes-connection"
-  /** A response could not be completed. */
-  | "response-aborted"
   /** The bytes after an open request are not HTTP. */
   | "invalid-request"
   /** A further request was not received in time. */
   | "request-timeout"
   /** The listener was closed before a response was sent completely. */
   | "listener-closed"
-  | "stop-limit"
   | "not-known";
 
 /** Who ended a connection, and why. */
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -32,6 +32,7 @@
   formatLoad,
 } from "./decision_log.ts";
 import type { Expirable } from "./deadline_timers.ts";
+import { callerDeliveryTimes } from "./delivery_limit.ts";
 import type { ResponseHead } from "./exchange.ts";
 import { getFencedResult, needsFence } from "./key_fence.ts";
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
@@ -48,6 +49,7 @@
 import { readRequestBody } from "./request_body.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import { planRetry } from "./plan_retry.ts";
+import type { DeliveryFailure, StreamedDelivery } from "./streamed_delivery.ts";
 import type { OutgoingCall, TargetCall } from "./target_call.ts";
 
 /** Options of a call by an outside caller or by the local target. */
@@ -95,6 +97,7 @@
   #retryTimer: NodeJS.Timeout | undefined;
   #hasResponse = false;
   #isStreaming = false;
+  #delivery: StreamedDelivery | undefined;
   /** Failure that is reported once its key is fenced. */
   #fencedFailure: CallFailure | undefined;
   #isEnded = false;
@@ -229,17 +232,25 @@
   }
 
   onStreamedResponse(answer: Answer, streamed: StreamedResponse): void {
-    const link = this.#current?.choice.link;
+    const { link, targetId } = this.#current?.choice ?? {};
     this.#onResponse(answer, { status: streamed.head.status, bytes: 0 });
     this.#isStreaming = true;
     this.#stopTimers();
-    this.#dispatcher.state.timers.add(this.details.deadlineMilliseconds, this);
-    this.#callers.writeStreamed({
-      ...streamed,
-      onEnd: (isComplete, bytes) => {
-        streamed.onEnd(isComplete, bytes);
+    const { clock, timers, router } = this.#dispatcher.state;
+    const { deadlineMilliseconds } = this.details;
+    this.#delivery = this.#callers.writeStreamed(streamed, {
+      limit: {
+        clock,
+        timers,
+        deadlineMilliseconds,
+        times: callerDeliveryTimes,
+      },
+      onEnd: (failure, bytes) => {
         if (link !== undefined) {
-          this.#dispatcher.state.router.onLinkBytes(link, bytes);
+          router.onLinkBytes(link, bytes);
+        }
+        if (failure !== undefined && !this.#isEnded) {
+          this.#recordUndelivered(failure, targetId);
         }
         this.#finish();
       },
@@ -306,6 +317,10 @@
       }
       return;
     }
+    if (this.#delivery !== undefined) {
+      this.#delivery.end("stop-limit");
+      return;
+    }
     this.#collector?.stop();
     const isNotRun = this.#cancelAttempt("failed") === "not-run" &&
       !this.#mayHaveRun && !needsClaim;
@@ -313,7 +328,9 @@
   }
 
   cancelWithParent(): void {
-    if (!this.#isEnded) {
+    if (this.#delivery !== undefined) {
+      this.#delivery.end("parent-ended");
+    } else if (!this.#isEnded) {
       this.#collector?.stop();
       const disposition = this.#cancelAttempt("cancelled");
       this.fail({
@@ -598,6 +615,23 @@
     this.#callers.writeFailure(failure, requestId);
   }
 
+  /** Records that this node or a target ended a response before its end. */
+  #recordUndelivered(
+    reason: DeliveryFailure,
+    target: string | undefined,
+  ): void {
+    const counters = this.details.plan.counters[this.details.classIndex];
+    counters && incrementReason(counters.undelivered, reason);
+    this.#logDecision("failure", "response not delivered", {
+      disposition: "ran",
+      reason,
+      phase: this.phase,
+      target,
+      attempts: this.#attempts,
+      remaining: this.#getRemainingMilliseconds(),
+    });
+  }
+
   #onAllDisconnected(end: ConnectionEnd | undefined): void {
     if (!this.#isEnded) {
       const { phase, targetId } = this;
--- a/src/node/pipe_body.ts
+++ b/src/node/pipe_body.ts
@@ -7,6 +7,10 @@
   readonly chunks: readonly Buffer[];
   /** Maximum size of the body, in bytes. */
   readonly limit: number;
+  /** Called when the destination takes no further bytes for now. */
+  onBlocked?(): void;
+  /** Called when the destination took what was written. */
+  onDrain?(): void;
   /**
    * Called once, at the end.
    * @param error Why the body is incomplete; `undefined` when it is complete.
@@ -18,18 +22,25 @@
 /** Why a body was not transferred completely. */
 export type PipeBodyError = "aborted" | "too-large";
 
+/** A body that is being transferred. */
+export interface BodyTransfer {
+  /** Ends the transfer before the body is complete. */
+  abort(): void;
+}
+
 /**
  * Transfers a large body with back-pressure. The destination is ended only when
  * the source was complete.
  * @param source Message to read the body from.
  * @param destination Stream to write the body to.
- * @param options Chunks already read, size limit and listener.
+ * @param options Chunks already read, size limit and listeners.
+ * @returns The transfer.
  */
 export function pipeBody(
   source: IncomingMessage,
   destination: Writable,
   options: PipeBodyOptions,
-): void {
+): BodyTransfer {
   let bytes = 0;
   let isDone = false;
   const finish = (error: PipeBodyError | undefined): void => {
@@ -54,9 +65,11 @@
       finish("too-large");
     } else if (!destination.write(chunk)) {
       source.pause();
+      options.onBlocked?.();
     }
   };
   const onDrain = (): void => {
+    options.onDrain?.();
     source.resume();
   };
   // Otherwise a paused source would wait forever for a closed destination.
@@ -73,4 +86,5 @@
   if (!destination.writableNeedDrain && !isDone) {
     source.resume();
   }
+  return { abort: () => finish("aborted") };
 }
--- a/tests/support/test_pair.ts
+++ b/tests/support/test_pair.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../../src/common/mod.ts";
 import type { LedgerPort, PeerCredential } from "../../src/node/mod.ts";
 import { type StandInOptions, StandInTarget } from "./stand_in_target.ts";
 import { startTestNode, type TestNode } from "./test_node.ts";
@@ -17,6 +18,7 @@
   readonly extraSettings?: string;
   readonly headersMilliseconds?: number;
   readonly peerCredential?: PeerCredential;
+  readonly clock?: Clock;
 }
 
 /**
@@ -29,13 +31,15 @@
   options: PairOptions = {},
 ): Promise<TestPair> {
   const service = options.service ?? "front";
-  const { ledger, document, extraSettings, headersMilliseconds } = options;
+  const { ledger, document, extraSettings, headersMilliseconds, clock } =
+    options;
   const node = await startTestNode(nodeId, {
     service,
     ...(ledger && { ledger }),
     ...(document && { document }),
     ...(extraSettings && { extraSettings }),
     ...(headersMilliseconds && { headersMilliseconds }),
+    ...(clock && { clock }),
     peerCredential: options.peerCredential,
   });
   const target: StandInTarget = new StandInTarget({
