--- /dev/null
+++ b/src/node/verify_connection_end_test.ts
@@ -0,0 +1,226 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { sendCall, waitFor } from "../../tests/support/http_call.ts";
+import {
+  connectPairs,
+  startPair,
+  type TestPair,
+} from "../../tests/support/test_pair.ts";
+
+/** Answers a request with raw bytes. */
+type RawHandler = (socket: Socket) => void;
+
+/** A node for callers, and the node of the target; both can be the same. */
+interface Path {
+  readonly origin: TestPair;
+  readonly last: TestPair;
+  readonly call: { port: number; path: string; headers: { Host: string } };
+}
+
+/** Starts one node, or two nodes of which the second has the target. */
+async function startPath(
+  context: TestContext,
+  nodeCount: number,
+  handler: RawHandler,
+): Promise<Path> {
+  const origin = await startPair("front-1");
+  context.after(() => origin.close());
+  let last = origin;
+  if (nodeCount === 2) {
+    const second = await startPair("back-1", { service: "back" });
+    context.after(() => second.close());
+    connectPairs([origin, second]);
+    last = second;
+  }
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => handler(socket));
+    socket.on("end", () => socket.end());
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  context.after(() => server.close());
+  last.node.targetDispatcher.target.announce({
+    endpoint: {
+      host: "127.0.0.1",
+      port: (server.address() as AddressInfo).port,
+    },
+    incarnation: Date.now() + 1000,
+  }, { hasLease: false });
+  const Host = nodeCount === 2 ? "back" : "front";
+  const call = { port: origin.outside, path: "/views/1", headers: { Host } };
+  return { origin, last, call };
+}
+
+const head = "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\r\n";
+const small = "x".repeat(1000);
+const large = "x".repeat(300_000);
+
+const closes: { name: string; handler: RawHandler; body: string }[] = [
+  {
+    name: "with its last bytes",
+    handler: (socket) => socket.end(head + small),
+    body: small,
+  },
+  {
+    name: "later",
+    handler: (socket) => {
+      socket.write(head + small);
+      setTimeout(() => socket.end(), 30);
+    },
+    body: small,
+  },
+  {
+    name: "after bytes in pieces",
+    handler: (socket) => {
+      socket.write(head);
+      setTimeout(() => socket.write(small), 20);
+      setTimeout(() => socket.end(small), 40);
+    },
+    body: small + small,
+  },
+  { name: "without a body", handler: (socket) => socket.end(head), body: "" },
+  {
+    name: "after a large body",
+    handler: (socket) => socket.end(head + large),
+    body: large,
+  },
+  {
+    name: "in HTTP/1.0",
+    handler: (socket) => socket.end(`HTTP/1.0 200 OK\r\n\r\n${small}`),
+    body: small,
+  },
+  {
+    name: "as announced by Connection",
+    handler: (socket) =>
+      socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${small}`),
+    body: small,
+  },
+];
+
+for (const nodeCount of [1, 2]) {
+  for (const { name, handler, body } of closes) {
+    // Guards against a ready response that is replaced by a failure.
+    test(`a response without length whose connection closes ${name} is passed on whole through ${nodeCount} nodes`, async (context) => {
+      const { origin, last, call } = await startPath(
+        context,
+        nodeCount,
+        handler,
+      );
+      const response = await sendCall(call);
+      assert.equal(response.status, 200);
+      assert.equal(response.body, body);
+      const isFramed = response.headers["content-length"] !== undefined ||
+        response.headers["transfer-encoding"] === "chunked";
+      assert.ok(isFramed, JSON.stringify(response.headers));
+      await waitFor(() => origin.node.callCount + last.node.callCount === 0);
+      assert.equal(last.node.state.bodyMemory.usedBytes, 0);
+    });
+  }
+}
+
+const resets: { name: string; handler: RawHandler }[] = [
+  {
+    name: "with its last bytes",
+    handler: (socket) =>
+      socket.write(head + small, () => socket.resetAndDestroy()),
+  },
+  {
+    name: "after its last bytes were read",
+    handler: (socket) => {
+      socket.write(head + small);
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    },
+  },
+  {
+    name: "with its second piece",
+    handler: (socket) => {
+      socket.write(head);
+      setTimeout(() => {
+        socket.write(small, () => socket.resetAndDestroy());
+      }, 20);
+    },
+  },
+  {
+    name: "after its head",
+    handler: (socket) => socket.write(head, () => socket.resetAndDestroy()),
+  },
+  {
+    name: "with the last bytes of a large body",
+    handler: (socket) =>
+      socket.write(head + large, () => socket.resetAndDestroy()),
+  },
+  {
+    name: "after a large body was read",
+    handler: (socket) => {
+      socket.write(head + large);
+      setTimeout(() => socket.resetAndDestroy(), 100);
+    },
+  },
+  {
+    name: "with its last bytes, in HTTP/1.0",
+    handler: (socket) =>
+      socket.write(
+        `HTTP/1.0 200 OK\r\n\r\n${small}`,
+        () => socket.resetAndDestroy(),
+      ),
+  },
+];
+
+for (const nodeCount of [1, 2]) {
+  for (const { name, handler } of resets) {
+    // Guards against a response that broke off and seems complete.
+    test(`a response without length that is reset ${name} never seems complete through ${nodeCount} nodes`, async (context) => {
+      const { origin, last, call } = await startPath(
+        context,
+        nodeCount,
+        handler,
+      );
+      const status = await sendCall(call).then(
+        (response) => response.status,
+        () => "broken off" as const,
+      );
+      assert.ok(status === "broken off" || status >= 500, String(status));
+      await waitFor(() => origin.node.callCount + last.node.callCount === 0);
+      assert.equal(last.node.state.bodyMemory.usedBytes, 0);
+    });
+  }
+}
+
+test("a small body without length or end fails at the deadline", async (context) => {
+  let isClosed = false;
+  const { origin, call } = await startPath(context, 1, (socket) => {
+    socket.write(head);
+    const timer = setInterval(() => socket.write("x"), 10);
+    socket.on("close", () => {
+      clearInterval(timer);
+      isClosed = true;
+    });
+  });
+  const response = await sendCall({ ...call, path: "/short" });
+  assert.equal(response.status, 504);
+  await waitFor(() => isClosed && origin.node.callCount === 0);
+  assert.equal(origin.node.state.bodyMemory.usedBytes, 0);
+});
+
+test("a large body without length or end stops when the caller leaves", async (context) => {
+  let isClosed = false;
+  const { origin, call } = await startPath(context, 1, (socket) => {
+    socket.write(head);
+    const write = () => {
+      while (!socket.destroyed && socket.write(Buffer.alloc(65_536)));
+    };
+    socket.on("drain", write);
+    socket.on("close", () => isClosed = true);
+    write();
+  });
+  const abort = new AbortController();
+  const ended = assert.rejects(sendCall({ ...call, signal: abort.signal }));
+  await waitFor(() =>
+    origin.node.state.counters.get("front", "low").completed === 1
+  );
+  abort.abort();
+  await ended;
+  await waitFor(() => isClosed && origin.node.callCount === 0);
+  assert.equal(origin.node.state.bodyMemory.usedBytes, 0);
+});
