Measure the move from an isolated instance in longer steps

The move is delayed by 990 ms there (0.99 of half of a jitter of 2000 ms) and would be by 1980 ms without the halving, so that a busy process that wakes up 510 ms late fails.

The test now uses a jitter of 12 s: 5.9 s with the halving, 11.9 s without it, bound 9 s. The bound is the same share of the jitter (0.75) as before, so that the test guards against the same failure, with 3 s instead of 0.5 s for the processor. The name of a field of the group's bootstrap is corrected beside it.

--- a/src/consensus/group_bootstrap.ts
+++ b/src/consensus/group_bootstrap.ts
@@ -22,7 +22,7 @@
   readonly #options: GroupBootstrapOptions;
   readonly #hellos = new Map<string, { id: string; receivedAt: number }>();
   /** Time since which all initial members respond; `undefined` if not all do. */
-  #isRespondingSince: number | undefined;
+  #respondingSinceMilliseconds: number | undefined;
 
   /** @param options Identity of this instance and the initial members. */
   constructor(options: GroupBootstrapOptions) {
@@ -56,11 +56,11 @@
     const ids = this.#getRecentIds(nowMilliseconds);
     ids.set(address, identity.id);
     if (!initialMembers.every((each) => ids.has(each))) {
-      this.#isRespondingSince = undefined;
+      this.#respondingSinceMilliseconds = undefined;
       return undefined;
     }
-    this.#isRespondingSince ??= nowMilliseconds;
-    const hasWaited = nowMilliseconds - this.#isRespondingSince >=
+    this.#respondingSinceMilliseconds ??= nowMilliseconds;
+    const hasWaited = nowMilliseconds - this.#respondingSinceMilliseconds >=
       this.#options.waitMilliseconds;
     if (ids.size < minimumMembers && !hasWaited) {
       return undefined;
--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -296,7 +296,7 @@
   const instances = await startControl(2);
   const node = startNode(getAddresses(instances), "n1", {
     random: () => 0.99,
-    jitterMilliseconds: 2000,
+    jitterMilliseconds: 12_000,
   });
   await waitUntil(
     () => node.session.getStatus().connected,
@@ -311,7 +311,7 @@
     "the node moved",
   );
   const elapsed = performance.now() - start;
-  assert.ok(elapsed < 1500, `the node moved after ${elapsed} ms`);
+  assert.ok(elapsed < 9000, `the node moved after ${elapsed} ms`);
 });
 
 test("nodes move to an instance that becomes available again", async () => {
