Let an older target wait for control after its node restarted

Cause: a node takes a target as ready when it announces itself, and control restores a drain only in its answer to the announcement that follows. An instance that has restarted itself learns of the drain from the others, up to two rounds of their exchange later.

Change: a target that is older than its node is unconfirmed until control has answered a renewal 600 ms after the announcement, without having named a newer record, and has the targets of all instances. Other nodes see it as draining meanwhile. With a session or a document, the wait ends after 3 s, the time in which a drain is known everywhere. A target that is younger than its node is ready at once: it cannot have been drained before.

Ruled out: waiting for the first view only, because views hold a subset of the targets, and digests between instances do not cover targets that have ended; a flag in the protocol, which older control instances do not send; waiting without a limit, because at the first start of all processes every control instance counts as incomplete for 10 s. Without control a node has no document and serves nothing, so the wait costs nothing while control is down.

Why it works: while a target is unconfirmed the node neither routes calls to it nor admits those of others, and a drain ends that state as it ends readiness.

--- a/soak/known_faults.ts
+++ b/soak/known_faults.ts
@@ -18,11 +18,6 @@
  * violation fails the run.
  */
 export const knownFaults: readonly KnownFault[] = [
-  {
-    entry: "soak: a restarted node serves its drained target",
-    isCauseOf: ({ kind, fields }) =>
-      kind === "work-after-drain" && fields["restarted"] === true,
-  },
   {
     entry: "soak: a deadline cuts a response that is being read",
     isCauseOf: ({ kind, fields }) =>
--- a/soak/known_faults_test.ts
+++ b/soak/known_faults_test.ts
@@ -13,6 +13,7 @@
 
 const newFaults: readonly Violation[] = [
   createViolation("work-after-drain", { restarted: false }),
+  createViolation("work-after-drain", { restarted: true }),
   createViolation("false-not-run", { reason: "no-target" }),
   createViolation("false-not-run", { reason: "no-target", key: "k" }),
   createViolation("false-not-run", { reason: "stopping", key: "k" }),
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -23,6 +23,7 @@
   ViewUpdate,
 } from "../protocol/generated/session.ts";
 import { AnnouncedTargets } from "./announced_targets.ts";
+import { AnnouncementConfirmation } from "./announcement_confirmation.ts";
 import { ControlAddresses } from "./control_addresses.ts";
 import { LinkByteCounter } from "./link_byte_counter.ts";
 import { ReceivedViews } from "./received_views.ts";
@@ -77,6 +78,8 @@
   readonly log?: Log;
   /** Gets the report of the next renewal. */
   getReport?(): NodeReport;
+  /** Called when an instance has accepted the node. */
+  onConnected?(): void;
   /** Called with a document part whose revision is higher than the last one. */
   onDocument(revision: number, part: Uint8Array, digest: string): void;
   /** Called with all targets of a service after each change. */
@@ -147,6 +150,9 @@
   readonly #requestedServices = new Set<string>();
   /** Crash reports and suspect clearances that control has not confirmed yet. */
   readonly #unconfirmedMessages = new UnconfirmedMessages();
+  readonly #confirmation = new AnnouncementConfirmation({
+    renew: () => this.#renew(),
+  });
   readonly #connectionAttempts = new Set<SessionConnection>();
   #currentConnection: SessionConnection | undefined;
   readonly #controlAddresses: ControlAddresses;
@@ -187,8 +193,14 @@
    * Announces the node's target, or a new state of it. The session sets the
    * sequence, and announces the target again after each move.
    * @param record The target; its `sequence` is ignored.
+   * @param options Called once control has the announcement and knows no newer
+   * record of the target, unless another one is announced before.
    */
-  announce(record: TargetRecord): void {
+  announce(
+    record: TargetRecord,
+    options: { onConfirmed?: () => void } = {},
+  ): void {
+    this.#confirmation.setListener(options.onConfirmed);
     const sent = this.#announcedTargets.set({
       ...record,
       nodeId: this.#options.nodeIdentity.nodeId,
@@ -281,6 +293,7 @@
     clearTimeout(this.#moveTimer);
     clearTimeout(this.#renewTimer);
     clearTimeout(this.#leaseTimer);
+    this.#confirmation.setListener(undefined);
     this.#closeConnectionAttempts();
     const current = this.#currentConnection;
     if (current === undefined) {
@@ -438,6 +451,7 @@
       connection.send({ $case: "hello", hello });
     }
     this.#unansweredSince = undefined;
+    this.#confirmation.setCollecting(false);
     this.#announcedTargets.assignNewSequences().forEach((each) =>
       this.#sendAnnouncement(each)
     );
@@ -448,6 +462,7 @@
       this.#random() * this.#options.renewalIntervalMilliseconds,
     );
     this.#onConnected?.();
+    this.#options.onConnected?.();
   }
 
   #onConnectionEnded(connection: SessionConnection, reason: string): void {
@@ -477,6 +492,7 @@
     this.#currentConnection?.close();
     this.#currentConnection = undefined;
     clearTimeout(this.#renewTimer);
+    this.#confirmation.stop();
     this.#linkByteCounter.onSessionLost();
     clearTimeout(this.#moveTimer);
     this.#moveTimer = undefined;
@@ -493,10 +509,11 @@
     this.#renewTimer = setTimeout(() => this.#renew(), delayMilliseconds);
   }
 
-  #renew(): void {
+  /** Sends a renewal, and gets its sequence; `undefined` if it is not sent. */
+  #renew(): number | undefined {
     const current = this.#currentConnection;
     if (current === undefined || this.#isStopped) {
-      return;
+      return undefined;
     }
     const now = this.#clock.monotonicMilliseconds();
     const unansweredMilliseconds = now - (this.#unansweredSince ?? now);
@@ -510,7 +527,7 @@
         // at an instance that is alive but cannot be reached.
         this.#onSessionLost("no answer within the renewal timeout", 0.2);
       }
-      return;
+      return undefined;
     }
     const report = this.#options.getReport?.() ?? emptyReport;
     this.#renewSequence++;
@@ -533,6 +550,7 @@
         this.#unansweredSince + this.#options.renewalTimeoutMilliseconds - now,
       ),
     );
+    return this.#renewSequence;
   }
 
   #onMessage(connection: SessionConnection, { message }: ControlMessage): void {
@@ -584,6 +602,7 @@
     this.#answeredSequence = answer.sequence;
     this.#announcedTargets.confirm(answer.sequence);
     this.#unconfirmedMessages.confirm(answer.sequence);
+    this.#confirmation.onRenewAnswer(answer.sequence);
     if (answer.ledgerIndex > 0) {
       this.#options.onLedgerIndex?.(answer.ledgerIndex);
     }
@@ -638,6 +657,7 @@
   }
 
   #onView(update: ViewUpdate): void {
+    this.#confirmation.setCollecting(update.collecting);
     const now = this.#clock.monotonicMilliseconds();
     const { targets, needsRequest } = this.#views.apply(update, now);
     if (needsRequest) {
@@ -692,6 +712,7 @@
       $case: "announcement",
       announcement: { record },
     });
+    this.#confirmation.onSent();
   }
 
   #sendViewRequest(service: string): void {
--- a/src/node/announced_target.ts
+++ b/src/node/announced_target.ts
@@ -4,6 +4,8 @@
 /** State of the local target. */
 export type LocalTargetState =
   | "absent"
+  /** Announced; control may know that it was drained before. */
+  | "unconfirmed"
   | "ready"
   | "draining"
   | "left"
@@ -30,6 +32,13 @@
   onChange(previous: LocalTargetState): void;
 }
 
+/** States in which the target renews its lease. */
+const liveStates: readonly LocalTargetState[] = [
+  "unconfirmed",
+  "ready",
+  "draining",
+];
+
 /** Tracks the state of the local target by its announcements. */
 export class AnnouncedTarget {
   readonly #options: AnnouncedTargetOptions;
@@ -37,6 +46,8 @@
   #announcement: TargetAnnouncement | undefined;
   #readySinceMilliseconds = 0;
   #drainedIncarnation = 0;
+  #confirmBeforeIncarnation = 0;
+  #confirmedIncarnation = 0;
   #sequence = 0;
   #hasLease = false;
   #leaseTimer: NodeJS.Timeout | undefined;
@@ -72,6 +83,25 @@
       this.#readySinceMilliseconds;
   }
 
+  /**
+   * Makes older targets wait for {@link confirm} before they are ready.
+   * @param incarnation The first incarnation that does not wait.
+   */
+  requireConfirmation(incarnation: number): void {
+    this.#confirmBeforeIncarnation = incarnation;
+    if (this.#state === "ready" && this.#mustBeConfirmed()) {
+      this.#setState("unconfirmed");
+    }
+  }
+
+  /** Records that the target was not drained before. */
+  confirm(): void {
+    if (this.#state === "unconfirmed") {
+      this.#confirmedIncarnation = this.#announcement?.incarnation ?? 0;
+      this.#setReady();
+    }
+  }
+
   /**
    * Records an announcement. An older incarnation is ignored. An incarnation
    * that is draining or has left stays in that state, because an operator may
@@ -96,10 +126,14 @@
     this.#hasLease = options.hasLease;
     this.#renewLease();
     const hasLeft = this.#state === "draining" || this.#state === "left";
-    if (isNew || (this.#state !== "ready" && !hasLeft)) {
-      this.#readySinceMilliseconds = this.#options.clock
-        .monotonicMilliseconds();
-      this.#setState("ready");
+    const isAnnounced = this.#state === "ready" ||
+      this.#state === "unconfirmed";
+    if (isNew || (!isAnnounced && !hasLeft)) {
+      if (this.#mustBeConfirmed()) {
+        this.#setState("unconfirmed");
+      } else {
+        this.#setReady();
+      }
     }
     return true;
   }
@@ -110,7 +144,7 @@
    * @returns Whether the lease was renewed.
    */
   renew(): boolean {
-    if (this.#state !== "ready" && this.#state !== "draining") {
+    if (!liveStates.includes(this.#state)) {
       return false;
     }
     this.#renewLease();
@@ -122,7 +156,7 @@
    * @returns Whether the target is draining now.
    */
   drain(): boolean {
-    return this.#transition(["ready"], "draining") ||
+    return this.#transition(["unconfirmed", "ready"], "draining") ||
       this.#state === "draining";
   }
 
@@ -131,7 +165,7 @@
    * @returns Whether the target has left now.
    */
   leave(): boolean {
-    return this.#transition(["ready", "draining"], "left") ||
+    return this.#transition(liveStates, "left") ||
       this.#state === "left";
   }
 
@@ -148,7 +182,7 @@
 
   /** Records that the target crashed. */
   onCrash(): void {
-    this.#transition(["ready", "draining"], "crashed");
+    this.#transition(liveStates, "crashed");
   }
 
   /** Stops the lease timer. */
@@ -167,6 +201,17 @@
     return true;
   }
 
+  #mustBeConfirmed(): boolean {
+    const incarnation = this.#announcement?.incarnation ?? 0;
+    return incarnation < this.#confirmBeforeIncarnation &&
+      incarnation !== this.#confirmedIncarnation;
+  }
+
+  #setReady(): void {
+    this.#readySinceMilliseconds = this.#options.clock.monotonicMilliseconds();
+    this.#setState("ready");
+  }
+
   #setState(to: LocalTargetState): void {
     const previous = this.#state;
     this.#state = to;
@@ -174,7 +219,7 @@
     if (to === "draining" || to === "left") {
       this.#drainedIncarnation = this.#announcement?.incarnation ?? 0;
     }
-    if (to !== "ready" && to !== "draining") {
+    if (!liveStates.includes(to)) {
       clearTimeout(this.#leaseTimer);
     }
     this.#options.onChange(previous);
@@ -193,6 +238,6 @@
   }
 
   #expire(): void {
-    this.#transition(["ready", "draining"], "expired");
+    this.#transition(liveStates, "expired");
   }
 }
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -9,6 +9,7 @@
 import { createLedgerPort } from "./ledger_adapter.ts";
 import type { NodeProcess } from "./node_process.ts";
 import type { LocalTargetState } from "./announced_target.ts";
+import { TargetConfirmation } from "./target_confirmation.ts";
 
 /** Settings of a {@link ControlLink}. */
 export interface ControlLinkOptions {
@@ -16,13 +17,23 @@
   readonly interceptors: readonly Interceptor[];
   /** Address at which other nodes reach the node listener. */
   readonly nodeAddress: string;
+  /**
+   * Time for which a target that started before this node waits for control,
+   * which may know that it was drained. 3 s by default.
+   */
+  readonly confirmationLimitMilliseconds?: number;
   /** Intervals of the session; its defaults when absent. */
   readonly sessionTiming?: SessionTiming;
 }
 
+/** Time in which every instance knows of a drain. */
+const defaultConfirmationLimitMilliseconds = 3000;
+
 const recordStates: Readonly<Record<LocalTargetState, TargetRecord["state"]>> =
   {
     absent: "left",
+    // Keeps other nodes from sending calls to it.
+    unconfirmed: "draining",
     ready: "ready",
     draining: "draining",
     left: "left",
@@ -39,6 +50,7 @@
   readonly #options: ControlLinkOptions;
   readonly #session: ControlSession;
   readonly #ledger: LedgerClient;
+  readonly #confirmation: TargetConfirmation;
   #crashCount = 0;
 
   /**
@@ -52,6 +64,16 @@
     const { state } = node;
     const { settings } = state;
     const incarnation = Date.now();
+    const { target } = node.targetDispatcher;
+    this.#confirmation = new TargetConfirmation({
+      target,
+      log: state.log,
+      limitMilliseconds: options.confirmationLimitMilliseconds ??
+        defaultConfirmationLimitMilliseconds,
+      hasDocument: () => state.view !== undefined,
+    });
+    // A target that is younger than this process was never drained before it.
+    target.requireConfirmation(node.startMilliseconds);
     this.#session = new ControlSession({
       controlAddresses: settings.controlAddresses,
       ...options.sessionTiming,
@@ -75,8 +97,11 @@
           bytes,
         })),
       }),
-      onDocument: (revision, part) =>
-        node.applyDocument(decodeDocumentPart(part), revision),
+      onConnected: () => this.#confirmation.onConnected(),
+      onDocument: (revision, part) => {
+        node.applyDocument(decodeDocumentPart(part), revision);
+        this.#confirmation.update();
+      },
       onView: (service, targets) =>
         node.updateView(service, targets.map(toRoutingTarget)),
       onLinkShares: (shares) =>
@@ -101,7 +126,7 @@
       },
       onDrainRequest: (targetId) => {
         if (targetId === settings.nodeId) {
-          node.targetDispatcher.target.drain();
+          target.drain();
         }
       },
       onLedgerIndex: (index) => this.#ledger.recordIndex(index),
@@ -127,7 +152,7 @@
         }),
       onSuspectCleared: (each) => this.#session.clearSuspect(each),
     };
-    if (node.targetDispatcher.target.state !== "absent") {
+    if (target.state !== "absent") {
       this.#announce();
     }
   }
@@ -147,13 +172,21 @@
 
   /** Closes the session and the ledger client. */
   async stop(): Promise<void> {
+    this.#confirmation.stop();
     await this.#session.stop();
     this.#ledger.stop();
   }
 
   #announce(): void {
-    const { state } = this.#node.targetDispatcher.target;
-    this.#session.announce(this.#createRecord(recordStates[state]));
+    const { target } = this.#node.targetDispatcher;
+    const record = this.#createRecord(recordStates[target.state]);
+    this.#session.announce(
+      record,
+      target.state === "unconfirmed"
+        ? { onConfirmed: () => target.confirm() }
+        : {},
+    );
+    this.#confirmation.update();
   }
 
   #createRecord(recordState: TargetRecord["state"]): TargetRecord {
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -93,6 +93,8 @@
  */
 export class NodeProcess {
   readonly state: NodeState;
+  /** Time at which the process started, in milliseconds since the epoch. */
+  readonly startMilliseconds: number;
   readonly targetDispatcher: TargetDispatcher;
   readonly originDispatcher: OriginDispatcher;
   readonly outside: HttpListener;
@@ -112,6 +114,7 @@
   constructor(settings: NodeSettings, options: NodeProcessOptions) {
     this.#metrics = options.metrics ?? disabledMetrics;
     this.state = createState(settings, options, this.#metrics);
+    this.startMilliseconds = this.state.clock.now().getTime();
     this.targetDispatcher = new TargetDispatcher(this.state, {
       onTargetChange: () => {
         this.#views.updateLocalTarget();
