Show that the stop limit answers transfers that wait for the ledger

This lists all operations of the ledger that can be pending at the limit in one table: a fence, a claim, a claim followed by a fence for two callers, and a release. Each caller gets its answer, with the exact disposition and reason.

--- a/soak/known_faults.ts
+++ b/soak/known_faults.ts
@@ -10,8 +10,6 @@
 
 /** Deadline of the views, after which their node gives a request up. */
 const viewDeadlineMilliseconds = 1500;
-/** Time since SIGTERM at which a node gives up its last calls. */
-const lastCallsMilliseconds = 9000;
 
 /**
  * The faults over which a soak passes. They are printed, and every other
@@ -25,12 +23,6 @@
       String(fields["client"]).endsWith("/slow-reader") &&
       Number(fields["oldestMilliseconds"]) >= viewDeadlineMilliseconds,
   },
-  {
-    entry: "soak: the stop limit cuts a transfer whose key is being fenced",
-    isCauseOf: ({ kind, fields }) =>
-      kind === "read-unanswered" && fields["key"] !== undefined &&
-      Number(fields["stoppingMilliseconds"]) >= lastCallsMilliseconds,
-  },
 ];
 
 /**
--- a/soak/known_faults_test.ts
+++ b/soak/known_faults_test.ts
@@ -26,6 +26,7 @@
     oldestMilliseconds: 900,
   }),
   createViolation("read-unanswered", { key: "k", stoppingMilliseconds: 4000 }),
+  createViolation("read-unanswered", { key: "k", stoppingMilliseconds: 9500 }),
   createViolation("read-unanswered", { key: "k" }),
   createViolation("ran-twice", { key: "k" }),
 ];
--- a/src/node/stop_limit_test.ts
+++ b/src/node/stop_limit_test.ts
@@ -11,7 +11,7 @@
   startPair,
   type TestPair,
 } from "../../tests/support/test_pair.ts";
-import { unavailableLedger } from "./ledger_port.ts";
+import { type LedgerPort, unavailableLedger } from "./ledger_port.ts";
 
 /** Slots of the services in the test document. */
 const slots = 4;
@@ -161,21 +161,73 @@
   assert.equal(await outcome, "504 unknown target-timeout");
 });
 
-test("a stop answers a call whose key is being fenced", async (context) => {
-  const ledger = {
-    ...unavailableLedger,
-    fence: () => new Promise<never>(() => {}),
-  };
-  const pair = await startPair("front-1", { ledger });
-  context.after(() => pair.close());
-  pair.node.state.isStopping = true;
-  const outcome = getOutcome(sendCall({
-    port: pair.outside,
-    method: "POST",
-    path: "/transfers",
-    headers: { "Idempotency-Key": "key-1" },
-  }));
-  await waitFor(() => pair.node.originDispatcher.callCount === 1);
-  await pair.node.stop({ limitMilliseconds: 300 });
-  assert.equal(await outcome, "504 unknown target-timeout");
-});
+const pendingOperations: {
+  name: string;
+  /** Operations of the ledger that do not end. */
+  pending: readonly ("claim" | "fence" | "release")[];
+  callers?: number;
+  target?: { slots: number; queueLimit: number };
+  /** Whether the node refuses calls before the stop begins. */
+  isStopping?: true;
+  expected: string;
+}[] = [
+  {
+    name: "is being fenced",
+    pending: ["fence"],
+    isStopping: true,
+    expected: "504 unknown target-timeout",
+  },
+  {
+    name: "is being claimed",
+    pending: ["claim"],
+    expected: "503 unknown ledger-unavailable",
+  },
+  {
+    name: "is being fenced for two callers after its claim",
+    pending: ["claim", "fence"],
+    callers: 2,
+    expected: "504 unknown target-timeout",
+  },
+  {
+    name: "is being released",
+    pending: ["release"],
+    target: { slots: 0, queueLimit: 0 },
+    expected: "504 unknown target-timeout",
+  },
+];
+for (const operation of pendingOperations) {
+  const { name, pending, callers = 1, target, isStopping = false } = operation;
+  test(`a stop answers a call whose key ${name}`, async (context) => {
+    const started: string[] = [];
+    const ledger: LedgerPort = {
+      ...unavailableLedger,
+      claim: () => Promise.resolve({ kind: "granted" }),
+    };
+    for (const each of pending) {
+      ledger[each] = () => {
+        started.push(each);
+        return new Promise<never>(() => {});
+      };
+    }
+    const pair = await startPair("front-1", { ledger, ...target });
+    context.after(() => pair.close());
+    pair.node.state.isStopping = isStopping;
+    const outcomes = Array.from({ length: callers }, () =>
+      getOutcome(sendCall({
+        port: pair.outside,
+        method: "POST",
+        path: "/transfers",
+        headers: { "Idempotency-Key": "key-1" },
+      })));
+    await waitFor(() =>
+      started[0] === pending[0] &&
+      pair.node.outside.openResponseCount === callers
+    );
+    await pair.node.stop({ limitMilliseconds: 700 });
+    assert.deepEqual(started, pending);
+    assert.deepEqual(
+      await Promise.all(outcomes),
+      outcomes.map(() => operation.expected),
+    );
+  });
+}
