Acknowledge the first change once enough voters hold the log

Callers saw (in a test with late messages): the first change of a new group was acknowledged, two disks were lost, and the group never elected a leader again. Cause: a leader commits with the majority that elected it. The other voters of the first entry may not have received the log yet; without a group they take part in no election, and after a restart nobody but a leader brings them in. Three of five voters acknowledged, two of these lost their disks, one was left. Trace (size 5, draw, simulated ms): 310 the group is created, the messages of m1 and m4 arrive 0.7 and 0.8 s later; 840 leader m0; 970 "change 0" acknowledged by m0, m2 and m3; 1000 m0 and m2 lose their disks, the others are killed; m1 and m4 start without a group. Change: while its log has no command, a leader appends the first one only when a majority and t more of the voters (at most all) hold the entries of its term; for at most 1.5 s, because a voter that does not respond for so long is one of the losses. The proposal waits in the queue, so that operators get no refusal. Instances that become voters later hold the log before their promotion. Later commands need no such rule, as every voter has the group on its disk by then. Ruled out: votes of instances without a group, because a restarted one could not tell an older disk from a new one.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -8,6 +8,7 @@
   type CoreRefusal,
   type CoreTime,
   defaultTiming,
+  type ProposalResult,
   type Role,
   type SingleMemberChange,
 } from "./core_types.ts";
@@ -271,14 +272,16 @@
 
   /**
    * Appends commands on the leader.
-   * @returns The first index and the term, or a refusal.
+   * @returns The first index and the term; `forming` when the owner has to
+   * propose them again later; or a refusal.
    */
-  propose(
-    commands: readonly Uint8Array[],
-  ): { kind: "appended"; index: number; term: number } | CoreRefusal {
+  propose(commands: readonly Uint8Array[]): ProposalResult {
     if (this.#role !== "leader") {
       return { kind: "not-leader" };
     }
+    if (this.#isForming()) {
+      return { kind: "forming" };
+    }
     const index = this.#log.lastIndex + 1;
     for (const command of commands) {
       this.#appendToOwnLog({ kind: "command", command });
@@ -727,6 +730,30 @@
     );
   }
 
+  /**
+   * Reports whether the first command has to wait until so many voters hold the
+   * log that a majority of them remains after the tolerated losses. A voter that
+   * has never received the log cannot take part in an election without a leader.
+   */
+  #isForming(): boolean {
+    const isNew = this.#toleratedLosses > 0 && this.#snapshot.index === 0 &&
+      !this.#log.hasCommand;
+    // A voter that does not respond for this time counts as one of the losses.
+    const hasWaited = this.#monotonicNow - this.#leaderSince >=
+      this.#timing.isolationMilliseconds;
+    if (!isNew || hasWaited) {
+      return false;
+    }
+    const voters = this.members.filter((each) => each.isVoter);
+    const holders = voters.filter(({ id }) =>
+      id === this.identity.id
+        ? this.#durableIndex >= this.#firstIndexOfTerm
+        : this.#replication.hasCaughtUp(id, this.#firstIndexOfTerm)
+    );
+    const requiredHolders = getMajority(this.members) + this.#toleratedLosses;
+    return holders.length < Math.min(voters.length, requiredHolders);
+  }
+
   // --- Messages ---
 
   #getSender(envelope: Envelope): { id: string; address: string } {
--- a/src/consensus/core_types.ts
+++ b/src/consensus/core_types.ts
@@ -85,6 +85,13 @@
   | { readonly kind: "not-leader" }
   | { readonly kind: "member-change-refused"; readonly message: string };
 
+/** Result of a proposal to the core. */
+export type ProposalResult =
+  | { readonly kind: "appended"; readonly index: number; readonly term: number }
+  /** The group is new, and too few of its voters hold the log yet. */
+  | { readonly kind: "forming" }
+  | CoreRefusal;
+
 /** A change of members that the core appends as a single entry. */
 export type SingleMemberChange =
   | { readonly kind: "add"; readonly id: string; readonly address: string }
--- a/src/consensus/entry_log.ts
+++ b/src/consensus/entry_log.ts
@@ -55,6 +55,11 @@
     return this.#memberChanges.at(-1)?.index ?? this.#base.index;
   }
 
+  /** Reports whether an entry that is kept contains a command. */
+  get hasCommand(): boolean {
+    return this.#entries.some(({ content }) => content.kind === "command");
+  }
+
   /** Gets the term of an entry; `undefined` when the entry is not kept. */
   getTerm(index: number): number | undefined {
     return index === this.#base.index
--- a/src/consensus/log_instance.ts
+++ b/src/consensus/log_instance.ts
@@ -347,8 +347,11 @@
     if (queued.length === 0) {
       return;
     }
-    this.#queuedProposals = [];
     const appended = this.#core.propose(queued.map((each) => each.command));
+    if (appended.kind === "forming") {
+      return;
+    }
+    this.#queuedProposals = [];
     if (appended.kind !== "appended") {
       const error = this.#toProposeError(appended);
       queued.forEach(({ resolve }) => resolve(failed(error)));
--- a/src/consensus/replicated_log_types.ts
+++ b/src/consensus/replicated_log_types.ts
@@ -81,7 +81,8 @@
   readonly initialMembers: readonly string[];
   /**
    * Number of disks that may be lost at once; 0 by default. A new group waits up
-   * to 1.5 s for as many members as that requires.
+   * to 1.5 s for as many members as that requires, and the first command waits
+   * up to 1.5 s until enough of them hold the log.
    */
   readonly toleratedLosses?: number;
   readonly stateMachine: StateMachine;
--- a/tests/disk_loss_test.ts
+++ b/tests/disk_loss_test.ts
@@ -61,6 +61,7 @@
 
 /** What happens before the final fault. */
 const preludes = [
+  "first change",
   "growing",
   "calm",
   "lost disks that were replaced",
@@ -159,6 +160,13 @@
   prelude: Prelude,
   random: () => number,
 ): Promise<void> {
+  if (prelude === "first change") {
+    await group.runUntil(() => group.isCreated, recoveryMilliseconds);
+    for (const machine of shuffle(group.machines, random).slice(0, 2)) {
+      group.delayMessages(machine, random() * maximumDownMilliseconds);
+    }
+    return;
+  }
   if (prelude === "growing") {
     await propose(group, "first");
     await group.run(random() * 4000);
--- a/tests/support/simulated_control_group.ts
+++ b/tests/support/simulated_control_group.ts
@@ -66,6 +66,8 @@
   /** Time at which the process starts; `undefined` while it is not to start. */
   startsAt: number | undefined;
   initialMembers: readonly string[];
+  /** Time before which no message from or to the machine arrives. */
+  messagesArriveFrom: number;
 }
 
 /**
@@ -125,6 +127,18 @@
       );
   }
 
+  /** Reports whether a machine has created the group. */
+  get isCreated(): boolean {
+    return this.machines.some(({ process }) =>
+      process !== undefined && process.core.groupId !== ""
+    );
+  }
+
+  /** Delays the messages that are sent from now on from or to a machine. */
+  delayMessages(machine: Machine, delayMilliseconds: number): void {
+    machine.messagesArriveFrom = this.#now + delayMilliseconds;
+  }
+
   /** Adds a machine with an empty disk and a new address. */
   addSuccessor(delayMilliseconds: number): void {
     const machine = this.#addMachine(`s${++this.#successorCount}:1`, []);
@@ -139,7 +153,7 @@
 
   /**
    * Proposes a text on the leader.
-   * @returns Whether there was a leader.
+   * @returns Whether there was a leader that appended it.
    */
   propose(text: string): boolean {
     const process = this.leader?.process;
@@ -232,6 +246,7 @@
       process: undefined,
       startsAt: this.#now + this.#random() * 300,
       initialMembers,
+      messagesArriveFrom: 0,
     };
     this.machines.push(machine);
     return machine;
@@ -346,8 +361,11 @@
   }
 
   #send({ storage }: Process, envelope: Envelope): void {
-    const arrivesAt = this.#now + this.#random() * 25;
-    const { message } = envelope;
+    const { message, fromAddress, toAddress } = envelope;
+    const sendableAt = this.machines
+      .filter(({ address }) => address === fromAddress || address === toAddress)
+      .map(({ messagesArriveFrom }) => messagesArriveFrom);
+    const arrivesAt = Math.max(this.#now, ...sendableAt) + this.#random() * 25;
     if (message.kind !== "snapshotChunk") {
       this.#inFlight.push({ envelope, arrivesAt });
       return;
