End the load of a test that fails

Seen: process_failures_test did not end; after 700 s its process still ran, with no child process. A view had got 504, so that the fourth test failed before it started its node again; the sixth waited 30 s for work at that node, and failed too.

Cause: both tests send requests in a loop until a variable is set at their end. A check that throws leaves the loop running, and its timer and its requests to ports that nobody listens on keep the process alive for good.

The node that the fourth test stops is started again before its checks, so that its failure is not also that of the sixth one. Nothing is checked less.

--- a/tests/process_failures_test.ts
+++ b/tests/process_failures_test.ts
@@ -2,9 +2,9 @@
 import { after, before, test } from "node:test";
 import type { Cluster, ClusterNode } from "./support/cluster.ts";
 import { waitFor } from "./support/http_call.ts";
+import { runUnderLoad } from "./support/request_load.ts";
 import { readRuns } from "./support/run_record.ts";
 import {
-  type CallResult,
   getNodes,
   getRuns,
   sendTransfer,
@@ -170,28 +170,19 @@
 test("a node that stops under load aborts no call and exits with 0", async () => {
   const [portal] = portals as [ClusterNode];
   const [stopping] = getNodes(cluster, "treasury") as [ClusterNode];
-  const results: Promise<CallResult>[] = [];
-  let isLoading = true;
-  const loading = (async () => {
-    while (isLoading) {
-      results.push(sendView(portal));
-      await new Promise((resolve) => setTimeout(resolve, 10));
-    }
-  })();
-  await waitFor(() => results.length >= 20);
-  const node = cluster.processes.getOrThrow(`${stopping.name}-node`);
-  node.child.kill("SIGTERM");
-  const code = await node.exited;
-  const sentBefore = results.length;
-  await waitFor(() => results.length >= sentBefore + 20);
-  isLoading = false;
-  await loading;
-  assert.equal(code, 0, node.outputLines.slice(-5).join("\n"));
-  const failures = (await Promise.all(results)).filter((each) =>
-    each.status !== 200
-  );
+  const results = await runUnderLoad(() => sendView(portal), async (sent) => {
+    await waitFor(() => sent.length >= 20);
+    const node = cluster.processes.getOrThrow(`${stopping.name}-node`);
+    node.child.kill("SIGTERM");
+    const code = await node.exited;
+    const sentBefore = sent.length;
+    await waitFor(() => sent.length >= sentBefore + 20);
+    // The tests that follow need the node, also if this one fails.
+    cluster.startNode(stopping);
+    assert.equal(code, 0, node.outputLines.slice(-5).join("\n"));
+  });
+  const failures = results.filter((each) => each.status !== 200);
   assert.deepEqual(failures, []);
-  cluster.startNode(stopping);
 });
 
 test("a request that crashes its target is quarantined after at most two crashes, and other requests succeed", async () => {
@@ -238,40 +229,31 @@
       ClusterNode,
       ClusterNode,
     ];
-    const results: Promise<CallResult>[] = [];
-    let isLoading = true;
-    const loading = (async () => {
-      while (isLoading) {
-        results.push(sendView(portal));
-        await new Promise((resolve) => setTimeout(resolve, 10));
-      }
-    })();
     const countRunsOfDrained = () => readRuns([drained.recordFile]).length;
-    const before = countRunsOfDrained();
-    await waitFor(() => countRunsOfDrained() > before, 30_000);
-    // An earlier test restarted the node of the other treasury.
-    const otherBefore = readRuns([other.recordFile]).length;
-    await waitFor(
-      () => readRuns([other.recordFile]).length > otherBefore,
-      30_000,
-    );
-    const result = await cluster.runCommand("drain", "trial", drained.name);
-    assert.equal(result.code, 0, result.output);
-    await waitFor(() =>
-      cluster.processes.getOrThrow(`${drained.name}-node`).outputLines.some((
-        line,
-      ) => line.includes("state=draining"))
-    );
-    // Waits for the calls that were admitted before the drain.
-    await Promise.all(results);
-    const runsAtDrain = countRunsOfDrained();
-    const sentBefore = results.length;
-    await waitFor(() => results.length >= sentBefore + 100);
-    isLoading = false;
-    await loading;
-    const failures = (await Promise.all(results)).filter((each) =>
-      each.status !== 200
-    );
+    let runsAtDrain = 0;
+    const results = await runUnderLoad(() => sendView(portal), async (sent) => {
+      const before = countRunsOfDrained();
+      await waitFor(() => countRunsOfDrained() > before, 30_000);
+      // An earlier test restarted the node of the other treasury.
+      const otherBefore = readRuns([other.recordFile]).length;
+      await waitFor(
+        () => readRuns([other.recordFile]).length > otherBefore,
+        30_000,
+      );
+      const result = await cluster.runCommand("drain", "trial", drained.name);
+      assert.equal(result.code, 0, result.output);
+      await waitFor(() =>
+        cluster.processes.getOrThrow(`${drained.name}-node`).outputLines.some((
+          line,
+        ) => line.includes("state=draining"))
+      );
+      // Waits for the calls that were admitted before the drain.
+      await Promise.all(sent);
+      runsAtDrain = countRunsOfDrained();
+      const sentBefore = sent.length;
+      await waitFor(() => sent.length >= sentBefore + 100);
+    });
+    const failures = results.filter((each) => each.status !== 200);
     assert.deepEqual(failures, []);
     assert.equal(countRunsOfDrained(), runsAtDrain);
   },
