Answer messages with characters that Node.js refuses to write

A request with a tab or a form feed in its path, or with a space in the name of a header, got no response at all, and the call kept its slot at the target for good: after as many such requests as the target has slots, the node served nothing. The same happened to a ready response with a control character in its reason phrase or a space in the name of a header.

Cause: the HTTP parser of Node.js accepts these characters, and request() and writeHead() throw for them. The exception left the call between two states, after its deadline was removed or before its exchange existed, so that nothing ended it. The log showed `unexpected error` and no line of the request.

Such a request gets 400 now, as RFC 9112 (section 5.1) demands for a space behind a name. In a response, that space is removed (section 5.1), a header whose name contains another one is omitted, and such a reason phrase, which has no meaning, is omitted.

Ruled out, by a trial with each of the 256 byte values in the path, method, Host, a header name and value of requests, and in the reason phrase, a header name and value of responses: no other byte leads to an exception.

--- a/src/node/claim.ts
+++ b/src/node/claim.ts
@@ -143,6 +143,7 @@
       isChunked: false,
       answer: undefined,
       keepAliveSeconds: -1,
+      hasInvalidName: false,
     },
     body: Buffer.from(answer.body),
   };
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -166,7 +166,7 @@
       & ForwardedHeaders
       & { status: number; statusMessage: string; isChunked: boolean };
     head.status = response.statusCode ?? 0;
-    head.statusMessage = response.statusMessage ?? "";
+    head.statusMessage = getReasonPhrase(response);
     this.#response = response;
     this.#head = head;
     if (head.keepAliveSeconds >= 0) {
@@ -257,4 +257,12 @@
 
 const noBytes = Buffer.alloc(0);
 
+/** Characters that Node.js reads in a reason phrase and refuses to write. */
+const invalidReasonCharacter = /[^\t\x20-\x7e\x80-\xff]/;
+
+/** Gets the reason phrase of a response; empty if it must not be passed on. */
+function getReasonPhrase({ statusMessage = "" }: IncomingMessage): string {
+  return invalidReasonCharacter.test(statusMessage) ? "" : statusMessage;
+}
+
 function ignoreError(): void {}
--- a/src/node/forwarded_headers.ts
+++ b/src/node/forwarded_headers.ts
@@ -14,12 +14,15 @@
   readonly answer: string | undefined;
   /** Idle timeout of the sender from Keep-Alive; -1 when absent. */
   readonly keepAliveSeconds: number;
+  /** Whether a name contains a space, which Node.js reads but does not write. */
+  readonly hasInvalidName: boolean;
 }
 
 /**
  * Copies raw headers for the next hop, in order. Omits the hop-by-hop headers,
  * those that the Connection header lists, and every `dogwoodwalk-*` header.
- * Content-Length is kept; Transfer-Encoding is set when the body is sent.
+ * Content-Length is kept; Transfer-Encoding is set when the body is sent. Spaces
+ * behind a name are removed; a name with another space is omitted.
  * @param raw Alternating names and values, as in `rawHeaders` of Node.js.
  * @returns The copied headers, with the framing of the message.
  */
@@ -30,8 +33,16 @@
   let answer: string | undefined;
   let keepAliveSeconds = -1;
   let connectionHeaders: string | undefined;
+  let hasInvalidName = false;
   for (let index = 0; index + 1 < raw.length; index += 2) {
-    const name = raw[index] as string;
+    let name = raw[index] as string;
+    if (name.includes(" ")) {
+      hasInvalidName = true;
+      name = name.trimEnd();
+      if (name.includes(" ")) {
+        continue;
+      }
+    }
     const value = raw[index + 1] as string;
     switch (name.length) {
       // The lengths of the names in `hopByHopHeaders`.
@@ -84,7 +95,14 @@
   if (connectionHeaders !== undefined) {
     removeConnectionHeaders(headers, connectionHeaders);
   }
-  return { headers, contentLength, isChunked, answer, keepAliveSeconds };
+  return {
+    headers,
+    contentLength,
+    isChunked,
+    answer,
+    keepAliveSeconds,
+    hasInvalidName,
+  };
 }
 
 /**
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -76,6 +76,11 @@
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
+    if (framing.hasInvalidName) {
+      const message = "The name of a header contains a space";
+      this.#refuseRequest(response, "malformed-request", { target, message });
+      return;
+    }
     const accepted = this.state.protocol.parseRequest({
       state: this.state,
       view,
--- a/src/node/peer_request_handler.ts
+++ b/src/node/peer_request_handler.ts
@@ -98,6 +98,11 @@
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
+    if (framing.hasInvalidName) {
+      const message = "The name of a header contains a space";
+      this.#refuse(response, "malformed-request", { context, message });
+      return;
+    }
     const key = request.headers["idempotency-key"] as string | undefined;
     const call = new InboundCall(this.#dispatcher, this.#state, {
       details: {
--- a/src/node/request_target.ts
+++ b/src/node/request_target.ts
@@ -16,6 +16,9 @@
  */
 const dotSegment = /\/(?:\.|%2e){1,2}(?:\/|$)/i;
 
+/** Characters that Node.js reads in a path and refuses to write. */
+const invalidPathCharacter = /[^\x21-\xff]/;
+
 /**
  * Reads the target of a request, in origin form or absolute form.
  * @param request The request.
@@ -35,6 +38,9 @@
     host = start < 0 ? url.slice(7) : url.slice(7, start);
     path = start < 0 ? "/" : url.slice(start);
   }
+  if (invalidPathCharacter.test(path)) {
+    return undefined;
+  }
   const query = path.indexOf("?");
   const routePath = query < 0 ? path : path.slice(0, query);
   if (routePath.includes("/.") || routePath.includes("%")) {
