Accept larger headers between nodes than from others

A request or a ready response whose headers were close to the limit of 16 KiB became 502 when it went through two nodes. The request had not run; the response was replaced.

Cause: the node next to the target adds its own headers (the context of a call, the answer, Date, Keep-Alive), and the other node accepts 16 KiB as well, so that what one node accepts can be too large for the next one.

Messages between nodes may have headers of 32 KiB now. Those of callers and targets may have 16 KiB as before, so that what one node has accepted always fits.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -13,6 +13,12 @@
 /** Largest body that is streamed. */
 export const maximumStreamedBodyBytes = 1024 * 1024 * 1024;
 
+/**
+ * Maximum size of the headers of a message between nodes. It leaves room for
+ * what a node adds to headers of the size that it accepts from others.
+ */
+export const maximumPeerHeaderBytes = 32 * 1024;
+
 /** Maximum number of interim responses (status 1xx) before the final one. */
 const maximumInterimResponses = 16;
 
@@ -70,6 +76,8 @@
   readonly memory: BodyMemoryBudget;
   /** Whether a small response is buffered until it is complete. */
   readonly buffersResponse: boolean;
+  /** Maximum size of the headers of the response; 16 KiB by default. */
+  readonly headerBytes?: number;
   readonly events: ExchangeEvents;
 }
 
@@ -104,6 +112,7 @@
       method: outgoing.method,
       path: outgoing.path,
       headers: outgoing.headers as never,
+      maxHeaderSize: options.headerBytes,
     });
     this.#request.on("information", this.#onInterimResponse);
     this.#request.on("response", this.#onResponse);
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -52,6 +52,8 @@
     | undefined;
   /** Time limit for receiving the headers of a request. */
   readonly headersMilliseconds?: number | undefined;
+  /** Maximum size of the headers of a request; 16 KiB by default. */
+  readonly headerBytes?: number;
 }
 
 /** An HTTP listener of the node. */
@@ -81,7 +83,7 @@
       typeof ListenerResponse
     >({
       ServerResponse: ListenerResponse,
-      maxHeaderSize: maximumHeaderBytes,
+      maxHeaderSize: options.headerBytes ?? maximumHeaderBytes,
       // Node.js would close the connection behind its own refusal.
       requireHostHeader: false,
       headersTimeout: options.headersMilliseconds ??
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -25,6 +25,7 @@
 import { DeadlineTimers } from "./deadline_timers.ts";
 import { describeOpenWork } from "./describe_open_work.ts";
 import { DocumentView } from "./document_view.ts";
+import { maximumPeerHeaderBytes } from "./exchange.ts";
 import { HttpListener } from "./http_listener.ts";
 import { type LedgerPort, unavailableLedger } from "./ledger_port.ts";
 import type { UnansweredConnection } from "./open_connection.ts";
@@ -141,6 +142,7 @@
         this.#peerRequestHandler.handle(request, response),
       onUnanswered: (each) => this.#onUnanswered("node", each),
       headersMilliseconds,
+      headerBytes: maximumPeerHeaderBytes,
     });
     this.loopback = new HttpListener({
       endpoint: settings.loopback,
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -23,6 +23,7 @@
   Exchange,
   type ExchangeError,
   type ExchangeEvents,
+  maximumPeerHeaderBytes,
   type ResponseHead,
 } from "./exchange.ts";
 import { type PeerCredential, peerHeader } from "./peer_credential.ts";
@@ -102,6 +103,7 @@
       pool: options.pool,
       memory: options.memory,
       buffersResponse: options.buffersResponses || isResponseBuffered(details),
+      headerBytes: maximumPeerHeaderBytes,
       events: this,
     });
     headers.length = length;
