Refuse responses whose length Node.js has omitted

Since responses without length are passed on, a response with more than some 1,000 headers in front of its Content-Length was taken for one that ends with its connection. Callers of routes that are not buffered got a response that never ended, and the connection to the target was used again with one more pair of listeners each time (MaxListenersExceededWarning).

Cause: Node.js gives a program 1,023 of the headers only, but frames the body by all of them.

Only a response whose connection Node.js will not keep can end with it. Others without a visible length fail as before.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -186,6 +186,11 @@
       return;
     }
     if (!this.#hasDelimitedBody(head)) {
+      if (this.#request.shouldKeepAlive) {
+        // Node.js has omitted the length, because there are too many headers.
+        this.#fail("incomplete", "the response has too many headers");
+        return;
+      }
       verifyConnectionEnd(response);
       // The next hop gets the body with a length or in chunks.
       head.isChunked = true;
