Fail a call at once when its target switches protocols

A target that answered with status 101 held its slot, and its caller waited, until the deadline of the call.

Cause: Node.js destroys the connection after such a response, and reports it neither as a response nor as an error.

The exchange listens for it now and fails; the call may have run.

Evidence: "a response that switches protocols fails at once" did not end within 15 s before; 16 of 16 in the file pass after it.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -1,4 +1,5 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import { endWithBody } from "./end_with_body.ts";
 import { BodyCollector, type BodyCollectorEvents } from "./body_collector.ts";
 import {
@@ -116,6 +117,7 @@
     });
     this.#request.on("information", this.#onInterimResponse);
     this.#request.on("response", this.#onResponse);
+    this.#request.on("upgrade", this.#onUpgrade);
     this.#request.on("error", this.#onError);
     if (outgoing.source !== undefined) {
       this.#streamBody(outgoing.source);
@@ -216,6 +218,12 @@
     }
   };
 
+  /** Handles status 101, after which Node.js reports no error. */
+  readonly #onUpgrade = (_: IncomingMessage, socket: Socket): void => {
+    socket.destroy();
+    this.#fail("incomplete", "the response switches protocols");
+  };
+
   readonly #onError = (error: Error & { syscall?: string }): void => {
     // Invalid bytes behind a complete response belong to no request. Node.js
     // destroys the connection, and the end of the response is still reported.
--- a/src/node/exchange_test.ts
+++ b/src/node/exchange_test.ts
@@ -139,3 +139,14 @@
     assert.ok(bytes < maximumAcceptedBytes, `${bytes} bytes were accepted`);
   });
 }
+
+// Guards against a call that waits until its deadline for a closed connection.
+test("a response that switches protocols fails at once", async (context) => {
+  const { pool, sockets } = await startRawTarget(context, (socket) => {
+    socket.write(
+      "HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+    );
+  });
+  assert.equal(await send(pool), "incomplete");
+  await waitFor(() => sockets[0]?.destroyed === true);
+});
