Name the reset of a response without length in the log

`target call failed` had the message of a response that is shorter than its length, although the response had none, so that a truncated response and a reset connection could not be told apart.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -94,6 +94,8 @@
   #interimResponses = 0;
   #isDone = false;
   #hasBodyFailed = false;
+  /** Whether the body of the response ends with the connection. */
+  #endsWithConnection = false;
 
   /**
    * Sends the request.
@@ -166,7 +168,12 @@
   }
 
   onAborted(message: string): void {
-    this.#fail("incomplete", message);
+    this.#fail(
+      "incomplete",
+      this.#endsWithConnection
+        ? "the response has no length, and its connection was reset"
+        : message,
+    );
   }
 
   readonly #onResponse = (response: IncomingMessage): void => {
@@ -194,6 +201,7 @@
         return;
       }
       verifyConnectionEnd(response);
+      this.#endsWithConnection = true;
       // The next hop gets the body with a length or in chunks.
       head.isChunked = true;
     }
--- a/src/node/verify_connection_end_test.ts
+++ b/src/node/verify_connection_end_test.ts
@@ -181,6 +181,14 @@
         () => "broken off" as const,
       );
       assert.ok(status === "broken off" || status >= 500, String(status));
+      const lines = last.logLines.filter((line) =>
+        line.includes("target call failed")
+      );
+      assert.ok(
+        status === "broken off" ||
+          lines.some((line) => /no length.*reset|ECONNRESET/.test(line)),
+        lines.join(""),
+      );
       await waitFor(() => origin.node.callCount + last.node.callCount === 0);
       assert.equal(last.node.state.bodyMemory.usedBytes, 0);
     });
