--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -1,4 +1,5 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import { endWithBody } from "./end_with_body.ts";
 import { BodyCollector, type BodyCollectorEvents } from "./body_collector.ts";
 import {
@@ -13,6 +14,12 @@
 /** Largest body that is streamed. */
 export const maximumStreamedBodyBytes = 1024 * 1024 * 1024;
 
+/**
+ * Maximum size of the headers of a message between nodes. It leaves room for
+ * what a node adds to headers of the size that it accepts from others.
+ */
+export const maximumPeerHeaderBytes = 32 * 1024;
+
 /** Maximum number of interim responses (status 1xx) before the final one. */
 const maximumInterimResponses = 16;
 
@@ -70,6 +77,8 @@
   readonly memory: BodyMemoryBudget;
   /** Whether a small response is buffered until it is complete. */
   readonly buffersResponse: boolean;
+  /** Maximum size of the headers of the response; 16 KiB by default. */
+  readonly headerBytes?: number;
   readonly events: ExchangeEvents;
 }
 
@@ -85,6 +94,8 @@
   #interimResponses = 0;
   #isDone = false;
   #hasBodyFailed = false;
+  /** Whether the body of the response ends with the connection. */
+  #endsWithConnection = false;
 
   /**
    * Sends the request.
@@ -104,9 +115,11 @@
       method: outgoing.method,
       path: outgoing.path,
       headers: outgoing.headers as never,
+      maxHeaderSize: options.headerBytes,
     });
     this.#request.on("information", this.#onInterimResponse);
     this.#request.on("response", this.#onResponse);
+    this.#request.on("upgrade", this.#onUpgrade);
     this.#request.on("error", this.#onError);
     if (outgoing.source !== undefined) {
       this.#streamBody(outgoing.source);
@@ -155,7 +168,12 @@
   }
 
   onAborted(message: string): void {
-    this.#fail("incomplete", message);
+    this.#fail(
+      "incomplete",
+      this.#endsWithConnection
+        ? "the response has no length, and its connection was reset"
+        : message,
+    );
   }
 
   readonly #onResponse = (response: IncomingMessage): void => {
@@ -177,7 +195,13 @@
       return;
     }
     if (!this.#hasDelimitedBody(head)) {
+      if (this.#request.shouldKeepAlive) {
+        // Node.js has omitted the length, because there are too many headers.
+        this.#fail("incomplete", "the response has too many headers");
+        return;
+      }
       verifyConnectionEnd(response);
+      this.#endsWithConnection = true;
       // The next hop gets the body with a length or in chunks.
       head.isChunked = true;
     }
@@ -202,6 +226,12 @@
     }
   };
 
+  /** Handles status 101, after which Node.js reports no error. */
+  readonly #onUpgrade = (_: IncomingMessage, socket: Socket): void => {
+    socket.destroy();
+    this.#fail("incomplete", "the response switches protocols");
+  };
+
   readonly #onError = (error: Error & { syscall?: string }): void => {
     // Invalid bytes behind a complete response belong to no request. Node.js
     // destroys the connection, and the end of the response is still reported.
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -59,6 +59,8 @@
   readonly getDisposition?:
     | ((request: IncomingMessage | undefined) => Disposition)
     | undefined;
+  /** Maximum size of the headers of a request; 16 KiB by default. */
+  readonly headerBytes?: number;
 }
 
 /** An HTTP listener of the node. */
@@ -90,7 +92,7 @@
       typeof ListenerResponse
     >({
       ServerResponse: ListenerResponse,
-      maxHeaderSize: maximumHeaderBytes,
+      maxHeaderSize: options.headerBytes ?? maximumHeaderBytes,
       // Node.js would close the connection behind its own refusal.
       requireHostHeader: false,
       headersTimeout: options.headersMilliseconds ??
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -26,6 +26,7 @@
 import { describeOpenWork } from "./describe_open_work.ts";
 import { DocumentView } from "./document_view.ts";
 import { getEarlyDisposition } from "./early_refusal.ts";
+import { maximumPeerHeaderBytes } from "./exchange.ts";
 import { HttpListener, type HttpListenerOptions } from "./http_listener.ts";
 import { type LedgerPort, unavailableLedger } from "./ledger_port.ts";
 import type { UnansweredConnection } from "./open_connection.ts";
@@ -148,6 +149,7 @@
         this.#peerRequestHandler.handle(request, response),
       onUnanswered: (each) => this.#onUnanswered("node", each),
       headersMilliseconds,
+      headerBytes: maximumPeerHeaderBytes,
     });
     this.loopback = new HttpListener({
       endpoint: settings.loopback,
