Wait for the target of a restarted node before the tests that follow

Seen: 'a node that stops under load aborts no call' got nine answers 504 in one of nine plays of the file, and more in another, since a target that is older than its restarted node waits for control (load 30 to 60).

Trace of one of them: the node of portal-1 had been killed by the test before and was back at 27.0 s; its target announced itself at 28.4 s and was confirmed at 29.2 s. All nine views were sent at 28.5 s, when portal-2 served all of them. Every process had pauses of 150 to 500 ms then. The test before had waited only for a view that succeeds, which the target of the other node can serve.

Change: it waits until the target of the restarted node itself serves a view. This is stricter: it also fails if that target never becomes ready.

That the wait was the whole cause is not shown: the failing plays ran beside more load.

--- a/tests/process_failures_test.ts
+++ b/tests/process_failures_test.ts
@@ -164,7 +164,14 @@
   }
   assert.equal(countRuns("member-portal", key), 1);
   cluster.startNode(first);
-  await waitFor(async () => (await sendView(first)).status === 200, 30_000);
+  // The tests that follow need all targets.
+  const runsBefore = readRuns([first.recordFile]).length;
+  await waitFor(
+    async () =>
+      (await sendView(first)).status === 200 &&
+      readRuns([first.recordFile]).length > runsBefore,
+    30_000,
+  );
 });
 
 test("a node that stops under load aborts no call and exits with 0", async () => {
