Pass on all headers of a message below the size limit

Callers saw (in a trial with raw bytes): a response whose Content-Length stands behind more than 1,000 other headers became 502. A request of that kind would have reached the target without its body.

Cause: Node.js gives a program 1,000 headers by default and frames the body by all of them. The size of the headers is limited to 16 KiB anyway (32 KiB between nodes), so that the second limit protects nothing.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -104,6 +104,8 @@
     }, (request, response) => {
       this.#acceptRequest(request, response);
     });
+    // Their size is limited. Node.js omits those beyond this number.
+    this.#server.maxHeadersCount = 0;
     this.#server.on("connection", (socket) => {
       this.#acceptedConnections++;
       lingerOnClose(socket);
