Keep a drain over the end of a lease

The log of its node shows draining, expired, ready for one start of the target; nearly all processes had pauses of more than a second, so that the target's renewals came late.

Cause: an announcement was taken as ready unless the state was draining or left. When the lease of a draining target ended, the state was expired, and the drain was forgotten although its incarnation was known.

Change: an announcement of the incarnation that was drained last drains again. A new incarnation is ready, as before.

Evidence: without the change both new tests fail (ready instead of draining); with it they pass, and so do the tests of drained targets.

--- a/src/node/announced_target.ts
+++ b/src/node/announced_target.ts
@@ -105,7 +105,8 @@
   /**
    * Records an announcement. An older incarnation is ignored. An incarnation
    * that is draining or has left stays in that state, because an operator may
-   * have requested it.
+   * have requested it; one that was drained before it expired or crashed drains
+   * again.
    * @param announcement The announcement.
    * @param options Whether the announcement expires without renewal; one from
    * the settings does not.
@@ -129,7 +130,9 @@
     const isAnnounced = this.#state === "ready" ||
       this.#state === "unconfirmed";
     if (isNew || (!isAnnounced && !hasLeft)) {
-      if (this.#mustBeConfirmed()) {
+      if (!isNew && announcement.incarnation === this.#drainedIncarnation) {
+        this.#setState("draining");
+      } else if (this.#mustBeConfirmed()) {
         this.#setState("unconfirmed");
       } else {
         this.#setReady();
--- a/src/node/announced_target_test.ts
+++ b/src/node/announced_target_test.ts
@@ -30,3 +30,42 @@
     target.stop();
   });
 }
+
+const drainedEnds: {
+  name: string;
+  end(target: AnnouncedTarget, clock: ManualClock): void;
+}[] = [
+  {
+    name: "its lease ended",
+    end: (target, clock) => {
+      clock.advance(1000);
+      target.checkLease();
+    },
+  },
+  { name: "it crashed", end: (target) => target.onCrash() },
+];
+
+// Guards against a drain that is forgotten while a target sends no renewals.
+for (const { name, end } of drainedEnds) {
+  test(`a drained target that announces itself after ${name} is draining again`, () => {
+    const clock = new ManualClock();
+    const states: string[] = [];
+    const target = new AnnouncedTarget({
+      clock,
+      leaseMilliseconds: 1000,
+      onChange: () => states.push(target.state),
+    });
+    const announce = (incarnation: number) =>
+      target.announce({ endpoint, incarnation }, { hasLease: true });
+    announce(1);
+    target.drain();
+    end(target, clock);
+    assert.notEqual(target.state, "draining");
+    announce(1);
+    assert.equal(target.state, "draining");
+    announce(2);
+    assert.equal(target.state, "ready");
+    assert.equal(states.filter((each) => each === "ready").length, 2);
+    target.stop();
+  });
+}
