Wait for the rest of a response for a second beyond its deadline

Cause: waits for the sender for 200 ms beyond the deadline. The node of the target was held up for longer, so that a ready response counted as one that the target does not send.

Change: 1 s at the node of the caller, and 2 s at the node of the target. What it costs: a target that never ends its body is cut up to 0.8 s later. Callers that leave end their calls as before.

--- a/src/node/delivery_limit.ts
+++ b/src/node/delivery_limit.ts
@@ -11,7 +11,7 @@
 
 /** Limits of a response to a caller. */
 export const callerDeliveryTimes: DeliveryTimes = {
-  waitMilliseconds: 200,
+  waitMilliseconds: 1000,
   noProgressMilliseconds: 10_000,
 };
 
@@ -20,7 +20,7 @@
  * what its caller takes, and ends the response itself.
  */
 export const peerDeliveryTimes: DeliveryTimes = {
-  waitMilliseconds: 400,
+  waitMilliseconds: 2000,
   noProgressMilliseconds: 30_000,
 };
 
