Refuse a closing response whose length Node.js has omitted

Callers saw (in a test): 200 with a part of the body, as a complete response. The target announced Connection: close, sent more than 1,000 headers in front of its Content-Length or Transfer-Encoding, and closed its connection in the body.

Cause: Node.js gives a program the first 1,000 headers or a few more.

Change: a response without a visible length is refused as well when it has as many headers as Node.js gives. The limit, which was the default, is set explicitly.

Evidence: both new tests failed before (200 instead of 502) and pass now; the test files of the exchange and of connection ends: 49 pass, 0 fail.

Why it works: below the limit no header is omitted, so that a missing length means that the response has none.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -20,6 +20,9 @@
  */
 export const maximumPeerHeaderBytes = 32 * 1024;
 
+/** Number of headers behind which Node.js may omit others. */
+const maximumResponseHeaders = 1000;
+
 /** Maximum number of interim responses (status 1xx) before the final one. */
 const maximumInterimResponses = 16;
 
@@ -117,6 +120,7 @@
       headers: outgoing.headers as never,
       maxHeaderSize: options.headerBytes,
     });
+    this.#request.maxHeadersCount = maximumResponseHeaders;
     this.#request.on("information", this.#onInterimResponse);
     this.#request.on("response", this.#onResponse);
     this.#request.on("upgrade", this.#onUpgrade);
@@ -195,7 +199,10 @@
       return;
     }
     if (!this.#hasDelimitedBody(head)) {
-      if (this.#request.shouldKeepAlive) {
+      if (
+        this.#request.shouldKeepAlive ||
+        response.rawHeaders.length >= 2 * maximumResponseHeaders
+      ) {
         // Node.js has omitted the length, because there are too many headers.
         this.#fail("incomplete", "the response has too many headers");
         return;
--- a/src/node/verify_connection_end_test.ts
+++ b/src/node/verify_connection_end_test.ts
@@ -248,3 +248,27 @@
   await waitFor(() => origin.node.callCount === 0);
   await waitFor(() => [...sockets].every((each) => each.destroyed));
 });
+
+const hiddenFramings: { name: string; framing: string; body: string }[] = [
+  { name: "Content-Length", framing: "Content-Length: 4", body: "do" },
+  {
+    name: "Transfer-Encoding",
+    framing: "Transfer-Encoding: chunked",
+    body: "2\r\ndo\r\n",
+  },
+];
+
+for (const { name, framing, body } of hiddenFramings) {
+  test(`a response that is cut before its end never seems complete when ${name} is behind too many headers`, async (context) => {
+    const { origin, call } = await startPath(context, 1, (socket) => {
+      socket.end(
+        `HTTP/1.1 200 OK\r\nConnection: close\r\n${"A: 1\r\n".repeat(1500)}` +
+          `${framing}\r\n\r\n${body}`,
+      );
+    });
+    const status = await sendCall({ ...call, method: "POST", path: "/plain" })
+      .then((response) => response.status, () => "broken off" as const);
+    assert.equal(status, 502);
+    await waitFor(() => origin.node.callCount === 0);
+  });
+}
