Read all headers of a request

Callers saw (in a test): 200 for a POST whose body the target never got, with Content-Length: 0 in its place. The request had 1,500 headers (10.5 kB) in front of its Content-Length; the same with Transfer-Encoding.

Cause: Node.js gives a program the first 1,000 headers or a few more, but frames the body by all of them. The node took the request for one without a body, and lost every other header behind the limit, such as a key or a deadline.

Change: the listeners have no limit of the number of headers. Their size stays limited to 16 KiB, and to 32 KiB between nodes.

Ruled out: a refusal with 431, because the request is valid and within the size that the listener accepts.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -104,6 +104,9 @@
     }, (request, response) => {
       this.#acceptRequest(request, response);
     });
+    // By default Node.js omits headers, also those of the framing. Their size is
+    // limited.
+    this.#server.maxHeadersCount = 0;
     this.#server.on("connection", (socket) => {
       this.#acceptedConnections++;
       lingerOnClose(socket);
