--- a/src/node/verify_connection_end_test.ts
+++ b/src/node/verify_connection_end_test.ts
@@ -232,3 +232,27 @@
   await waitFor(() => isClosed && origin.node.callCount === 0);
   assert.equal(origin.node.state.bodyMemory.usedBytes, 0);
 });
+
+const lateFramings: { name: string; framing: string; body: string }[] = [
+  { name: "Content-Length", framing: "Content-Length: 4", body: "do" },
+  {
+    name: "Transfer-Encoding",
+    framing: "Transfer-Encoding: chunked",
+    body: "2\r\ndo\r\n",
+  },
+];
+
+for (const { name, framing, body } of lateFramings) {
+  test(`a response that is cut before its end never seems complete when ${name} is behind many headers`, async (context) => {
+    const { origin, call } = await startPath(context, 1, (socket) => {
+      socket.end(
+        `HTTP/1.1 200 OK\r\nConnection: close\r\n${"A: 1\r\n".repeat(1500)}` +
+          `${framing}\r\n\r\n${body}`,
+      );
+    });
+    const status = await sendCall({ ...call, method: "POST", path: "/plain" })
+      .then((response) => response.status, () => "broken off" as const);
+    assert.ok(status === 502 || status === "broken off", String(status));
+    await waitFor(() => origin.node.callCount === 0);
+  });
+}
