Limit the time for which a slow reader keeps a slot of the target

What callers saw (trial of the review: one slot, deadline 300 ms, a response of 32 MB that is read at 0.2 MB/s): the slot was in use 16.9 s later, and all other calls got 504 at their deadlines.

Cause: since a response that is being read beyond its deadline has no limit as long as the caller takes some bytes.

Change: it may go on for 15 s beyond the deadline (60 s at the node of the target), without the time behind earlier responses of its connection. Ruled out: a minimum rate, which a caller on a slow link cannot meet for small pieces.

Two rows of the table of limits expected that a slow reader has no limit. They expect now that it is ended at this limit, and not before it.

--- a/src/node/delivery_limit.ts
+++ b/src/node/delivery_limit.ts
@@ -7,12 +7,18 @@
   readonly waitMilliseconds: number;
   /** Time for which the receiver may take no bytes. */
   readonly noProgressMilliseconds: number;
+  /**
+   * Time beyond the deadline for which the response may go on, because it keeps
+   * a slot of the target. The time behind earlier responses does not count.
+   */
+  readonly totalMilliseconds: number;
 }
 
 /** Limits of a response to a caller. */
 export const callerDeliveryTimes: DeliveryTimes = {
   waitMilliseconds: 1000,
   noProgressMilliseconds: 10_000,
+  totalMilliseconds: 15_000,
 };
 
 /**
@@ -22,11 +28,12 @@
 export const peerDeliveryTimes: DeliveryTimes = {
   waitMilliseconds: 2000,
   noProgressMilliseconds: 30_000,
+  totalMilliseconds: 60_000,
 };
 
 /** Why a limit ended a response. */
 export type DeliveryLimitReason =
-  /** The deadline passed, and the sender did not send the rest in time. */
+  /** The deadline passed, and the rest was not sent or taken in time. */
   | "deadline"
   /** The receiver took no bytes. */
   | "no-progress";
@@ -57,7 +64,7 @@
  * Limits the time of a response that is passed on while it is received. Before
  * its deadline there is no limit. Beyond it, the time is limited in which the
  * receiver waits for the sender, and the time in which the receiver takes no
- * bytes. A receiver that takes bytes slowly is not limited.
+ * bytes. A receiver that takes bytes slowly has a limit of its own.
  */
 export class DeliveryLimit implements Expirable {
   readonly #options: DeliveryLimitOptions;
@@ -69,6 +76,8 @@
   #progressMilliseconds = 0;
   #waitedMilliseconds = 0;
   #blockedMilliseconds = 0;
+  /** Part of the blocked time in which earlier responses were sent. */
+  #behindMilliseconds = 0;
   #timerMilliseconds = 0;
 
   /** @param options Deadline, limits, and what is called beyond them. */
@@ -110,15 +119,20 @@
       this.#blockedMilliseconds * waitShare - this.#waitedMilliseconds;
     if (this.#isBlocked && isBehindOthers()) {
       this.#progressMilliseconds = now;
+      this.#behindMilliseconds = this.#blockedMilliseconds;
     }
+    const totalLeft = times.totalMilliseconds + this.#behindMilliseconds -
+      this.#blockedMilliseconds - this.#waitedMilliseconds;
     const progressLeft = this.#isBlocked
       ? this.#progressMilliseconds + times.noProgressMilliseconds - now
       : Infinity;
     if (progressLeft <= 0) {
       this.#end("no-progress");
+    } else if (totalLeft <= 0) {
+      this.#end("deadline");
     } else if (waitLeft > 0) {
       this.#isLastRead = false;
-      this.#schedule(now + Math.min(waitLeft, progressLeft));
+      this.#schedule(now + Math.min(waitLeft, progressLeft, totalLeft));
     } else if (this.#isLastRead) {
       this.#end("deadline");
     } else {
--- a/src/node/delivery_limit_test.ts
+++ b/src/node/delivery_limit_test.ts
@@ -7,7 +7,10 @@
 const times: DeliveryTimes = {
   waitMilliseconds: 200,
   noProgressMilliseconds: 5000,
+  totalMilliseconds: 40_000,
 };
+/** Time at which a response that goes on for as long as it may is ended. */
+const totalEnd = deadlineMilliseconds + times.totalMilliseconds;
 const limitMilliseconds = 60_000;
 
 /** What a receiver does from a time on, repeated with a period. */
@@ -19,6 +22,7 @@
   readonly isBehindOthers?: boolean;
   /** Expected reason, and latest time of the end. */
   readonly end?: readonly [string, number];
+  readonly earliestEnd?: number;
 }
 
 const cases: readonly LimitCase[] = [
@@ -44,11 +48,15 @@
     name: "a receiver that reads slowly",
     blockedMilliseconds: 95,
     waitingMilliseconds: 5,
+    end: ["deadline", totalEnd + 100],
+    earliestEnd: totalEnd,
   },
   {
     name: "a receiver that reads after long pauses",
     blockedMilliseconds: 4900,
     waitingMilliseconds: 10,
+    end: ["deadline", totalEnd + 100],
+    earliestEnd: totalEnd,
   },
   {
     name: "a receiver that stops reading",
@@ -91,7 +99,8 @@
     const [reason, latestMilliseconds] = each.end ?? [];
     assert.equal(end?.[0], reason);
     if (end !== undefined && latestMilliseconds !== undefined) {
-      assert.ok(end[1] > deadlineMilliseconds, String(end[1]));
+      const earliest = each.earliestEnd ?? deadlineMilliseconds + 1;
+      assert.ok(end[1] >= earliest, String(end[1]));
       assert.ok(end[1] <= latestMilliseconds, String(end[1]));
     }
   });
