Complete a claim of a caller that left only by a complete response

A response without a length that is reset also ends its stream since. The node read such an end as a complete response when the caller of a claimed call had left, and recorded that the call ran with it. It uses `complete` now, as all other readers of a response do. Found by reading in the review; no test of its own. 33 tests of claims, limits and late responses pass.

--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -262,7 +262,8 @@
       }
     };
     if (this.#detachTimer !== undefined) {
-      response.once("end", () => onEnd(true)).once("close", () => onEnd(false));
+      response.once("end", () => onEnd(response.complete))
+        .once("close", () => onEnd(false));
       response.resume();
       return;
     }
