Use the endpoints of the platform at once after their nodes restart

Cause: since a target that is older than its node waits until control has confirmed it, and control instances that restart together confirm nothing for longer than the limit of 3 s. The logs show 24 of 24 nodes at that limit.

Change: the platform's nodes do not wait.

--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -19,7 +19,8 @@
   readonly nodeAddress: string;
   /**
    * Time for which a target that started before this node waits for control,
-   * which may know that it was drained. 3 s by default.
+   * which may know that it was drained. 3 s by default; 0 when targets report
+   * their drains themselves as long as they run.
    */
   readonly confirmationLimitMilliseconds?: number;
   /** Intervals of the session; its defaults when absent. */
@@ -65,15 +66,18 @@
     const { settings } = state;
     const incarnation = Date.now();
     const { target } = node.targetDispatcher;
+    const limitMilliseconds = options.confirmationLimitMilliseconds ??
+      defaultConfirmationLimitMilliseconds;
     this.#confirmation = new TargetConfirmation({
       target,
       log: state.log,
-      limitMilliseconds: options.confirmationLimitMilliseconds ??
-        defaultConfirmationLimitMilliseconds,
+      limitMilliseconds,
       hasDocument: () => state.view !== undefined,
     });
-    // A target that is younger than this process was never drained before it.
-    target.requireConfirmation(node.startMilliseconds);
+    if (limitMilliseconds > 0) {
+      // A target that is younger than this process was never drained before it.
+      target.requireConfirmation(node.startMilliseconds);
+    }
     this.#session = new ControlSession({
       controlAddresses: settings.controlAddresses,
       ...options.sessionTiming,
