Give each test process ranges of ports of its own

Why the node ended was not kept.

Possible cause, not shown for that run: getFreePorts takes a range by the number of the process and closes a port before the caller binds it, so that two of 170 possible processes with the same range get the same ports. Six such processes ran.

Change: a process claims a range by listening on its first port until it ends, and another range when the first one does not suffice. The error of a process that does not run has the last lines of its output, so that the next failure tells its cause.

Evidence: three workers and their parent search at the same time; before, the parent got 150 ports and the others the same ones (150 different of 330), now 330 of 330 differ.

--- a/tests/support/free_ports.ts
+++ b/tests/support/free_ports.ts
@@ -1,4 +1,4 @@
-import { createServer } from "node:net";
+import { createServer, type Server } from "node:net";
 
 /**
  * All ports are below the system's range of ephemeral ports: an outgoing
@@ -8,24 +8,26 @@
 const portsPerRange = 100;
 const portRanges = 170;
 
-let nextOffset = 0;
+/** Ports of the ranges that this process has claimed. */
+const ownPorts: number[] = [];
+let nextIndex = 0;
 
 /**
- * Gets loopback ports that are free. Each test process searches the range that
- * its process id selects, so that parallel tests rarely get the same port.
+ * Gets loopback ports that are free. Each process claims ranges of its own, so
+ * that no other test or soak gets a port that is free but about to be bound.
  * @param count Number of ports.
  * @returns The ports.
+ * @throws If no range is left.
  */
 export async function getFreePorts(count: number): Promise<number[]> {
-  const start = (process.pid % portRanges) * portsPerRange;
-  const rangeSize = Math.max(portsPerRange, 2 * count);
   const ports: number[] = [];
-  for (let attempts = 0; ports.length < count; attempts++) {
-    if (attempts > 2 * rangeSize) {
-      throw new Error(`Found ${ports.length} free ports of ${count}`);
+  let attempts = 0;
+  while (ports.length < count) {
+    if (attempts++ >= ownPorts.length) {
+      ownPorts.push(...await claimRangeOrThrow());
+      attempts = 0;
     }
-    const offset = start + nextOffset++ % rangeSize;
-    const port = lowestPort + offset % (portRanges * portsPerRange);
+    const port = ownPorts[nextIndex++ % ownPorts.length] as number;
     if (!ports.includes(port) && await isFree(port)) {
       ports.push(port);
     }
@@ -33,10 +35,40 @@
   return ports;
 }
 
-function isFree(port: number): Promise<boolean> {
+/**
+ * Claims a range by listening on its first port until the process ends.
+ * @returns The other ports of the range.
+ */
+async function claimRangeOrThrow(): Promise<number[]> {
+  for (let index = 0; index < portRanges; index++) {
+    const range = (process.pid + index) % portRanges;
+    const firstPort = lowestPort + range * portsPerRange;
+    const server = await listen(firstPort);
+    if (server !== undefined) {
+      server.unref();
+      return Array.from(
+        { length: portsPerRange - 1 },
+        (_, offset) => firstPort + 1 + offset,
+      );
+    }
+  }
+  throw new Error(`All ${portRanges} ranges of ports are in use`);
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = await listen(port);
+  if (server === undefined) {
+    return false;
+  }
+  await new Promise((resolve) => server.close(resolve));
+  return true;
+}
+
+/** Listens on a port; `undefined` if it is in use. */
+function listen(port: number): Promise<Server | undefined> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", () => resolve(false));
-    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    server.once("error", () => resolve(undefined));
+    server.listen(port, "127.0.0.1", () => resolve(server));
   });
 }
--- a/tests/support/process_group.ts
+++ b/tests/support/process_group.ts
@@ -20,6 +20,8 @@
 /** Starts processes of this project, and stops just these. */
 export class ProcessGroup {
   readonly #processes = new Map<string, GroupProcess>();
+  /** Output of the last process of each name that has ended. */
+  readonly #lastOutput = new Map<string, readonly string[]>();
   readonly #onExit = (): void => this.killAll();
   readonly #outputFolder: string | undefined;
 
@@ -70,6 +72,7 @@
         if (this.#processes.get(name)?.child === child) {
           this.#processes.delete(name);
         }
+        this.#lastOutput.set(name, outputLines);
         resolve(code ?? -1);
       })
     );
@@ -103,7 +106,8 @@
   getOrThrow(name: string): GroupProcess {
     const found = this.#processes.get(name);
     if (found === undefined) {
-      throw new Error(`No process "${name}" runs`);
+      const output = this.#lastOutput.get(name)?.slice(-5).join("\n") ?? "";
+      throw new Error(`No process "${name}" runs; its last lines:\n${output}`);
     }
     return found;
   }
