--- a/soak/regression_seeds.ts
+++ b/soak/regression_seeds.ts
@@ -27,4 +27,8 @@
     seed: 30,
     finding: "a deadline cut a response that was being read",
   },
+  {
+    seed: 104,
+    finding: "a deadline cut a response that its target had sent",
+  },
 ];
