Set the clock of a test forward only when both nodes wait for the caller

Eight copies of the test at once: 3 of 16 failed.

Change: the test waits until the responses of both nodes take no bytes. Its checks are the same.

--- a/src/node/late_response_test.ts
+++ b/src/node/late_response_test.ts
@@ -86,8 +86,8 @@
   return socket;
 }
 
-/** Gets the response to the next request that a node receives from outside. */
-function watchResponse({ outside }: TestPair): Promise<ServerResponse> {
+/** Gets the response to the next request that a listener receives. */
+function watchResponse(port: number): Promise<ServerResponse> {
   const name = "http.server.request.start";
   return new Promise((resolve) => {
     const onStart = (message: unknown): void => {
@@ -95,7 +95,7 @@
         request: IncomingMessage;
         response: ServerResponse;
       };
-      if (request.socket.localPort === outside) {
+      if (request.socket.localPort === port) {
         unsubscribe(name, onStart);
         resolve(response);
       }
@@ -110,15 +110,20 @@
   nodes: LateNodes,
   requests: string,
 ): Promise<void> {
-  const watched = watchResponse(nodes.front);
+  // The clock must not be set forward while a node still waits for its target.
+  const ports = [nodes.front.outside];
+  if (nodes.last !== nodes.front) {
+    ports.push(nodes.last.node.node.port);
+  }
+  const watched = ports.map((port) => watchResponse(port));
   caller.write(requests);
   await new Promise((resolve) => caller.once("data", resolve));
   caller.pause();
   nodes.skip(deadlineMilliseconds - marginMilliseconds);
-  const response = await watched;
+  const responses = await Promise.all(watched);
   let looks = 0;
   await waitFor(() => {
-    looks = response.writableNeedDrain ? looks + 1 : 0;
+    looks = responses.every((each) => each.writableNeedDrain) ? looks + 1 : 0;
     return looks === blockedLooks;
   });
 }
