--- a/src/node/late_response_test.ts
+++ b/src/node/late_response_test.ts
@@ -27,11 +27,11 @@
 /** Nodes whose clock can be set forward. */
 class LateNodes {
   readonly pairs: TestPair[] = [];
-  #skippedMilliseconds = 0;
+  #advancedMilliseconds = 0;
   readonly #clock: Clock = {
     ...systemClock,
     monotonicMilliseconds: () =>
-      systemClock.monotonicMilliseconds() + this.#skippedMilliseconds,
+      systemClock.monotonicMilliseconds() + this.#advancedMilliseconds,
   };
 
   /** Starts a node whose calls go to its own target, or to that of another. */
@@ -64,8 +64,8 @@
   }
 
   /** Sets the clock forward. */
-  skip(milliseconds: number): void {
-    this.#skippedMilliseconds += milliseconds;
+  advance(milliseconds: number): void {
+    this.#advancedMilliseconds += milliseconds;
     for (const { node } of this.pairs) {
       node.state.timers.add(0, { onDeadline: () => {} });
     }
@@ -119,7 +119,7 @@
   caller.write(requests);
   await new Promise((resolve) => caller.once("data", resolve));
   caller.pause();
-  nodes.skip(deadlineMilliseconds - marginMilliseconds);
+  nodes.advance(deadlineMilliseconds - marginMilliseconds);
   const responses = await Promise.all(watched);
   let looks = 0;
   await waitFor(() => {
@@ -176,7 +176,7 @@
       `${request}X-Filler-Bytes: ${bodyBytes}\r\n\r\n` +
         "GET /views/behind HTTP/1.1\r\nHost: front\r\n\r\n",
     );
-    nodes.skip(pauseMilliseconds);
+    nodes.advance(pauseMilliseconds);
     await sleep(100);
     caller.resume();
     await waitFor(() => end.endsWith('"path":"/views/behind"}'));
@@ -228,7 +228,7 @@
     caller.write(`${request}\r\n`);
     await new Promise((resolve) => caller.once("data", resolve));
     caller.resume();
-    nodes.skip(deadlineMilliseconds - (performance.now() - start));
+    nodes.advance(deadlineMilliseconds - (performance.now() - start));
     await waitFor(() => caller.destroyed);
     await waitFor(() => nodes.callCount === 0);
     assert.ok(
@@ -259,7 +259,7 @@
     nodes,
     `${request}X-Filler-Bytes: ${bodyBytes}\r\n\r\n`,
   );
-  nodes.skip(pauseMilliseconds);
+  nodes.advance(pauseMilliseconds);
   await sleep(100);
   assert.equal(nodes.front.node.callCount, 1);
   return { nodes, caller };
@@ -267,7 +267,7 @@
 
 test("a caller that stops reading does not hold a response for ever", async (context) => {
   const { nodes } = await startUnreadResponse(context);
-  nodes.skip(10_000);
+  nodes.advance(10_000);
   await waitFor(() => nodes.callCount === 0);
   assert.ok(
     hasLine(
