Share the announcement of a server as the target of a test

Five test files started a server and announced it in the same lines. The comment on the number of headers says that there is no limit.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -117,7 +117,7 @@
       headers: outgoing.headers as never,
       maxHeaderSize: options.headerBytes,
     });
-    // Their size is limited. Node.js omits those beyond this number.
+    // No limit: Node.js omits headers beyond it, and their size is limited.
     this.#request.maxHeadersCount = 0;
     this.#request.on("information", this.#onInterimResponse);
     this.#request.on("response", this.#onResponse);
--- a/src/node/failures_test.ts
+++ b/src/node/failures_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, connect, createServer, type Server } from "node:net";
+import { connect, createServer, type Server } from "node:net";
 import { test, type TestContext } from "node:test";
+import { announceServer } from "../../tests/support/announce_server.ts";
 import { sendCall, waitFor } from "../../tests/support/http_call.ts";
 import {
   connectPairs,
@@ -45,21 +46,6 @@
   return server;
 }
 
-/** Starts a server and announces it as the target. */
-async function announceServer(
-  context: TestContext,
-  pair: TestPair,
-  server: Server,
-): Promise<void> {
-  await new Promise<void>((resolve) => server.listen(0, resolve));
-  context.after(() => server.close());
-  const { port } = server.address() as AddressInfo;
-  pair.node.targetDispatcher.target.announce({
-    endpoint: { host: "127.0.0.1", port },
-    incarnation: Date.now() + 1000,
-  }, { hasLease: false });
-}
-
 const invalidResponses = [
   {
     name: "ends before its length",
--- a/src/node/header_count_test.ts
+++ b/src/node/header_count_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, connect, createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { test } from "node:test";
+import { announceServer } from "../../tests/support/announce_server.ts";
 import { connectPairs, startPair } from "../../tests/support/test_pair.ts";
 
 /** More headers than Node.js passes on by default, below the limit of 16 KiB. */
@@ -41,18 +42,7 @@
           }
         });
       });
-      await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", resolve)
-      );
-      context.after(() => server.close());
-      const last = nodeCount === 1 ? front : back;
-      last.node.targetDispatcher.target.announce({
-        endpoint: {
-          host: "127.0.0.1",
-          port: (server.address() as AddressInfo).port,
-        },
-        incarnation: Date.now() + 1000,
-      }, { hasLease: false });
+      await announceServer(context, nodeCount === 1 ? front : back, server);
       const socket = connect(front.outside, "127.0.0.1");
       context.after(() => socket.destroy());
       const host = nodeCount === 1 ? "front" : "back";
--- a/src/node/header_size_test.ts
+++ b/src/node/header_size_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer } from "node:net";
+import { createServer } from "node:net";
 import { test } from "node:test";
+import { announceServer } from "../../tests/support/announce_server.ts";
 import { sendCall } from "../../tests/support/http_call.ts";
 import { connectPairs, startPair } from "../../tests/support/test_pair.ts";
 
@@ -36,16 +37,7 @@
           }
         });
       });
-      await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", resolve)
-      );
-      context.after(() => server.close());
-      const { port } = server.address() as AddressInfo;
-      const last = nodeCount === 1 ? front : back;
-      last.node.targetDispatcher.target.announce({
-        endpoint: { host: "127.0.0.1", port },
-        incarnation: Date.now() + 1000,
-      }, { hasLease: false });
+      await announceServer(context, nodeCount === 1 ? front : back, server);
       const response = await sendCall({
         port: front.outside,
         path: "/views/1",
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -104,7 +104,7 @@
     }, (request, response) => {
       this.#acceptRequest(request, response);
     });
-    // Their size is limited. Node.js omits those beyond this number.
+    // No limit: Node.js omits headers beyond it, and their size is limited.
     this.#server.maxHeadersCount = 0;
     this.#server.on("connection", (socket) => {
       this.#acceptedConnections++;
--- a/src/node/late_response_test.ts
+++ b/src/node/late_response_test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { announceServer } from "../../tests/support/announce_server.ts";
 import { waitFor } from "../../tests/support/http_call.ts";
 import {
   connectPairs,
@@ -138,13 +139,7 @@
     socket.on("error", () => {});
     socket.once("data", () => answer(socket));
   });
-  await new Promise<void>((resolve) => server.listen(0, resolve));
-  context.after(() => server.close());
-  const { port } = server.address() as AddressInfo;
-  pair.node.targetDispatcher.target.announce({
-    endpoint: { host: "127.0.0.1", port },
-    incarnation: Date.now() + 1000,
-  }, { hasLease: false });
+  await announceServer(context, pair, server);
 }
 
 function hasLine(pair: TestPair, ...patterns: RegExp[]): boolean {
--- a/src/node/verify_connection_end_test.ts
+++ b/src/node/verify_connection_end_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { announceServer } from "../../tests/support/announce_server.ts";
 import { sendCall, waitFor } from "../../tests/support/http_call.ts";
 import {
   connectPairs,
@@ -38,15 +39,7 @@
     socket.once("data", () => handler(socket));
     socket.on("end", () => socket.end());
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  context.after(() => server.close());
-  last.node.targetDispatcher.target.announce({
-    endpoint: {
-      host: "127.0.0.1",
-      port: (server.address() as AddressInfo).port,
-    },
-    incarnation: Date.now() + 1000,
-  }, { hasLease: false });
+  await announceServer(context, last, server);
   const Host = nodeCount === 2 ? "back" : "front";
   const call = { port: origin.outside, path: "/views/1", headers: { Host } };
   return { origin, last, call };
