Refuse keyed calls with 503 while a node buffers too many bodies

What targets saw: 400 for a renewal of their lease, and then no calls until the next one.

The announcements of a target shared the budget with the bodies of calls.

Ruled out: streaming these bodies, since a keyed call needs the fingerprint of its whole body before it may run.

Change: the collector says why it stops, and the reason body-memory ends the call with not-run and 503, at the node of the caller and at that of the target; from another node it counts as a refusal for lack of capacity and is tried again after a delay. Announcements have a budget of their own.

--- a/src/node/attempt.ts
+++ b/src/node/attempt.ts
@@ -75,6 +75,7 @@
   "caller-share",
   "deadline-too-short",
   "target-shed",
+  "body-memory",
   "suspect",
 ]);
 
--- a/src/node/body_collector.ts
+++ b/src/node/body_collector.ts
@@ -4,6 +4,9 @@
   maximumBufferedBodyBytes,
 } from "./body_memory_budget.ts";
 
+/** Why a body is not buffered: its own size, or that of all buffered bodies. */
+export type OverflowCause = "body-size" | "memory-budget";
+
 /** Receives a collected body. */
 export interface BodyCollectorEvents {
   /** The body is complete. The receiver releases its reserved bytes. */
@@ -12,7 +15,7 @@
    * The body is too large or the memory budget is used up. Its reserved bytes
    * were released. The message is paused after the last of the chunks.
    */
-  onOverflow(chunks: readonly Buffer[]): void;
+  onOverflow(chunks: readonly Buffer[], cause: OverflowCause): void;
   /** The message was aborted before its end. */
   onAborted(message: string): void;
 }
@@ -58,14 +61,12 @@
 
   readonly #onData = (chunk: Buffer): void => {
     const size = this.#size + chunk.length;
-    if (
-      size > maximumBufferedBodyBytes || !this.#memory.reserve(chunk.length)
-    ) {
-      this.#finish();
-      this.#memory.release(this.#size);
-      this.#message.pause();
-      const chunks = this.#firstChunk === undefined ? [] : [this.#firstChunk];
-      this.#events.onOverflow([...chunks, ...(this.#laterChunks ?? []), chunk]);
+    if (size > maximumBufferedBodyBytes) {
+      this.#overflow(chunk, "body-size");
+      return;
+    }
+    if (!this.#memory.reserve(chunk.length)) {
+      this.#overflow(chunk, "memory-budget");
       return;
     }
     this.#size = size;
@@ -102,6 +103,17 @@
     }
   };
 
+  #overflow(lastChunk: Buffer, cause: OverflowCause): void {
+    this.#finish();
+    this.#memory.release(this.#size);
+    this.#message.pause();
+    const chunks = this.#firstChunk === undefined ? [] : [this.#firstChunk];
+    this.#events.onOverflow(
+      [...chunks, ...(this.#laterChunks ?? []), lastChunk],
+      cause,
+    );
+  }
+
   #finish(): void {
     this.#isDone = true;
     this.#message.off("data", this.#onData);
--- a/src/node/handle_announcement.ts
+++ b/src/node/handle_announcement.ts
@@ -5,13 +5,12 @@
   TargetAnnouncement,
 } from "./announced_target.ts";
 import { BodyCollector } from "./body_collector.ts";
-import type { BodyMemoryBudget } from "./body_memory_budget.ts";
+import { BodyMemoryBudget } from "./body_memory_budget.ts";
 import { writeFailure, writeJson } from "./caller_response.ts";
 
 /** Settings of {@link handleAnnouncement}. */
 export interface AnnouncementOptions {
   readonly target: AnnouncedTarget;
-  readonly memory: BodyMemoryBudget;
   readonly leaseMilliseconds: number;
 }
 
@@ -37,9 +36,10 @@
   ) {
     return false;
   }
-  new BodyCollector(request, options.memory, {
+  // Separate from the bodies of calls: under load, the target keeps its lease.
+  const memory = new BodyMemoryBudget();
+  new BodyCollector(request, memory, {
     onBody: (body) => {
-      options.memory.release(body.length);
       if (action === "announce") {
         announce(body, response, options);
         return;
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -99,6 +99,7 @@
       events: {
         onBody: (body) => this.#onBody(body),
         onTooLarge: (message) => this.#refuse("not-run", "too-large", message),
+        onMemoryExhausted: () => this.#refuse("not-run", "body-memory"),
         onAborted: (message) =>
           this.#refuse("not-run", "malformed-request", message),
       },
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -378,7 +378,6 @@
     }
     const isAnnouncement = handleAnnouncement(request, response, {
       target: this.targetDispatcher.target,
-      memory: this.state.bodyMemory,
       leaseMilliseconds: this.state.settings.targetLeaseMilliseconds,
     });
     if (!isAnnouncement) {
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -159,6 +159,7 @@
       events: {
         onBody: (body) => this.#onBody(body),
         onTooLarge: (message) => this.#refuse("too-large", message),
+        onMemoryExhausted: () => this.#refuse("body-memory"),
         onAborted: (message) => this.#refuse("malformed-request", message),
       },
     });
--- a/src/node/refusal_messages.ts
+++ b/src/node/refusal_messages.ts
@@ -8,6 +8,7 @@
   "unknown-route": "No route matches the service, method and path",
   "malformed-request": "The request is malformed",
   "too-large": "The request is too large",
+  "body-memory": "The node buffers too many request bodies",
   "deadline-exceeded": "The deadline passed",
   "deadline-too-short": "The time left is shorter than the expected time",
   "queue-full": "The queue of the target is full",
--- a/src/node/request_body.ts
+++ b/src/node/request_body.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import { BodyCollector } from "./body_collector.ts";
+import { BodyCollector, type OverflowCause } from "./body_collector.ts";
 import {
   type BodyMemoryBudget,
   maximumBufferedBodyBytes,
@@ -12,8 +12,10 @@
 export interface RequestBodyEvents {
   /** The receiver releases the reserved bytes of a buffered body. */
   onBody(body: CallBody): void;
-  /** The body exceeds the limit, or must be buffered but cannot be. */
+  /** The body exceeds the limit. */
   onTooLarge(message: string): void;
+  /** The body must be buffered, and the node buffers too many bodies. */
+  onMemoryExhausted(): void;
   onAborted(message: string): void;
 }
 
@@ -49,19 +51,20 @@
     return undefined;
   }
   const streamedLength = framing.isChunked ? -1 : framing.contentLength;
-  const overflow = (chunks: readonly Buffer[]): void => {
-    if (mustBuffer) {
+  const overflow = (chunks: readonly Buffer[], cause: OverflowCause): void => {
+    if (!mustBuffer) {
+      const source = { message, chunks };
+      events.onBody({ body: undefined, source, streamedLength });
+    } else if (cause === "memory-budget") {
+      events.onMemoryExhausted();
+    } else {
       events.onTooLarge(
-        `the body of a call with a key exceeds ${maximumBufferedBodyBytes} bytes, ` +
-          "or the node buffers too many bodies",
+        `the body of a call with a key exceeds ${maximumBufferedBodyBytes} bytes`,
       );
-      return;
     }
-    const source = { message, chunks };
-    events.onBody({ body: undefined, source, streamedLength });
   };
   if (framing.contentLength > maximumBufferedBodyBytes) {
-    overflow([]);
+    overflow([], "body-size");
     return undefined;
   }
   return new BodyCollector(message, options.memory, {
--- a/src/request/error_body.ts
+++ b/src/request/error_body.ts
@@ -27,6 +27,7 @@
   "unknown-route": 404,
   "malformed-request": 400,
   "too-large": 413,
+  "body-memory": 503,
   "deadline-exceeded": 504,
   "deadline-too-short": 503,
   "queue-full": 503,
--- a/src/request/refusal_reason.ts
+++ b/src/request/refusal_reason.ts
@@ -3,6 +3,7 @@
   "unknown-route",
   "malformed-request",
   "too-large",
+  "body-memory",
   "deadline-exceeded",
   "deadline-too-short",
   "queue-full",
--- a/src/retries/decide_retry.ts
+++ b/src/retries/decide_retry.ts
@@ -82,6 +82,7 @@
   "deadline-too-short",
   "queue-full",
   "evicted",
+  "body-memory",
   "target-shed",
   "target-reset",
   "target-timeout",
