Accept request identities of any length and character

What callers saw: 400 malformed-request for a request whose identity has more than 128 characters, a semicolon, a space or a character beyond ASCII.

Class of fault: a limit of the format between two nodes is a limit for callers.

Change: the context carries an identity with other characters than visible ASCII in base64url behind a percent sign, and the limit is that of the headers. The usual identities are sent as before, so that nodes of both versions understand each other. The headers between nodes may have 256 KiB, the most that one of 64 KiB can become.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -16,9 +16,10 @@
 
 /**
  * Maximum size of the headers of a message between nodes. It leaves room for
- * what a node adds to headers of the size that it accepts from others.
+ * what a node adds to headers of the size that it accepts from others, mainly
+ * the request identity, which takes 8/3 of its length when it is encoded.
  */
-export const maximumPeerHeaderBytes = 32 * 1024;
+export const maximumPeerHeaderBytes = 256 * 1024;
 
 /** Maximum number of interim responses (status 1xx) before the final one. */
 const maximumInterimResponses = 16;
--- a/src/request/answer_codec.ts
+++ b/src/request/answer_codec.ts
@@ -65,8 +65,8 @@
  * @returns The answer, or what is wrong with the header.
  */
 export function decodeAnswer(text: string): Result<Answer, string> {
-  if (text.length > fieldLimits.headerLength) {
-    return failed(`longer than ${fieldLimits.headerLength} characters`);
+  if (text.length > fieldLimits.answerLength) {
+    return failed(`longer than ${fieldLimits.answerLength} characters`);
   }
   const fields = text.split(";");
   if (fields[0] !== formatVersion) {
--- a/src/request/context_codec.ts
+++ b/src/request/context_codec.ts
@@ -7,8 +7,11 @@
 
 const formatVersion = "1";
 const fieldCount = 10;
-/** Visible ASCII characters except the separator `;`. */
-const requestIdPattern = /^[!-:<-~]+$/;
+/** Prefix of a request identity that is encoded. */
+const encodedPrefix = "%";
+/** Visible ASCII characters except the separator `;`, without the prefix. */
+const plainRequestIdPattern = /^[!-$&-:<-~][!-:<-~]*$/;
+const encodedRequestIdPattern = /^%[\w-]+$/;
 /** encodeURIComponent throws on unpaired surrogates. */
 const loneSurrogates = /[\ud800-\udfff]/gu;
 const servicePattern = /^[!-:<-~]+$/;
@@ -20,7 +23,7 @@
  * @returns The value of the header.
  */
 export function encodeContext(context: RequestContext): string {
-  return `${formatVersion};${context.requestId};${
+  return `${formatVersion};${encodeRequestId(context.requestId)};${
     encodeCaller(context.caller)
   };${context.classIndex};${
     Math.max(0, Math.ceil(context.remainingMilliseconds))
@@ -44,8 +47,8 @@
  * @returns The context, or what is wrong with the header.
  */
 export function decodeContext(text: string): Result<RequestContext, string> {
-  if (text.length > fieldLimits.headerLength) {
-    return failed(`longer than ${fieldLimits.headerLength} characters`);
+  if (text.length > fieldLimits.contextLength) {
+    return failed(`longer than ${fieldLimits.contextLength} characters`);
   }
   const fields = text.split(";");
   if (fields[0] !== formatVersion) {
@@ -54,11 +57,8 @@
   if (fields.length !== fieldCount) {
     return failed(`expected ${fieldCount} fields`);
   }
-  const requestId = fields[1] as string;
-  if (
-    requestId.length > fieldLimits.requestIdLength ||
-    !requestIdPattern.test(requestId)
-  ) {
+  const requestId = decodeRequestId(fields[1] as string);
+  if (requestId === undefined) {
     return failed("request identity is malformed");
   }
   const caller = decodeCaller(fields[2] as string);
@@ -111,6 +111,25 @@
   });
 }
 
+function encodeRequestId(requestId: string): string {
+  return plainRequestIdPattern.test(requestId)
+    ? requestId
+    : encodedPrefix + Buffer.from(requestId).toString("base64url");
+}
+
+function decodeRequestId(text: string): string | undefined {
+  let requestId: string | undefined;
+  if (plainRequestIdPattern.test(text)) {
+    requestId = text;
+  } else if (encodedRequestIdPattern.test(text)) {
+    requestId = Buffer.from(text.slice(encodedPrefix.length), "base64url")
+      .toString();
+  }
+  return (requestId?.length ?? 0) > fieldLimits.requestIdLength
+    ? undefined
+    : requestId;
+}
+
 function encodeCaller(caller: string): string {
   return callerPattern.test(caller) && !caller.includes("%")
     ? caller
--- a/src/request/field_limits.ts
+++ b/src/request/field_limits.ts
@@ -1,6 +1,7 @@
 /** Largest values that a decoded header may carry. */
 export const fieldLimits = {
-  requestIdLength: 128,
+  /** Equals the size of the largest headers that a node accepts. */
+  requestIdLength: 64 * 1024,
   callerLength: 128,
   classIndex: 15,
   /** Equals the largest deadline that the document allows. */
@@ -16,7 +17,9 @@
   load: 1_000_000,
   serviceLength: 64,
   keyLength: 256,
-  headerLength: 4096,
+  answerLength: 4096,
+  /** The longest encoded request identity, and the other fields. */
+  contextLength: 180 * 1024,
 } as const;
 
 /**
