--- a/src/node/call_protocol.ts
+++ b/src/node/call_protocol.ts
@@ -73,6 +73,8 @@
    * so that the caller gets a failure with a reason for an aborted one.
    */
   readonly buffersResponses: boolean;
+  /** Maximum size of the headers of a request, in bytes; at most 64 KiB. */
+  readonly headerBytes: number;
   /** Gets the idempotency key of a request. Absent without keys. */
   getKey?(request: IncomingMessage): string | undefined;
   /** Gets the class of the outgoing calls that a target makes for a call. */
--- a/src/node/default_protocol.ts
+++ b/src/node/default_protocol.ts
@@ -8,6 +8,7 @@
 } from "./call_protocol.ts";
 import { writeFailure } from "./caller_response.ts";
 import type { RoutePlan } from "./document_view.ts";
+import { defaultHeaderBytes } from "./http_listener.ts";
 import { isShedSignal } from "./shed_signal.ts";
 
 /** Header with the token of a call, which a target copies to its own calls. */
@@ -16,6 +17,7 @@
 /** The protocol of dogwoodwalk itself. */
 export const defaultProtocol: CallProtocol = {
   buffersResponses: false,
+  headerBytes: defaultHeaderBytes,
   getKey,
   getNestedClassIndex: (classIndex) => classIndex,
   parseRequest,
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -16,8 +16,10 @@
   OpenConnection,
   type UnansweredConnection,
 } from "./open_connection.ts";
-import { maximumHeaderBytes, sendClientError } from "./send_client_error.ts";
+import { sendClientError } from "./send_client_error.ts";
 
+/** Maximum size of the request line and headers together. */
+export const defaultHeaderBytes = 16 * 1024;
 /** Time limit for receiving the headers of a request. */
 const defaultHeadersTimeoutMilliseconds = 10_000;
 /**
@@ -70,6 +72,7 @@
   readonly #handle: HttpListenerOptions["handle"];
   readonly #onUnanswered: (unanswered: UnansweredConnection) => void;
   readonly #getDisposition: (request?: IncomingMessage) => Disposition;
+  readonly #headerBytes: number;
   readonly #connections = new WeakMap<object, OpenConnection>();
   readonly #busyConnections = new BusyConnections();
   readonly #refusedTunnels = new Set<Duplex>();
@@ -87,12 +90,13 @@
     this.#handle = options.handle;
     this.#onUnanswered = options.onUnanswered ?? (() => {});
     this.#getDisposition = options.getDisposition ?? (() => "not-run");
+    this.#headerBytes = options.headerBytes ?? defaultHeaderBytes;
     this.#server = createServer<
       typeof IncomingMessage,
       typeof ListenerResponse
     >({
       ServerResponse: ListenerResponse,
-      maxHeaderSize: options.headerBytes ?? maximumHeaderBytes,
+      maxHeaderSize: this.#headerBytes,
       // Node.js would close the connection behind its own refusal.
       requireHostHeader: false,
       headersTimeout: options.headersMilliseconds ??
@@ -239,7 +243,10 @@
       connection.endByError(error);
     } else {
       connection?.setEndByError(error);
-      sendClientError(error, socket, this.#getDisposition());
+      sendClientError(error, socket, {
+        disposition: this.#getDisposition(),
+        headerBytes: this.#headerBytes,
+      });
     }
   }
 
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -135,6 +135,7 @@
       this.targetDispatcher,
     );
     const { headersMilliseconds } = options;
+    const { headerBytes } = this.state.protocol;
     const getDisposition: HttpListenerOptions["getDisposition"] = (request) =>
       getEarlyDisposition(this.state.protocol, request);
     this.outside = new HttpListener({
@@ -142,6 +143,7 @@
       handle: (request, response) => this.#onOutside(request, response),
       onUnanswered: (each) => this.#onUnanswered("outside", each),
       headersMilliseconds,
+      headerBytes,
       getDisposition,
     });
     this.node = new HttpListener({
@@ -157,6 +159,7 @@
       handle: (request, response) => this.#onLoopback(request, response),
       onUnanswered: (each) => this.#onUnanswered("loopback", each),
       headersMilliseconds,
+      headerBytes,
       getDisposition,
     });
   }
--- a/src/node/send_client_error.ts
+++ b/src/node/send_client_error.ts
@@ -6,20 +6,25 @@
   encodeErrorBody,
 } from "../request/mod.ts";
 
-/** Maximum size of the request line and headers together. */
-export const maximumHeaderBytes = 16 * 1024;
+/** Settings of {@link sendClientError}. */
+export interface ClientErrorOptions {
+  /** Disposition of the request. */
+  readonly disposition: Disposition;
+  /** Maximum size of the headers of a request. */
+  readonly headerBytes: number;
+}
 
 /**
  * Responds to a malformed or incomplete request with an error, and closes its
  * connection.
  * @param error Error of the HTTP parser.
  * @param socket Connection of the request, a socket of a listener.
- * @param disposition Disposition of the request.
+ * @param options What is known about the request.
  */
 export function sendClientError(
   error: Error & { code?: string },
   socket: Duplex,
-  disposition: Disposition,
+  { disposition, headerBytes }: ClientErrorOptions,
 ): void {
   if (socket.writableEnded) {
     // What the caller sends behind the error response is discarded.
@@ -29,7 +34,7 @@
     socket.destroy();
     return;
   }
-  const { status, ...description } = describeClientError(error.code);
+  const { status, ...description } = describeClientError(error, headerBytes);
   const failure: CallFailure = { disposition, ...description };
   const body = encodeErrorBody(failure, "");
   socket.end(
@@ -43,10 +48,11 @@
 }
 
 function describeClientError(
-  code: string | undefined,
+  { code }: { code?: string },
+  headerBytes: number,
 ): { status: string } & Pick<CallFailure, "reason" | "message"> {
   if (code === "HPE_HEADER_OVERFLOW") {
-    const message = `The headers exceed ${maximumHeaderBytes} bytes`;
+    const message = `The headers exceed ${headerBytes} bytes`;
     return {
       status: "431 Request Header Fields Too Large",
       reason: "too-large",
