Send no call whose deadline has passed

What callers saw: 504 for a request that arrived with a deadline of 0 ms, in one of three plays of its new test; 503 in the others. 504 does not say that the request has not run.

Cause: an attempt was started in the same turn of the event loop in which the deadline passed, and cancelling it left it open whether it ran.

Change: a call without time left is refused as deadline-exceeded before an attempt, with not-run.

--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -382,6 +382,10 @@
       this.#refuse("stopping");
       return;
     }
+    if (this.#getRemainingMilliseconds() <= 0) {
+      this.#refuse("deadline-exceeded");
+      return;
+    }
     if (this.#account.remaining < 1) {
       this.#refuse("allowance-spent");
       return;
