Name the request in the refusal of one that is not accepted

What operators saw: `call not accepted`, the line of each 400, 404 and 413 that a node gives before it knows the call, has an empty identity, and so does the response. A denied request could not be followed from its identity to a node.

Cause: the identity was known only after the protocol had accepted the request.

The response names it too. Identities may have 64 KiB since they may be of any length, so lines contain at most 256 characters of an identity, host or path, also the up to 8 identities of `connection ended without a response`.

--- a/src/node/call_protocol.ts
+++ b/src/node/call_protocol.ts
@@ -41,6 +41,12 @@
   readonly classIndex?: number;
 }
 
+/** What is known about a request before it is accepted. */
+export type UnacceptedRequest = Pick<
+  ReceivedRequest,
+  "request" | "isOutside" | "getCall"
+>;
+
 /** A request that a protocol refused. */
 export interface RefusedCall {
   readonly kind: "refused";
@@ -79,6 +85,8 @@
   getKey?(request: IncomingMessage): string | undefined;
   /** Gets the class of the outgoing calls that a target makes for a call. */
   getNestedClassIndex(classIndex: number): number;
+  /** Gets the ID of a request that is not accepted; empty when it has none. */
+  getRequestId(received: UnacceptedRequest): string;
   /** Parses a request of a caller or of the local target. */
   parseRequest(received: ReceivedRequest): AcceptedCall | RefusedCall;
   /**
--- a/src/node/decision_log.ts
+++ b/src/node/decision_log.ts
@@ -12,6 +12,9 @@
 /** Minimum interval between reports of the number of dropped lines. */
 const dropReportIntervalMilliseconds = 10_000;
 
+/** Maximum length of an ID or other text of a caller in a line. */
+const maximumTextLength = 256;
+
 /** Priority with which a decision is logged. */
 export type DecisionPriority =
   /** Logged for all requests, within the limit of the rate. */
@@ -66,7 +69,7 @@
       return;
     }
     this.#availableLines--;
-    const line = { request: requestId, ...fields };
+    const line = { request: shortenText(requestId), ...fields };
     if (isFailure) {
       this.#log.warn(event, line);
     } else {
@@ -93,6 +96,16 @@
   }
 }
 
+/**
+ * Shortens text that a caller chose, such as the ID of a request, so that lines
+ * stay short.
+ * @param text The text.
+ * @returns Its first 256 characters.
+ */
+export function shortenText(text: string): string {
+  return text.slice(0, maximumTextLength);
+}
+
 /** Formats the load of a target as `running+queued/limit`. */
 export function formatLoad(load: LoadHint | undefined): string | undefined {
   return load && `${load.running}+${load.queued}/${load.limit}`;
--- a/src/node/decision_log_test.ts
+++ b/src/node/decision_log_test.ts
@@ -2,6 +2,8 @@
 import { test } from "node:test";
 import { createLog, ManualClock } from "../common/mod.ts";
 import { DecisionLog, type DecisionPriority } from "./decision_log.ts";
+import type { ListenerResponse } from "./listener_response.ts";
+import { describeUnanswered } from "./report_unanswered.ts";
 
 function createDecisions() {
   const clock = new ManualClock();
@@ -61,3 +63,26 @@
   record("failure", 1);
   assert.equal(lines.length, routine + 1);
 });
+
+// Guards against lines of megabytes for calls whose callers chose long IDs.
+test("lines about calls with IDs of 64 KiB stay short", () => {
+  const lines: string[] = [];
+  const log = createLog({ write: (line) => lines.push(line) });
+  const requestId = "a".repeat(64 * 1024);
+  const response = { call: { requestId }, phase: "waiting" };
+  const responses = Array(8).fill(response) as ListenerResponse[];
+  new DecisionLog(log, new ManualClock()).record({
+    requestId,
+    hash: 0,
+    priority: "failure",
+    event: "decided",
+    fields: describeUnanswered("outside", {
+      end: { closedBy: "caller", reason: "closed" },
+      responses,
+      unread: 0,
+    }),
+  });
+  const [line = ""] = lines;
+  assert.match(line, / request=a{256} .* requests=(a{256}:waiting,?){8} /);
+  assert.ok(line.length < 4096, `${line.length} characters`);
+});
--- a/src/node/default_protocol.ts
+++ b/src/node/default_protocol.ts
@@ -5,11 +5,13 @@
   CallProtocol,
   ReceivedRequest,
   RefusedCall,
+  UnacceptedRequest,
 } from "./call_protocol.ts";
 import { writeFailure } from "./caller_response.ts";
 import type { RoutePlan } from "./document_view.ts";
 import { defaultHeaderBytes } from "./http_listener.ts";
 import { isShedSignal } from "./shed_signal.ts";
+import type { TargetCall } from "./target_call.ts";
 
 /** Header with the token of a call, which a target copies to its own calls. */
 const tokenHeader = "dogwoodwalk-request";
@@ -20,6 +22,7 @@
   headerBytes: defaultHeaderBytes,
   getKey,
   getNestedClassIndex: (classIndex) => classIndex,
+  getRequestId: (received) => getParent(received)?.details.requestId ?? "",
   parseRequest,
   addTargetHeaders: (headers, { token }) => headers.push(tokenHeader, token),
   classifyResponse: (head, { plan }) =>
@@ -40,17 +43,22 @@
       `The key is longer than ${fieldLimits.keyLength} characters`;
     return { kind: "refused", reason: "malformed-request", message };
   }
-  const token = isOutside ? undefined : request.headers[tokenHeader];
-  const parent = token === undefined
-    ? undefined
-    : received.getCall(String(token));
-  if (token !== undefined && parent === undefined) {
+  const parent = getParent(received);
+  const hasToken = !isOutside && request.headers[tokenHeader] !== undefined;
+  if (hasToken && parent === undefined) {
     const message = "The request that made this call ended";
     return { kind: "refused", reason: "cancelled", message };
   }
   return { kind: "accepted", plan, parent, key };
 }
 
+/** Gets the call during which the local target made a request. */
+function getParent(received: UnacceptedRequest): TargetCall | undefined {
+  const { request, isOutside, getCall } = received;
+  const token = isOutside ? undefined : request.headers[tokenHeader];
+  return token === undefined ? undefined : getCall(String(token));
+}
+
 function getKey({ headers }: IncomingMessage): string | undefined {
   return headers["idempotency-key"] as string | undefined;
 }
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -23,6 +23,7 @@
   ReceivedRequest,
   RefusedCall,
   ResponseClassification,
+  UnacceptedRequest,
 } from "./call_protocol.ts";
 export type { CallDetails } from "./call_details.ts";
 export type { ResponseHead } from "./exchange.ts";
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { getPriority } from "../admission/mod.ts";
+import { getStableHash } from "../common/mod.ts";
 import type { CallFailure, RefusalReason } from "../request/mod.ts";
 import { AllowanceAccount } from "../retries/mod.ts";
 import type { RouteChoice } from "../routing/mod.ts";
@@ -8,6 +9,8 @@
 import { createCallDetails } from "./call_entry.ts";
 import { getEarlyDisposition } from "./early_refusal.ts";
 import { addDiscoveredServices } from "./reported_levels.ts";
+import type { UnacceptedRequest } from "./call_protocol.ts";
+import { shortenText } from "./decision_log.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
 import { copyHeaders } from "./forwarded_headers.ts";
 import { KeyedCalls } from "./keyed_calls.ts";
@@ -66,20 +69,25 @@
     const { isOutside } = options;
     const { view } = this.state;
     const target = readRequestTarget(request);
+    const getCall: UnacceptedRequest["getCall"] = (token) =>
+      this.#targetDispatcher.getCall(token);
+    const refuse = (reason: RefusalReason, message?: string) =>
+      this.#refuseRequest({ request, isOutside, getCall }, response, {
+        reason,
+        target,
+        ...(message === undefined ? {} : { message }),
+      });
     if (target === undefined) {
-      const message = "The request target is malformed";
-      this.#refuseRequest(response, "malformed-request", { message });
+      refuse("malformed-request", "The request target is malformed");
       return;
     }
     if (view === undefined) {
-      const message = "This node has no document yet";
-      this.#refuseRequest(response, "no-target", { target, message });
+      refuse("no-target", "This node has no document yet");
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
     if (framing.hasInvalidName) {
-      const message = "The name of a header contains a space";
-      this.#refuseRequest(response, "malformed-request", { target, message });
+      refuse("malformed-request", "The name of a header contains a space");
       return;
     }
     const accepted = this.state.protocol.parseRequest({
@@ -89,21 +97,16 @@
       target,
       headers: framing.headers,
       isOutside,
-      getCall: (token) => this.#targetDispatcher.getCall(token),
+      getCall,
       getCallOfRequest: (id) => this.#targetDispatcher.getCallOfRequest(id),
     });
     if (accepted.kind === "refused") {
-      const { reason, message } = accepted;
-      this.#refuseRequest(response, reason, {
-        target,
-        ...(message === undefined ? {} : { message }),
-      });
+      refuse(accepted.reason, accepted.message);
       return;
     }
     const bodyBytes = view.document.callerLimits?.bodyBytes ?? Infinity;
     if (framing.contentLength > bodyBytes) {
-      const message = `The body is larger than ${bodyBytes} bytes`;
-      this.#refuseRequest(response, "too-large", { target, message });
+      refuse("too-large", `The body is larger than ${bodyBytes} bytes`);
       return;
     }
     const { plan, parent } = accepted;
@@ -275,31 +278,37 @@
   }
 
   #refuseRequest(
+    received: UnacceptedRequest,
     response: ServerResponse,
-    reason: RefusalReason,
-    options: { target?: RequestTarget; message?: string },
+    options: {
+      reason: RefusalReason;
+      target: RequestTarget | undefined;
+      message?: string;
+    },
   ): void {
+    const { reason, target } = options;
     const message = options.message ?? getRefusalMessage(reason);
     const { protocol } = this.state;
-    const disposition = getEarlyDisposition(protocol, response.req);
+    const requestId = protocol.getRequestId(received);
+    const disposition = getEarlyDisposition(protocol, received.request);
     const failure: CallFailure = { disposition, reason, message };
     const { service } = this.state.settings;
     const counters = this.state.counters.get(service, "none");
     counters.refused.set(reason, (counters.refused.get(reason) ?? 0) + 1);
     this.state.decisions.record({
-      requestId: "",
-      hash: 0,
+      requestId,
+      hash: getStableHash(requestId),
       priority: "failure",
       event: "call not accepted",
       fields: {
         disposition,
         reason,
         message,
-        host: options.target?.host,
-        path: options.target?.routePath,
+        host: target && shortenText(target.host),
+        path: target && shortenText(target.routePath),
         revision: this.state.view?.revision,
       },
     });
-    protocol.writeFailure(response, failure, "");
+    protocol.writeFailure(response, failure, requestId);
   }
 }
--- a/src/node/report_unanswered.ts
+++ b/src/node/report_unanswered.ts
@@ -1,4 +1,5 @@
 import type { Log, LogFields, Metrics } from "../common/mod.ts";
+import { shortenText } from "./decision_log.ts";
 import type { ListenerResponse } from "./listener_response.ts";
 import type { UnansweredConnection } from "./open_connection.ts";
 
@@ -74,5 +75,5 @@
 
 /** Formats a request as `id:phase`; only its phase if it is not a call. */
 function describeResponse({ call, phase }: ListenerResponse): string {
-  return call === undefined ? phase : `${call.requestId}:${phase}`;
+  return call === undefined ? phase : `${shortenText(call.requestId)}:${phase}`;
 }
