Log the calls of other nodes that a node refuses

What operators saw: a request that the node of a target refused, for instance because its document lacks the route, has a line at the node of the caller only. Whether the other node refused it, with which document, or the answer was damaged on the way could not be told.

Cause: the refusal was counted without a line; one while the body was received was not even counted.

Change: `peer call refused` has the identity of the request, if the context can be decoded, the service that was called, reason and message, the address of the sender and the revision of the document; also when the sender has another token. The messages tell the two cases of no-target apart.

--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   type Answer,
+  type CallFailure,
   type Disposition,
   encodeAnswer,
   type RefusalReason,
@@ -25,6 +26,7 @@
 import type { ForwardedHeaders } from "./forwarded_headers.ts";
 import { getConnectionEnd, setResponseCall } from "./listener_response.ts";
 import type { NodeState } from "./node_state.ts";
+import { recordPeerRefusal } from "./record_peer_refusal.ts";
 import { createAbortFailure, getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestBody } from "./request_body.ts";
 import { type DeliveryFailure, StreamedDelivery } from "./streamed_delivery.ts";
@@ -224,11 +226,27 @@
     });
   }
 
+  #recordRefusal(failure: CallFailure): void {
+    const { details, request } = this.#options;
+    const { requestId, hash, plan, classIndex } = details;
+    recordPeerRefusal(this.#state, {
+      failure,
+      counters: plan.counters[classIndex],
+      requestId,
+      hash,
+      service: plan.service.name,
+      senderAddress: request.socket.remoteAddress,
+    });
+  }
+
   #refuse(
     disposition: Disposition,
     reason: RefusalReason,
     message = getRefusalMessage(reason),
   ): void {
+    if (this.#call === undefined) {
+      this.#recordRefusal({ disposition, reason, message });
+    }
     this.onFailure({
       disposition,
       reason,
--- a/src/node/peer_request_handler.ts
+++ b/src/node/peer_request_handler.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
+  type CallFailure,
   decodeContext,
   encodeAnswer,
   type RefusalReason,
@@ -10,6 +11,7 @@
 import { InboundCall } from "./inbound_call.ts";
 import type { NodeState } from "./node_state.ts";
 import { peerHeader } from "./peer_credential.ts";
+import { recordPeerRefusal } from "./record_peer_refusal.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { readRequestTarget } from "./request_target.ts";
 import type { TargetDispatcher } from "./target_dispatcher.ts";
@@ -52,17 +54,21 @@
   /** Validates a request of another node and starts its call. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const { view, settings, clock, peerCredential } = this.#state;
+    const text = request.headers["dogwoodwalk-context"];
+    const decoded = decodeContext(typeof text === "string" ? text : "");
     const presentedCredential = request.headers[peerHeader] as
       | string
       | undefined;
     if (peerCredential?.isValid(presentedCredential) === false) {
       const message =
         `${peerHeader} is missing or was derived from another token`;
-      this.#refuse(response, "malformed-request", { message });
+      // The allowance of an unknown sender is not returned to it.
+      const context = decoded.kind === "ok"
+        ? { ...decoded.value, allowance: 0 }
+        : undefined;
+      this.#refuse(response, "malformed-request", { context, message });
       return;
     }
-    const text = request.headers["dogwoodwalk-context"];
-    const decoded = decodeContext(typeof text === "string" ? text : "");
     if (decoded.kind === "error") {
       const message = `dogwoodwalk-context is malformed: ${decoded.error}`;
       this.#refuse(response, "malformed-request", { message });
@@ -72,16 +78,19 @@
     if (context.service !== settings.service) {
       // The address belonged to a node of another service when the sender
       // received it.
-      this.#refuse(response, "no-target", { context });
+      const message = `The target of this node belongs to ${settings.service}`;
+      this.#refuse(response, "no-target", { context, message });
       return;
     }
     const target = readRequestTarget(request);
     if (target === undefined) {
-      this.#refuse(response, "malformed-request", { context });
+      const message = "The request target is malformed";
+      this.#refuse(response, "malformed-request", { context, message });
       return;
     }
     if (view === undefined) {
-      this.#refuse(response, "no-target", { context });
+      const message = "This node has no document yet";
+      this.#refuse(response, "no-target", { context, message });
       return;
     }
     const method = request.method ?? "";
@@ -139,20 +148,21 @@
   #refuse(
     response: ServerResponse,
     reason: RefusalReason,
-    options: { context?: RequestContext; message?: string },
+    options: { context?: RequestContext | undefined; message?: string },
   ): void {
     const { context } = options;
     const message = options.message ?? getRefusalMessage(reason);
-    const counters = this.#state.counters.get(
-      this.#state.settings.service,
-      "none",
-    );
-    counters.failedAttempts.set(
-      reason,
-      (counters.failedAttempts.get(reason) ?? 0) + 1,
-    );
-    writeFailure(response, { disposition: "not-run", reason, message }, {
-      requestId: context?.requestId ?? "",
+    const failure: CallFailure = { disposition: "not-run", reason, message };
+    const requestId = context?.requestId ?? "";
+    recordPeerRefusal(this.#state, {
+      failure,
+      requestId,
+      hash: context?.hash ?? 0,
+      service: context?.service,
+      senderAddress: response.req.socket.remoteAddress,
+    });
+    writeFailure(response, failure, {
+      requestId,
       answer: encodeAnswer({
         disposition: "not-run",
         reason,
