Log and count the requests that a listener refuses

What operators saw: nothing. A listener answers a request that is not HTTP, has no Host, is late or has too large headers with 400, 408 or 431 by itself, without a line or a counter, so that such a response to a proper request left no trace.

Cause: only requests that reach a handler were logged and counted.

Change: `request refused` has the listener, status, reason, the message and code of the HTTP parser, the address of the sender and the bytes received on its connection; the identity only for a missing Host, because the others cannot be read. `requests.refused` counts them by listener, status and reason. Both also for the platform's own interfaces. The lines of the listeners for calls are limited in rate; those of connections on which nothing was received yield to failures.

Both kinds of reports of a listener are created in one place; that of unanswered connections is unchanged.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -10,6 +10,7 @@
 import type { Endpoint } from "../settings/mod.ts";
 import { BusyConnections } from "./busy_connections.ts";
 import { lingerOnClose } from "./linger_on_close.ts";
+import type { ListenerRefusal } from "./listener_refusal.ts";
 import { ListenerResponse } from "./listener_response.ts";
 import {
   type ListenerState,
@@ -52,6 +53,8 @@
   readonly onUnanswered?:
     | ((unanswered: UnansweredConnection) => void)
     | undefined;
+  /** Called for each request that the listener refused itself. */
+  readonly onRefused?: ((refusal: ListenerRefusal) => void) | undefined;
   /** Time limit for receiving the headers of a request. */
   readonly headersMilliseconds?: number | undefined;
   /**
@@ -71,6 +74,7 @@
   readonly #endpoint: Endpoint;
   readonly #handle: HttpListenerOptions["handle"];
   readonly #onUnanswered: (unanswered: UnansweredConnection) => void;
+  readonly #onRefused: (refusal: ListenerRefusal) => void;
   readonly #getDisposition: (request?: IncomingMessage) => Disposition;
   readonly #headerBytes: number;
   readonly #connections = new WeakMap<object, OpenConnection>();
@@ -89,6 +93,7 @@
     this.#endpoint = options.endpoint;
     this.#handle = options.handle;
     this.#onUnanswered = options.onUnanswered ?? (() => {});
+    this.#onRefused = options.onRefused ?? (() => {});
     this.#getDisposition = options.getDisposition ?? (() => "not-run");
     this.#headerBytes = options.headerBytes ?? defaultHeaderBytes;
     this.#server = createServer<
@@ -224,8 +229,7 @@
     connection.add(response);
     this.#busyConnections.add(connection);
     if (request.headers.host === undefined && request.httpVersion === "1.1") {
-      const disposition = this.#getDisposition(request);
-      refuseMissingHost(request, response, disposition);
+      this.#refuseMissingHost(request, response);
     } else {
       this.#handle(request, response);
     }
@@ -243,10 +247,14 @@
       connection.endByError(error);
     } else {
       connection?.setEndByError(error);
-      sendClientError(error, socket, {
+      const sent = sendClientError(error, socket, {
         disposition: this.#getDisposition(),
         headerBytes: this.#headerBytes,
       });
+      if (sent !== undefined) {
+        const { code, message } = error;
+        this.#reportRefusal(socket as Socket, { ...sent, code, message });
+      }
     }
   }
 
@@ -272,6 +280,36 @@
     this.#endByClientError(new Error("CONNECT is not supported"), socket);
   }
 
+  /** Refuses a request of HTTP/1.1 without Host (RFC 9112, section 3.2). */
+  #refuseMissingHost(request: IncomingMessage, response: ServerResponse): void {
+    request.resume();
+    const status = 400;
+    const failure = {
+      disposition: this.#getDisposition(request),
+      reason: "malformed-request",
+      message: "The request has no Host header",
+    } as const;
+    response.writeHead(status, {
+      "content-type": "application/json",
+      "dogwoodwalk-disposition": failure.disposition,
+      "dogwoodwalk-reason": failure.reason,
+    });
+    response.end(encodeErrorBody(failure, ""));
+    const { reason, message } = failure;
+    this.#reportRefusal(request.socket, { status, reason, message, request });
+  }
+
+  #reportRefusal(
+    socket: Socket,
+    refusal: Omit<ListenerRefusal, "senderAddress" | "receivedBytes">,
+  ): void {
+    this.#onRefused({
+      ...refusal,
+      senderAddress: socket.remoteAddress,
+      receivedBytes: socket.bytesRead,
+    });
+  }
+
   #closeIdleConnections(): void {
     this.#server.closeIdleConnections();
     for (const socket of this.#newSockets) {
@@ -336,23 +374,3 @@
 function endsConnection({ httpVersion, headers }: IncomingMessage): boolean {
   return httpVersion === "1.0" || headers.upgrade !== undefined;
 }
-
-/** Refuses a request of HTTP/1.1 without Host (RFC 9112, section 3.2). */
-function refuseMissingHost(
-  request: IncomingMessage,
-  response: ServerResponse,
-  disposition: Disposition,
-): void {
-  request.resume();
-  const failure = {
-    disposition,
-    reason: "malformed-request",
-    message: "The request has no Host header",
-  } as const;
-  response.writeHead(400, {
-    "content-type": "application/json",
-    "dogwoodwalk-disposition": disposition,
-    "dogwoodwalk-reason": failure.reason,
-  });
-  response.end(encodeErrorBody(failure, ""));
-}
--- a/src/node/mod.ts
+++ b/src/node/mod.ts
@@ -29,7 +29,7 @@
 export type { ResponseHead } from "./exchange.ts";
 export { hasUnreadBody } from "./has_unread_body.ts";
 export { HttpListener, type HttpListenerOptions } from "./http_listener.ts";
-export { createUnansweredReporter } from "./report_unanswered.ts";
+export { createListenerReports } from "./listener_reports.ts";
 export {
   AnnouncedTarget,
   type TargetAnnouncement,
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -29,8 +29,11 @@
 import { maximumPeerHeaderBytes } from "./exchange.ts";
 import { HttpListener, type HttpListenerOptions } from "./http_listener.ts";
 import { keepOwnService } from "./keep_own_service.ts";
+import {
+  createCallListenerReports,
+  type ListenerReports,
+} from "./listener_reports.ts";
 import { type LedgerPort, unavailableLedger } from "./ledger_port.ts";
-import type { UnansweredConnection } from "./open_connection.ts";
 import { PeerRequestHandler } from "./peer_request_handler.ts";
 import type { NodeState } from "./node_state.ts";
 import type { PeerCredential } from "./peer_credential.ts";
@@ -38,11 +41,6 @@
 import { handleOutcomeQuery, outcomeQueryPath } from "./outcome_query.ts";
 import { defaultProtocol } from "./default_protocol.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
-import {
-  countUnanswered,
-  describeUnanswered,
-  unansweredEvent,
-} from "./report_unanswered.ts";
 import { createStatusDocument, type StatusSource } from "./status_page.ts";
 import { TargetDispatcher } from "./target_dispatcher.ts";
 import { TargetViews } from "./target_views.ts";
@@ -141,7 +139,7 @@
     this.outside = new HttpListener({
       endpoint: settings.outside,
       handle: (request, response) => this.#onOutside(request, response),
-      onUnanswered: (each) => this.#onUnanswered("outside", each),
+      ...this.#createReports("outside"),
       headersMilliseconds,
       headerBytes,
       getDisposition,
@@ -150,14 +148,14 @@
       endpoint: settings.node,
       handle: (request, response) =>
         this.#peerRequestHandler.handle(request, response),
-      onUnanswered: (each) => this.#onUnanswered("node", each),
+      ...this.#createReports("node"),
       headersMilliseconds,
       headerBytes: maximumPeerHeaderBytes,
     });
     this.loopback = new HttpListener({
       endpoint: settings.loopback,
       handle: (request, response) => this.#onLoopback(request, response),
-      onUnanswered: (each) => this.#onUnanswered("loopback", each),
+      ...this.#createReports("loopback"),
       headersMilliseconds,
       headerBytes,
       getDisposition,
@@ -306,14 +304,17 @@
     });
   }
 
-  #onUnanswered(listener: string, unanswered: UnansweredConnection): void {
-    countUnanswered(this.#metrics, listener, unanswered);
-    this.state.decisions.record({
-      requestId: unanswered.responses[0]?.call?.requestId ?? "",
-      hash: 0,
-      priority: unanswered.responses.length > 0 ? "failure" : "routine",
-      event: unansweredEvent,
-      fields: describeUnanswered(listener, unanswered),
+  #createReports(listener: "outside" | "node" | "loopback"): ListenerReports {
+    const { decisions, protocol } = this.state;
+    return createCallListenerReports(listener, {
+      decisions,
+      metrics: this.#metrics,
+      getRequestId: (request) =>
+        protocol.getRequestId({
+          request,
+          isOutside: listener !== "loopback",
+          getCall: (token) => this.targetDispatcher.getCall(token),
+        }),
     });
   }
 
--- a/src/node/report_unanswered.ts
+++ b/src/node/report_unanswered.ts
@@ -1,4 +1,4 @@
-import type { Log, LogFields, Metrics } from "../common/mod.ts";
+import type { LogFields, Metrics } from "../common/mod.ts";
 import { shortenText } from "./decision_log.ts";
 import type { ListenerResponse } from "./listener_response.ts";
 import type { UnansweredConnection } from "./open_connection.ts";
@@ -56,23 +56,6 @@
   }
 }
 
-/**
- * Creates a listener of unanswered connections for a program whose requests are
- * few, so that each line is written.
- * @param listener Name of the HTTP listener.
- * @param destination Log and metrics.
- * @returns The listener.
- */
-export function createUnansweredReporter(
-  listener: string,
-  { log, metrics }: { log: Log; metrics: Metrics },
-): (unanswered: UnansweredConnection) => void {
-  return (unanswered) => {
-    log.warn(unansweredEvent, describeUnanswered(listener, unanswered));
-    countUnanswered(metrics, listener, unanswered);
-  };
-}
-
 /** Formats a request as `id:phase`; only its phase if it is not a call. */
 function describeResponse({ call, phase }: ListenerResponse): string {
   return call === undefined ? phase : `${shortenText(call.requestId)}:${phase}`;
