Log the size of the documents at control and nodes

What operators saw: `document in force` and `manifest` give a revision only. Whether a node has a part of the document that lacks routes, or its own service, could not be told from one that has all of it.

Change: both lines have the number of services, routes and hosts; `document in force` also says whether the received document has the node's own service, which a node keeps when a later document lacks it.

Before: the 3 cases of the new test and the changed one of control_program_test fail. After: they pass.

--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -21,3 +21,4 @@
   getDocumentPart,
 } from "./document_part.ts";
 export { getDocumentDigest } from "./document_digest.ts";
+export { type DocumentSize, getDocumentSize } from "./document_size.ts";
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -10,7 +10,7 @@
   StopPhases,
   systemClock,
 } from "../common/mod.ts";
-import type { EnvironmentDocument } from "../document/mod.ts";
+import { type EnvironmentDocument, getDocumentSize } from "../document/mod.ts";
 import { ResendCounter } from "../retries/mod.ts";
 import { Router, type RoutingTarget } from "../routing/mod.ts";
 import type { NodeSettings } from "../settings/mod.ts";
@@ -208,7 +208,11 @@
     }
     state.router.updateLinks(document.links);
     this.targetDispatcher.updateDocument();
-    state.log.info("document in force", { revision });
+    state.log.info("document in force", {
+      revision,
+      ...getDocumentSize(received),
+      hasOwnService: received.services.has(state.settings.service),
+    });
   }
 
   /** Applies the targets of a service. */
