Forward paths with dot segments where the protocol allows them

What callers saw: 400 malformed-request for a request whose path contains a segment . or .., also escaped, although the prefix of a route begins it.

Cause: a rule of the project's own protocol was applied to all callers. There, a target could resolve such a path to that of another route. The platform selects a route by the longest prefix that begins the path, and forwards the path unchanged. The node of the target repeated the check, so that the node of the caller alone could not allow it.

Change: the protocol says whether dot segments are allowed, at both nodes.

The project's own protocol still refuses them.

--- a/src/node/call_protocol.ts
+++ b/src/node/call_protocol.ts
@@ -75,6 +75,11 @@
   readonly buffersResponses: boolean;
   /** Maximum size of the headers of a request, in bytes; at most 64 KiB. */
   readonly headerBytes: number;
+  /**
+   * Whether a path may contain dot segments. They are refused where a target
+   * could resolve them to the path of another route.
+   */
+  readonly allowsDotSegments: boolean;
   /** Gets the idempotency key of a request. Absent without keys. */
   getKey?(request: IncomingMessage): string | undefined;
   /** Gets the class of the outgoing calls that a target makes for a call. */
--- a/src/node/default_protocol.ts
+++ b/src/node/default_protocol.ts
@@ -18,6 +18,7 @@
 export const defaultProtocol: CallProtocol = {
   buffersResponses: false,
   headerBytes: defaultHeaderBytes,
+  allowsDotSegments: false,
   getKey,
   getNestedClassIndex: (classIndex) => classIndex,
   parseRequest,
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -65,7 +65,7 @@
   ): void {
     const { isOutside } = options;
     const { view } = this.state;
-    const target = readRequestTarget(request);
+    const target = readRequestTarget(request, this.state.protocol);
     if (target === undefined) {
       const message = "The request target is malformed";
       this.#refuseRequest(response, "malformed-request", { message });
--- a/src/node/peer_request_handler.ts
+++ b/src/node/peer_request_handler.ts
@@ -51,7 +51,7 @@
 
   /** Validates a request of another node and starts its call. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const { view, settings, clock, peerCredential } = this.#state;
+    const { view, settings, clock, peerCredential, protocol } = this.#state;
     const presentedCredential = request.headers[peerHeader] as
       | string
       | undefined;
@@ -75,7 +75,7 @@
       this.#refuse(response, "no-target", { context });
       return;
     }
-    const target = readRequestTarget(request);
+    const target = readRequestTarget(request, protocol);
     if (target === undefined) {
       this.#refuse(response, "malformed-request", { context });
       return;
--- a/src/node/request_target.ts
+++ b/src/node/request_target.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { CallProtocol } from "./call_protocol.ts";
 
 /** Host and path of a request, from its request line and Host header. */
 export interface RequestTarget {
@@ -10,10 +11,7 @@
   readonly routePath: string;
 }
 
-/**
- * Matches dot segments, also escaped ones. They are refused because the target
- * could resolve them to the path of another route.
- */
+/** Matches dot segments, also escaped ones. */
 const dotSegment = /\/(?:\.|%2e){1,2}(?:\/|$)/i;
 
 /** Characters that Node.js reads in a path and refuses to write. */
@@ -22,10 +20,12 @@
 /**
  * Reads the target of a request, in origin form or absolute form.
  * @param request The request.
+ * @param protocol The protocol of the caller.
  * @returns The target, or `undefined` when it is malformed.
  */
 export function readRequestTarget(
   request: IncomingMessage,
+  { allowsDotSegments }: Pick<CallProtocol, "allowsDotSegments">,
 ): RequestTarget | undefined {
   const url = request.url ?? "";
   let path = url;
@@ -43,10 +43,8 @@
   }
   const query = path.indexOf("?");
   const routePath = query < 0 ? path : path.slice(0, query);
-  if (routePath.includes("/.") || routePath.includes("%")) {
-    if (dotSegment.test(routePath)) {
-      return undefined;
-    }
+  if (!allowsDotSegments && dotSegment.test(routePath)) {
+    return undefined;
   }
   return { host: getHostName(host), path, routePath };
 }
