Find the route of a host in any of its valid forms

What callers saw: 404 unknown-route for a Host header with the dot that ends an absolute domain name, or with the address of an IPv6 host; 400 or 404 for a URI without a path, such as http://pay.example?a=1; 404 for every request to a host that the document names with its port or with such a dot.

Cause: the name was taken up to the first colon and compared as text, and the hosts of documents were only put into lower case.

Change: documents and requests share getHostName, which gets the name without port and final dot. The absolute form is read as RFC 9112, section 3.2.2, says.

Ruled out: to accept the absolute form with https. RFC 9110, section 7.4, requires its refusal on a connection without TLS.

--- a/src/document/environment_document.ts
+++ b/src/document/environment_document.ts
@@ -33,7 +33,7 @@
   /** Service of the calls; the first service of `split` if there is a split. */
   readonly service: string;
   /**
-   * Host of the route's calls, in lower case. Every node accepts calls to this
+   * Host of the route's calls, as `getHostName` returns it. Every node accepts calls to this
    * host. A route without a host is found by its service.
    */
   readonly host?: string | undefined;
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -13,6 +13,7 @@
 } from "./environment_document.ts";
 export { defaultLedgerSettings, parseDocument } from "./parse_document.ts";
 export { CallGraph } from "./call_graph.ts";
+export { getHostName } from "./host_name.ts";
 export { getRouteServices } from "./route_services.ts";
 export { RouteTable } from "./route_table.ts";
 export {
--- a/src/document/parse_document.ts
+++ b/src/document/parse_document.ts
@@ -1,6 +1,7 @@
 import { failed, type Finding, ok, type Result } from "../common/mod.ts";
 import { parseTomlFile, type TomlTableReader } from "../toml/mod.ts";
 import { CallGraph } from "./call_graph.ts";
+import { getHostName } from "./host_name.ts";
 import { getRouteServices } from "./route_services.ts";
 import type {
   CallerLimits,
@@ -179,7 +180,7 @@
   const split = readSplit(reader);
   const route: Route = {
     service: split?.[0]?.service ?? reader.readString("service"),
-    host: reader.readString("host", { optional: true })?.toLowerCase(),
+    host: readHost(reader),
     split,
     maximumTargets: readOptionalNumber(
       reader,
@@ -213,6 +214,11 @@
   return route;
 }
 
+function readHost(reader: TomlTableReader): string | undefined {
+  const host = reader.readString("host", { optional: true });
+  return host === undefined ? undefined : getHostName(host);
+}
+
 function readOptionalNumber(
   reader: TomlTableReader,
   key: string,
--- a/src/node/request_target.ts
+++ b/src/node/request_target.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage } from "node:http";
+import { getHostName } from "../document/mod.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 
 /** Host and path of a request, from its request line and Host header. */
 export interface RequestTarget {
-  /** Host name in lower case without its port; empty when absent. */
+  /** Host as `getHostName` returns it; empty when absent. */
   readonly host: string;
   /** Path with its query, as it is forwarded. */
   readonly path: string;
@@ -14,6 +15,12 @@
 /** Matches dot segments, also escaped ones. */
 const dotSegment = /\/(?:\.|%2e){1,2}(?:\/|$)/i;
 
+/**
+ * Matches the absolute form, with its authority and the rest. A URI of https is
+ * not accepted on a connection without TLS (RFC 9110, section 7.4).
+ */
+const absoluteForm = /^http:\/\/([^/?]*)(.*)$/i;
+
 /** Characters that Node.js reads in a path and refuses to write. */
 const invalidPathCharacter = /[^\x21-\xff]/;
 
@@ -31,12 +38,13 @@
   let path = url;
   let host = request.headers.host ?? "";
   if (url.charCodeAt(0) !== 0x2f) {
-    if (!/^http:\/\//i.test(url)) {
+    const absolute = absoluteForm.exec(url);
+    if (absolute === null) {
       return undefined;
     }
-    const start = url.indexOf("/", 7);
-    host = start < 0 ? url.slice(7) : url.slice(7, start);
-    path = start < 0 ? "/" : url.slice(start);
+    host = absolute[1] as string;
+    const rest = absolute[2] as string;
+    path = rest.startsWith("/") ? rest : `/${rest}`;
   }
   if (invalidPathCharacter.test(path)) {
     return undefined;
@@ -48,8 +56,3 @@
   }
   return { host: getHostName(host), path, routePath };
 }
-
-function getHostName(host: string): string {
-  const colon = host.indexOf(":");
-  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
-}
