Send a Host header with requests that have none

What callers saw: 400 from the target for a request of HTTP/1.0 without Host, and 502 when the target was at another node, although the request was accepted.

Cause: HTTP/1.0 allows a request without Host, and the next hop got it as HTTP/1.1, which does not. The other node refused it as malformed in its listener, without an answer that says that it did not run.

Change: a call without Host gets the host by which its route was found, which is empty without one.

--- a/src/node/bad_input_test.ts
+++ b/src/node/bad_input_test.ts
@@ -2,6 +2,7 @@
 import { connect } from "node:net";
 import { test, type TestContext } from "node:test";
 import { sendCall } from "../../tests/support/http_call.ts";
+import { sendBytes } from "../../tests/support/send_bytes.ts";
 import { startPair, type TestPair } from "../../tests/support/test_pair.ts";
 
 async function start(context: TestContext): Promise<TestPair> {
@@ -10,18 +11,6 @@
   return pair;
 }
 
-/** Sends bytes on a new connection, and reads until it ends. */
-function sendRaw(port: number, text: string): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const socket = connect(port, "127.0.0.1");
-    let received = "";
-    socket.on("data", (chunk) => received += chunk);
-    socket.on("end", () => resolve(received));
-    socket.on("error", reject);
-    socket.write(text);
-  });
-}
-
 const context = "dogwoodwalk-context";
 const end = "Host: front\r\nConnection: close\r\n\r\n";
 const cases = [
@@ -140,7 +129,7 @@
 for (const { name, to, text, expected } of cases) {
   test(`${name} gets a clear error and the node keeps working`, async (context) => {
     const front = await start(context);
-    const received = await sendRaw(front.node[to].port, text);
+    const received = await sendBytes(front.node[to].port, text);
     assert.match(received, expected);
     assert.match(received, /"error":\{"disposition":/);
     assert.equal(front.target.runs.length, 0);
--- a/src/node/call_entry.ts
+++ b/src/node/call_entry.ts
@@ -5,12 +5,12 @@
 import type { CallDetails } from "./call_details.ts";
 import type { AcceptedCall } from "./call_protocol.ts";
 import type { NodeState } from "./node_state.ts";
+import type { RequestTarget } from "./request_target.ts";
 
 /** A request that this node accepts from a caller or from its target. */
 export interface CallEntry {
   readonly request: IncomingMessage;
-  /** Path with its query. */
-  readonly path: string;
+  readonly target: RequestTarget;
   /** Alternating header names and values for the next hop. */
   readonly headers: string[];
   readonly isOutside: boolean;
@@ -31,6 +31,10 @@
   entry: CallEntry,
 ): CallDetails {
   const { plan, key } = accepted;
+  if (entry.request.headers.host === undefined) {
+    // Only HTTP/1.0 allows a request without Host; the next hop has HTTP/1.1.
+    entry.headers.push("Host", entry.target.host);
+  }
   const { route } = plan;
   const parentDetails = accepted.parent?.details;
   const requestId = accepted.requestId ?? parentDetails?.requestId ??
@@ -54,7 +58,7 @@
       now + (accepted.callerMilliseconds ?? Infinity),
     ),
     method: entry.request.method ?? "",
-    path: entry.path,
+    path: entry.target.path,
     headers: entry.headers,
     key,
     needsClaim: key !== undefined && !route.idempotent && route.key !== "none",
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -112,7 +112,7 @@
     }
     const details = createCallDetails(this.state, accepted, {
       request,
-      path: target.path,
+      target,
       headers: framing.headers,
       isOutside,
     });
