Send names of services of any form between nodes

What callers saw: 503 for every request to a service whose name has more than 64 characters, a semicolon or a character beyond visible ASCII, when its endpoint was at another node; with a letter beyond Latin-1 in the name, an exception in place of a response, also at one node. A manifest accepts any such name, and a document any length. With a name that the answer between nodes cannot carry, such as one with an upper-case letter, a call that ran would become 502 as soon as the service reports an admission level (read in the code).

Cause: the formats between nodes had limits of their own for the names that a document may contain, and an answer with 64 long names was longer than the other node reads. Class of fault: a limit of the format between two nodes is a limit for callers.

Change: the context and the answer share name_codec, which escapes what encodeURIComponent escapes; the usual names are sent as before. An answer omits the admission levels that do not fit, and limits its numbers. Names have up to 1024 characters, which parseDocument checks. The caller of a nested call, which is the name of a service, is truncated like other names of callers.

--- a/src/document/parse_document.ts
+++ b/src/document/parse_document.ts
@@ -1,4 +1,5 @@
 import { failed, type Finding, ok, type Result } from "../common/mod.ts";
+import { fieldLimits } from "../request/mod.ts";
 import { parseTomlFile, type TomlTableReader } from "../toml/mod.ts";
 import { CallGraph } from "./call_graph.ts";
 import { getHostName } from "./host_name.ts";
@@ -117,6 +118,10 @@
   if (!/^[a-z0-9]([a-z0-9-]*[a-z0-9])?$/.test(name)) {
     reader.addFinding("", "Expected a name of a-z, 0-9 and inner hyphens");
   }
+  if (name.length > fieldLimits.serviceLength) {
+    const message = `Longer than ${fieldLimits.serviceLength} characters`;
+    reader.addFinding("", message);
+  }
   const service: Service = {
     name,
     slots: reader.readNumber("slots", {
--- a/src/document/parse_document_test.ts
+++ b/src/document/parse_document_test.ts
@@ -79,6 +79,14 @@
     to: '{ service = "archive" }',
     finding: /calls\.0\.service: Service "archive" is not in services/,
   },
+  {
+    name: "a service whose name is too long",
+    from: "[services.",
+    to: `[services.${
+      "a".repeat(1025)
+    }]\nslots = 1\nconnections = 1\n[services.`,
+    finding: /services\.a+: Longer than 1024 characters/,
+  },
   {
     name: "a syntax error",
     from: "format = 1",
--- a/src/request/answer_codec.ts
+++ b/src/request/answer_codec.ts
@@ -1,6 +1,7 @@
 import { failed, ok, type Result } from "../common/mod.ts";
 import type { Disposition } from "./disposition.ts";
 import { fieldLimits, readWholeNumber } from "./field_limits.ts";
+import { decodeName, encodeName } from "./name_codec.ts";
 import { type RefusalReason, refusalReasons } from "./refusal_reason.ts";
 
 /** Name of the header with which a target's node answers the origin's node. */
@@ -33,30 +34,49 @@
 
 const formatVersion = "1";
 const fieldCount = 6;
-const servicePattern = /^[a-z0-9][a-z0-9-]*$/;
 const reasons: ReadonlySet<string> = new Set(refusalReasons);
 
 /**
  * Encodes an answer as
- * `1;disposition;reason;unused;service=level,...;running,queued,limit`.
- * @param answer The answer; its values must be within `fieldLimits`.
+ * `1;disposition;reason;unused;service=level,...;running,queued,limit`. Admission
+ * levels beyond the length of an answer are omitted.
+ * @param answer The answer.
  * @returns The value of the header.
  */
 export function encodeAnswer(answer: Answer): string {
-  let levels = "";
-  if (answer.levels.length > 0) {
-    levels = answer.levels.slice(0, fieldLimits.levelEntries)
-      .map(({ service, level }) => `${service}=${level}`).join(",");
-  }
-  return `${formatVersion};${answer.disposition};${
+  const start = `${formatVersion};${answer.disposition};${
     answer.reason ?? ""
-  };${answer.unusedAttempts};${levels};${
-    answer.load === undefined ? "" : encodeLoad(answer.load)
+  };${answer.unusedAttempts};`;
+  const load = answer.load === undefined ? "" : encodeLoad(answer.load);
+  if (answer.levels.length === 0) {
+    return `${start};${load}`;
+  }
+  const length = fieldLimits.answerLength - start.length - load.length - 1;
+  return `${start}${encodeLevels(answer.levels, length)};${load}`;
+}
+
+function encodeLoad({ running, queued, limit }: LoadHint): string {
+  const maximum = fieldLimits.load;
+  return `${Math.min(running, maximum)},${Math.min(queued, maximum)},${
+    Math.min(limit, maximum)
   }`;
 }
 
-function encodeLoad(load: LoadHint): string {
-  return `${load.running},${load.queued},${load.limit}`;
+function encodeLevels(
+  levels: readonly ServiceLevel[],
+  maximumLength: number,
+): string {
+  let text = "";
+  for (const { service, level } of levels.slice(0, fieldLimits.levelEntries)) {
+    const separator = text === "" ? "" : ",";
+    const next = `${text}${separator}${encodeName(service)}=${
+      Math.min(level, fieldLimits.level)
+    }`;
+    if (next.length <= maximumLength) {
+      text = next;
+    }
+  }
+  return text;
 }
 
 /**
@@ -133,12 +153,12 @@
   const levels: ServiceLevel[] = [];
   for (const entry of entries) {
     const split = entry.indexOf("=");
-    const service = entry.slice(0, Math.max(0, split));
+    const service = decodeName(
+      entry.slice(0, Math.max(0, split)),
+      fieldLimits.serviceLength,
+    );
     const level = readWholeNumber(entry.slice(split + 1), fieldLimits.level);
-    if (
-      level < 0 || service.length > fieldLimits.serviceLength ||
-      !servicePattern.test(service)
-    ) {
+    if (!service || level < 0) {
       return undefined;
     }
     levels.push({ service, level });
--- a/src/request/codec_test.ts
+++ b/src/request/codec_test.ts
@@ -12,6 +12,13 @@
 
 const runs = { seed: 20261204, numRuns: 2000 };
 
+/** Any name that the document of an environment may contain. */
+const services = fc.oneof(
+  fc.stringMatching(/^[a-z0-9][a-z0-9-]{0,100}$/),
+  fc.string({ unit: "binary-ascii", minLength: 1 }),
+  fc.string({ unit: "grapheme", minLength: 1, maxLength: 300 }),
+);
+
 const contexts = fc.record({
   requestId: fc.oneof(
     fc.uuid(),
@@ -24,7 +31,7 @@
   allowance: fc.nat(fieldLimits.allowance),
   depth: fc.integer({ min: 1, max: fieldLimits.depth }),
   entryIndex: fc.maxSafeNat(),
-  service: fc.stringMatching(/^[a-z0-9][a-z0-9-]{0,30}$/),
+  service: services,
   hash: fc.nat(fieldLimits.hash),
 }, { noNullPrototype: true });
 
@@ -38,16 +45,20 @@
   );
 });
 
+function createLevels(service: fc.Arbitrary<string>, maxLength: number) {
+  const level = fc.nat(fieldLimits.level);
+  return fc.array(fc.record({ service, level }, { noNullPrototype: true }), {
+    maxLength,
+  });
+}
+
 const answers = fc.record({
   disposition: fc.constantFrom("not-run", "ran", "unknown"),
   reason: fc.option(fc.constantFrom(...refusalReasons), { nil: undefined }),
   unusedAttempts: fc.nat(fieldLimits.allowance),
-  levels: fc.array(
-    fc.record({
-      service: fc.stringMatching(/^[a-z0-9][a-z0-9-]{0,30}$/),
-      level: fc.nat(fieldLimits.level),
-    }, { noNullPrototype: true }),
-    { maxLength: 20 },
+  levels: fc.oneof(
+    createLevels(fc.stringMatching(/^[a-z0-9][a-z0-9-]{0,30}$/), 20),
+    createLevels(services.filter(({ length }) => length < 50), 5),
   ),
   load: fc.option(
     fc.record({
@@ -69,6 +80,27 @@
   );
 });
 
+test("an answer with any levels and load keeps its disposition and reason", () => {
+  const values = fc.integer({ min: 0, max: 1_000_000_000 });
+  const loads = fc.record({ running: values, queued: values, limit: values });
+  const levels = fc.array(fc.record({ service: services, level: values }), {
+    maxLength: 100,
+  });
+  fc.assert(
+    fc.property(answers, levels, loads, (answer, levels, load) => {
+      const decoded = decodeAnswer(encodeAnswer({ ...answer, levels, load }));
+      assert.ok(decoded.kind === "ok");
+      const { disposition, reason, unusedAttempts } = decoded.value;
+      assert.deepEqual(
+        [disposition, reason, unusedAttempts],
+        [answer.disposition, answer.reason, answer.unusedAttempts],
+      );
+      assert.notEqual(decoded.value.load, undefined);
+    }),
+    runs,
+  );
+});
+
 const fields = fc.oneof(
   fc.string(),
   fc.integer().map(String),
--- a/src/request/context_codec.ts
+++ b/src/request/context_codec.ts
@@ -1,5 +1,6 @@
 import { failed, ok, type Result } from "../common/mod.ts";
 import { fieldLimits, readWholeNumber } from "./field_limits.ts";
+import { decodeName, encodeName, replaceLoneSurrogates } from "./name_codec.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** Name of the header between nodes that carries the context. */
@@ -12,10 +13,6 @@
 /** Visible ASCII characters except the separator `;`, without the prefix. */
 const plainRequestIdPattern = /^[!-$&-:<-~][!-:<-~]*$/;
 const encodedRequestIdPattern = /^%[\w-]+$/;
-/** encodeURIComponent throws on unpaired surrogates. */
-const loneSurrogates = /[\ud800-\udfff]/gu;
-const servicePattern = /^[!-:<-~]+$/;
-const callerPattern = /^[A-Za-z0-9._~%!'()*-]*$/;
 
 /**
  * Encodes a context as `1;request;caller;class;remaining;allowance;depth;index;service;hash`.
@@ -24,10 +21,12 @@
  */
 export function encodeContext(context: RequestContext): string {
   return `${formatVersion};${encodeRequestId(context.requestId)};${
-    encodeCaller(context.caller)
+    encodeName(sanitizeCaller(context.caller))
   };${context.classIndex};${
     Math.max(0, Math.ceil(context.remainingMilliseconds))
-  };${context.allowance};${context.depth};${context.entryIndex};${context.service};${context.hash}`;
+  };${context.allowance};${context.depth};${context.entryIndex};${
+    encodeName(context.service)
+  };${context.hash}`;
 }
 
 /**
@@ -37,8 +36,7 @@
  * @returns The name to use.
  */
 export function sanitizeCaller(caller: string): string {
-  return caller.slice(0, fieldLimits.callerLength)
-    .replace(loneSurrogates, "\ufffd");
+  return replaceLoneSurrogates(caller.slice(0, fieldLimits.callerLength));
 }
 
 /**
@@ -61,7 +59,7 @@
   if (requestId === undefined) {
     return failed("request identity is malformed");
   }
-  const caller = decodeCaller(fields[2] as string);
+  const caller = decodeName(fields[2] as string, fieldLimits.callerLength);
   if (caller === undefined) {
     return failed("caller is malformed");
   }
@@ -88,10 +86,8 @@
   if (entryIndex < 0) {
     return failed("ledger index is out of range");
   }
-  const service = fields[8] as string;
-  if (
-    service.length > fieldLimits.serviceLength || !servicePattern.test(service)
-  ) {
+  const service = decodeName(fields[8] as string, fieldLimits.serviceLength);
+  if (!service) {
     return failed("service is malformed");
   }
   const hash = readWholeNumber(fields[9], fieldLimits.hash);
@@ -129,24 +125,3 @@
     ? undefined
     : requestId;
 }
-
-function encodeCaller(caller: string): string {
-  return callerPattern.test(caller) && !caller.includes("%")
-    ? caller
-    : encodeURIComponent(sanitizeCaller(caller));
-}
-
-function decodeCaller(text: string): string | undefined {
-  if (!callerPattern.test(text)) {
-    return undefined;
-  }
-  let caller = text;
-  if (text.includes("%")) {
-    try {
-      caller = decodeURIComponent(text);
-    } catch {
-      return undefined;
-    }
-  }
-  return caller.length > fieldLimits.callerLength ? undefined : caller;
-}
--- a/src/request/field_limits.ts
+++ b/src/request/field_limits.ts
@@ -15,11 +15,11 @@
   levelEntries: 64,
   /** Running or queued calls of one target, or its limit. */
   load: 1_000_000,
-  serviceLength: 64,
+  serviceLength: 1024,
   keyLength: 256,
   answerLength: 4096,
-  /** The longest encoded request identity, and the other fields. */
-  contextLength: 180 * 1024,
+  /** The longest encoded request identity and service, and the other fields. */
+  contextLength: 190 * 1024,
 } as const;
 
 /**
