Keep the disposition of an answer that is only partly understood

What callers would see: 502 unknown, and no other attempt for a request that is not idempotent, when another node refuses a call as not-run for a reason that this version does not know, as during a rolling upgrade. Read in the code; no such version exists yet.

Cause: decodeAnswer gave up the whole answer for any field that it could not read, also for those that are only hints.

Change: only the format version, the number of fields and the disposition are required. An unknown reason becomes peer-rejected, which is tried at another target after not-run; malformed hints are left out.

--- a/src/request/answer_codec.ts
+++ b/src/request/answer_codec.ts
@@ -80,7 +80,9 @@
 }
 
 /**
- * Decodes an answer. Never throws; a value beyond `fieldLimits` is an error.
+ * Decodes an answer. Never throws. Whether the call ran must not be lost, so that
+ * a reason that this version does not know becomes `peer-rejected`, and other
+ * fields that are malformed or beyond `fieldLimits` are left out.
  * @param text The value of the header.
  * @returns The answer, or what is wrong with the header.
  */
@@ -102,53 +104,44 @@
   ) {
     return failed("disposition is unknown");
   }
-  const reason = fields[2] as string;
-  if (reason !== "" && !reasons.has(reason)) {
-    return failed("reason is unknown");
-  }
-  const unusedAttempts = readWholeNumber(fields[3], fieldLimits.allowance);
-  if (unusedAttempts < 0) {
-    return failed("unused allowance is out of range");
-  }
-  const levels = decodeLevels(fields[4] as string);
-  if (levels === undefined) {
-    return failed("admission levels are malformed");
-  }
-  const load = decodeLoad(fields[5] as string);
-  if (load === "malformed") {
-    return failed("load is malformed");
-  }
   return ok({
     disposition,
-    reason: reason === "" ? undefined : reason as RefusalReason,
-    unusedAttempts,
-    levels,
-    load,
+    reason: decodeReason(fields[2] as string),
+    unusedAttempts: Math.max(
+      0,
+      readWholeNumber(fields[3], fieldLimits.allowance),
+    ),
+    levels: decodeLevels(fields[4] as string),
+    load: decodeLoad(fields[5] as string),
   });
 }
 
-function decodeLoad(text: string): LoadHint | undefined | "malformed" {
+function decodeReason(text: string): RefusalReason | undefined {
   if (text === "") {
     return undefined;
   }
+  return reasons.has(text) ? text as RefusalReason : "peer-rejected";
+}
+
+function decodeLoad(text: string): LoadHint | undefined {
   const numbers = text.split(",");
   const running = readWholeNumber(numbers[0], fieldLimits.load);
   const queued = readWholeNumber(numbers[1], fieldLimits.load);
   const limit = readWholeNumber(numbers[2], fieldLimits.load);
   return numbers.length !== 3 || running < 0 || queued < 0 || limit < 0
-    ? "malformed"
+    ? undefined
     : { running, queued, limit };
 }
 
 const noLevels: readonly ServiceLevel[] = [];
 
-function decodeLevels(text: string): readonly ServiceLevel[] | undefined {
+function decodeLevels(text: string): readonly ServiceLevel[] {
   if (text === "") {
     return noLevels;
   }
   const entries = text.split(",");
   if (entries.length > fieldLimits.levelEntries) {
-    return undefined;
+    return noLevels;
   }
   const levels: ServiceLevel[] = [];
   for (const entry of entries) {
@@ -159,7 +152,7 @@
     );
     const level = readWholeNumber(entry.slice(split + 1), fieldLimits.level);
     if (!service || level < 0) {
-      return undefined;
+      return noLevels;
     }
     levels.push({ service, level });
   }
--- a/src/request/codec_test.ts
+++ b/src/request/codec_test.ts
@@ -101,6 +101,23 @@
   );
 });
 
+const unknownFields = [
+  { name: "an unknown reason", text: "1;not-run;newer-reason;2;a=1;1,2,3" },
+  { name: "an oversized allowance", text: "1;not-run;queue-full;99999;;" },
+  { name: "malformed levels", text: "1;not-run;queue-full;2;a;" },
+  { name: "malformed load", text: "1;not-run;queue-full;2;;1" },
+];
+
+for (const { name, text } of unknownFields) {
+  // Guards against a call that is reported as unknown although it did not run.
+  test(`an answer with ${name} keeps its disposition`, () => {
+    const decoded = decodeAnswer(text);
+    assert.ok(decoded.kind === "ok");
+    assert.equal(decoded.value.disposition, "not-run");
+    assert.notEqual(decoded.value.reason, undefined);
+  });
+}
+
 const fields = fc.oneof(
   fc.string(),
   fc.integer().map(String),
