Distinguish the two ends of a body that is not transferred

What callers saw: nothing that could be shown. When the connection to a target or another node closed during an upload, pipeBody reported the same as for an upload that its caller broke off, and that ends as malformed-request, 400 on the platform. The error event of the request comes first in every case that was tried, and ends the call as target-reset or answer-incomplete.

Change: pipeBody says which side ended, and an exchange whose connection closed fails as reset.

--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -255,9 +255,14 @@
       chunks: source.chunks,
       limit: maximumStreamedBodyBytes,
       onEnd: (bodyError) => {
-        if (bodyError !== undefined && !this.#isDone) {
+        if (bodyError === undefined || this.#isDone) {
+          return;
+        }
+        if (bodyError !== "destination-closed") {
           this.#hasBodyFailed = true;
           this.#request.destroy();
+        } else if (this.#response === undefined) {
+          this.#fail("reset", "the connection closed during the request");
         }
       },
     });
--- a/src/node/pipe_body.ts
+++ b/src/node/pipe_body.ts
@@ -20,7 +20,12 @@
 }
 
 /** Why a body was not transferred completely. */
-export type PipeBodyError = "aborted" | "too-large";
+export type PipeBodyError =
+  | "source-aborted"
+  | "destination-closed"
+  | "too-large"
+  /** The transfer was aborted by its owner. */
+  | "stopped";
 
 /** A body that is being transferred. */
 export interface BodyTransfer {
@@ -73,18 +78,22 @@
     source.resume();
   };
   // Otherwise a paused source would wait forever for a closed destination.
-  const onClose = (): void => finish("aborted");
+  const onClose = (): void => finish("destination-closed");
   destination.on("drain", onDrain);
   destination.on("close", onClose);
   source.on("data", onData);
-  source.on("end", () => finish(source.complete ? undefined : "aborted"));
-  source.on("error", () => finish("aborted"));
-  source.on("close", () => finish("aborted"));
+  const onSourceAborted = (): void => finish("source-aborted");
+  source.on(
+    "end",
+    () => source.complete ? finish(undefined) : onSourceAborted(),
+  );
+  source.on("error", onSourceAborted);
+  source.on("close", onSourceAborted);
   for (const chunk of options.chunks) {
     onData(chunk);
   }
   if (!destination.writableNeedDrain && !isDone) {
     source.resume();
   }
-  return { abort: () => finish("aborted") };
+  return { abort: () => finish("stopped") };
 }
