--- a/src/document/parse_document.ts
+++ b/src/document/parse_document.ts
@@ -1,6 +1,8 @@
 import { failed, type Finding, ok, type Result } from "../common/mod.ts";
+import { fieldLimits } from "../request/mod.ts";
 import { parseTomlFile, type TomlTableReader } from "../toml/mod.ts";
 import { CallGraph } from "./call_graph.ts";
+import { getHostName } from "./host_name.ts";
 import { getRouteServices } from "./route_services.ts";
 import type {
   CallerLimits,
@@ -116,6 +118,10 @@
   if (!/^[a-z0-9]([a-z0-9-]*[a-z0-9])?$/.test(name)) {
     reader.addFinding("", "Expected a name of a-z, 0-9 and inner hyphens");
   }
+  if (name.length > fieldLimits.serviceLength) {
+    const message = `Longer than ${fieldLimits.serviceLength} characters`;
+    reader.addFinding("", message);
+  }
   const service: Service = {
     name,
     slots: reader.readNumber("slots", {
@@ -179,7 +185,7 @@
   const split = readSplit(reader);
   const route: Route = {
     service: split?.[0]?.service ?? reader.readString("service"),
-    host: reader.readString("host", { optional: true })?.toLowerCase(),
+    host: readHost(reader),
     split,
     maximumTargets: readOptionalNumber(
       reader,
@@ -213,6 +219,11 @@
   return route;
 }
 
+function readHost(reader: TomlTableReader): string | undefined {
+  const host = reader.readString("host", { optional: true });
+  return host === undefined ? undefined : getHostName(host);
+}
+
 function readOptionalNumber(
   reader: TomlTableReader,
   key: string,
--- a/src/node/default_protocol.ts
+++ b/src/node/default_protocol.ts
@@ -20,6 +20,7 @@
 export const defaultProtocol: CallProtocol = {
   buffersResponses: false,
   headerBytes: defaultHeaderBytes,
+  allowsDotSegments: false,
   getKey,
   getNestedClassIndex: (classIndex) => classIndex,
   getRequestId: (received) => getParent(received)?.details.requestId ?? "",
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -68,7 +68,7 @@
   ): void {
     const { isOutside } = options;
     const { view } = this.state;
-    const target = readRequestTarget(request);
+    const target = readRequestTarget(request, this.state.protocol);
     const getCall: UnacceptedRequest["getCall"] = (token) =>
       this.#targetDispatcher.getCall(token);
     const refuse = (reason: RefusalReason, message?: string) =>
@@ -115,7 +115,7 @@
     }
     const details = createCallDetails(this.state, accepted, {
       request,
-      path: target.path,
+      target,
       headers: framing.headers,
       isOutside,
     });
--- a/src/node/peer_request_handler.ts
+++ b/src/node/peer_request_handler.ts
@@ -53,7 +53,7 @@
 
   /** Validates a request of another node and starts its call. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const { view, settings, clock, peerCredential } = this.#state;
+    const { view, settings, clock, peerCredential, protocol } = this.#state;
     const text = request.headers["dogwoodwalk-context"];
     const decoded = decodeContext(typeof text === "string" ? text : "");
     const presentedCredential = request.headers[peerHeader] as
@@ -82,7 +82,7 @@
       this.#refuse(response, "no-target", { context, message });
       return;
     }
-    const target = readRequestTarget(request);
+    const target = readRequestTarget(request, protocol);
     if (target === undefined) {
       const message = "The request target is malformed";
       this.#refuse(response, "malformed-request", { context, message });
--- a/src/request/answer_codec.ts
+++ b/src/request/answer_codec.ts
@@ -1,6 +1,7 @@
 import { failed, ok, type Result } from "../common/mod.ts";
 import type { Disposition } from "./disposition.ts";
 import { fieldLimits, readWholeNumber } from "./field_limits.ts";
+import { decodeName, encodeName } from "./name_codec.ts";
 import { type RefusalReason, refusalReasons } from "./refusal_reason.ts";
 
 /** Name of the header with which a target's node answers the origin's node. */
@@ -33,34 +34,55 @@
 
 const formatVersion = "1";
 const fieldCount = 6;
-const servicePattern = /^[a-z0-9][a-z0-9-]*$/;
 const reasons: ReadonlySet<string> = new Set(refusalReasons);
 
 /**
  * Encodes an answer as
- * `1;disposition;reason;unused;service=level,...;running,queued,limit`.
- * @param answer The answer; its values must be within `fieldLimits`.
+ * `1;disposition;reason;unused;service=level,...;running,queued,limit`. Admission
+ * levels beyond the length of an answer are omitted.
+ * @param answer The answer.
  * @returns The value of the header.
  */
 export function encodeAnswer(answer: Answer): string {
-  let levels = "";
-  if (answer.levels.length > 0) {
-    levels = answer.levels.slice(0, fieldLimits.levelEntries)
-      .map(({ service, level }) => `${service}=${level}`).join(",");
-  }
-  return `${formatVersion};${answer.disposition};${
+  const start = `${formatVersion};${answer.disposition};${
     answer.reason ?? ""
-  };${answer.unusedAttempts};${levels};${
-    answer.load === undefined ? "" : encodeLoad(answer.load)
+  };${answer.unusedAttempts};`;
+  const load = answer.load === undefined ? "" : encodeLoad(answer.load);
+  if (answer.levels.length === 0) {
+    return `${start};${load}`;
+  }
+  const length = fieldLimits.answerLength - start.length - load.length - 1;
+  return `${start}${encodeLevels(answer.levels, length)};${load}`;
+}
+
+function encodeLoad({ running, queued, limit }: LoadHint): string {
+  const maximum = fieldLimits.load;
+  return `${Math.min(running, maximum)},${Math.min(queued, maximum)},${
+    Math.min(limit, maximum)
   }`;
 }
 
-function encodeLoad(load: LoadHint): string {
-  return `${load.running},${load.queued},${load.limit}`;
+function encodeLevels(
+  levels: readonly ServiceLevel[],
+  maximumLength: number,
+): string {
+  let text = "";
+  for (const { service, level } of levels.slice(0, fieldLimits.levelEntries)) {
+    const separator = text === "" ? "" : ",";
+    const next = `${text}${separator}${encodeName(service)}=${
+      Math.min(level, fieldLimits.level)
+    }`;
+    if (next.length <= maximumLength) {
+      text = next;
+    }
+  }
+  return text;
 }
 
 /**
- * Decodes an answer. Never throws; a value beyond `fieldLimits` is an error.
+ * Decodes an answer. Never throws. Whether the call ran must not be lost, so that
+ * a reason that this version does not know becomes `peer-rejected`, and other
+ * fields that are malformed or beyond `fieldLimits` are left out.
  * @param text The value of the header.
  * @returns The answer, or what is wrong with the header.
  */
@@ -82,64 +104,55 @@
   ) {
     return failed("disposition is unknown");
   }
-  const reason = fields[2] as string;
-  if (reason !== "" && !reasons.has(reason)) {
-    return failed("reason is unknown");
-  }
-  const unusedAttempts = readWholeNumber(fields[3], fieldLimits.allowance);
-  if (unusedAttempts < 0) {
-    return failed("unused allowance is out of range");
-  }
-  const levels = decodeLevels(fields[4] as string);
-  if (levels === undefined) {
-    return failed("admission levels are malformed");
-  }
-  const load = decodeLoad(fields[5] as string);
-  if (load === "malformed") {
-    return failed("load is malformed");
-  }
   return ok({
     disposition,
-    reason: reason === "" ? undefined : reason as RefusalReason,
-    unusedAttempts,
-    levels,
-    load,
+    reason: decodeReason(fields[2] as string),
+    unusedAttempts: Math.max(
+      0,
+      readWholeNumber(fields[3], fieldLimits.allowance),
+    ),
+    levels: decodeLevels(fields[4] as string),
+    load: decodeLoad(fields[5] as string),
   });
 }
 
-function decodeLoad(text: string): LoadHint | undefined | "malformed" {
+function decodeReason(text: string): RefusalReason | undefined {
   if (text === "") {
     return undefined;
   }
+  return reasons.has(text) ? text as RefusalReason : "peer-rejected";
+}
+
+function decodeLoad(text: string): LoadHint | undefined {
   const numbers = text.split(",");
   const running = readWholeNumber(numbers[0], fieldLimits.load);
   const queued = readWholeNumber(numbers[1], fieldLimits.load);
   const limit = readWholeNumber(numbers[2], fieldLimits.load);
   return numbers.length !== 3 || running < 0 || queued < 0 || limit < 0
-    ? "malformed"
+    ? undefined
     : { running, queued, limit };
 }
 
 const noLevels: readonly ServiceLevel[] = [];
 
-function decodeLevels(text: string): readonly ServiceLevel[] | undefined {
+function decodeLevels(text: string): readonly ServiceLevel[] {
   if (text === "") {
     return noLevels;
   }
   const entries = text.split(",");
   if (entries.length > fieldLimits.levelEntries) {
-    return undefined;
+    return noLevels;
   }
   const levels: ServiceLevel[] = [];
   for (const entry of entries) {
     const split = entry.indexOf("=");
-    const service = entry.slice(0, Math.max(0, split));
+    const service = decodeName(
+      entry.slice(0, Math.max(0, split)),
+      fieldLimits.serviceLength,
+    );
     const level = readWholeNumber(entry.slice(split + 1), fieldLimits.level);
-    if (
-      level < 0 || service.length > fieldLimits.serviceLength ||
-      !servicePattern.test(service)
-    ) {
-      return undefined;
+    if (!service || level < 0) {
+      return noLevels;
     }
     levels.push({ service, level });
   }
