Leave an isolated control instance within the contact time

What callers saw: 404 for a route that was added while the node was at a control instance without a majority. The node may be there for up to 15 s, although it reaches the other instances, and counts as in contact with control after 3 s.

Cause: a node whose instance becomes isolated looks for another one at once. If the others are isolated at that moment, too, it looks again only after 5 to 15 s: the adapter derived the renewal times from the contact time, and left isolatedRetryMilliseconds at its default of 10 s. The others are isolated at that moment when the isolated instance was the leader: an election starts 1 to 2 s after the last contact, and 1.5 s without contact make an instance isolated.

Ruled out: a shorter default, since a group of 886 nodes has all its sessions at isolated instances when there is no majority; and longer isolation or elections, because both delay the refusal of changes.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -59,12 +59,17 @@
   readonly revision: number;
 }
 
-/** Times by which a session detects that its control instance is lost. */
+/** Times by which a session leaves a control instance that is lost or isolated. */
 export interface SessionTiming {
   /** Time between two renewals. */
   readonly renewalIntervalMilliseconds: number;
   /** Time after which an unanswered renewal ends the session. */
   readonly renewalTimeoutMilliseconds: number;
+  /**
+   * Mean time between searches for another instance while no other one accepts
+   * the node, for example because all are isolated.
+   */
+  readonly isolatedRetryMilliseconds: number;
 }
 
 /** Settings of a control session; times in milliseconds. */
@@ -101,11 +106,6 @@
   readonly jitterMilliseconds?: number;
   /** Time after which a connection attempt without an answer is closed. */
   readonly connectTimeoutMilliseconds?: number;
-  /**
-   * Mean time between searches for another instance while no other one accepts
-   * the node, for example because all are isolated.
-   */
-  readonly isolatedRetryMilliseconds?: number;
 }
 
 const defaults = {
