Answer 503 for an unknown route while the document may be outdated

What callers saw: 404 unknown-route for a route that was added while their node was cut off from control, or stayed at an isolated control instance. Callers do not repeat a request after 404.

Cause: a node decides by the document that it has, whether or not control could tell it of a newer one.

Ruled out: 503 as soon as the session is lost, because it moves in ordinary restarts of control instances and callers would be refused for nothing; and to serve unknown routes, since there is nothing to route them by.

Change: the session keeps the time of the last renewal answer whose revision is not above its own. An isolated instance reports revision 0, so it confirms nothing. A node that is not connected to control at all, as in tests, keeps 404.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -171,6 +171,8 @@
   #unansweredSince: number | undefined;
   #failedConnectionCycles = 0;
   #revision = 0;
+  /** Time at which control last confirmed that no newer document exists. */
+  #documentConfirmedAt = -Infinity;
   #documentPart: { bytes: Uint8Array; hash: string } | undefined;
   readonly #linkByteCounter = new LinkByteCounter();
   #linkShares: readonly LinkShare[] = [];
@@ -254,6 +256,17 @@
     };
   }
 
+  /**
+   * Reports whether control has confirmed the document as the newest one within
+   * a renewal interval and its timeout. An isolated instance cannot do that.
+   */
+  get isDocumentConfirmed(): boolean {
+    const { renewalIntervalMilliseconds, renewalTimeoutMilliseconds } =
+      this.#options;
+    return this.#clock.monotonicMilliseconds() - this.#documentConfirmedAt <=
+      renewalIntervalMilliseconds + renewalTimeoutMilliseconds;
+  }
+
   /** Gets the control addresses, the one of the current session first. */
   getControlAddresses(): readonly string[] {
     const current = this.#currentConnection?.address;
@@ -599,6 +612,9 @@
     } else if (this.#unansweredSince !== undefined) {
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
+    if (answer.revision > 0 && answer.revision <= this.#revision) {
+      this.#documentConfirmedAt = this.#clock.monotonicMilliseconds();
+    }
     this.#answeredSequence = answer.sequence;
     this.#announcedTargets.confirm(answer.sequence);
     this.#unconfirmedMessages.confirm(answer.sequence);
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -144,6 +144,7 @@
       getControlAddresses: () => this.#session.getControlAddresses(),
     });
     state.ledger = createLedgerPort(this.#ledger);
+    state.isDocumentConfirmed = () => this.#session.isDocumentConfirmed;
     node.getControlStatus = () => this.#session.getStatus();
     node.events = {
       onTargetChange: () => this.#announce(),
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -434,6 +434,7 @@
     peerCredential: options.peerCredential,
     ledger: options.ledger ?? unavailableLedger,
     view: undefined,
+    isDocumentConfirmed: () => true,
     levels: new LevelTable({ clock, classCount: 1 }),
     isStopping: false,
     isStopLimitNear: false,
--- a/src/node/node_state.ts
+++ b/src/node/node_state.ts
@@ -34,6 +34,8 @@
   ledger: LedgerPort;
   /** The document in force; `undefined` until the first one. */
   view: DocumentView | undefined;
+  /** Checks whether control has confirmed lately that the document is the newest. */
+  isDocumentConfirmed: () => boolean;
   /** Admission levels of other services; recreated when the classes change. */
   levels: LevelTable;
   /** Whether new calls are refused because the process stops. */
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -93,7 +93,12 @@
       getCallOfRequest: (id) => this.#targetDispatcher.getCallOfRequest(id),
     });
     if (accepted.kind === "refused") {
-      const { reason, message } = accepted;
+      const { message } = accepted;
+      // A newer document may have the route.
+      const reason = accepted.reason === "unknown-route" &&
+          !this.state.isDocumentConfirmed()
+        ? "document-unconfirmed"
+        : accepted.reason;
       this.#refuseRequest(response, reason, {
         target,
         ...(message === undefined ? {} : { message }),
--- a/src/node/refusal_messages.ts
+++ b/src/node/refusal_messages.ts
@@ -6,6 +6,8 @@
 
 const messages: Readonly<Record<RefusalReason, string>> = {
   "unknown-route": "No route matches the service, method and path",
+  "document-unconfirmed":
+    "No route matches, and the document of the node may be outdated",
   "malformed-request": "The request is malformed",
   "too-large": "The request is too large",
   "body-memory": "The node buffers too many request bodies",
--- a/src/request/error_body.ts
+++ b/src/request/error_body.ts
@@ -25,6 +25,7 @@
 
 const statuses: Readonly<Record<RefusalReason, number>> = {
   "unknown-route": 404,
+  "document-unconfirmed": 503,
   "malformed-request": 400,
   "too-large": 413,
   "body-memory": 503,
--- a/src/request/refusal_reason.ts
+++ b/src/request/refusal_reason.ts
@@ -1,6 +1,7 @@
 /** Every reason for which a call is refused or fails. */
 export const refusalReasons = [
   "unknown-route",
+  "document-unconfirmed",
   "malformed-request",
   "too-large",
   "body-memory",
