Accept response headers that repeat those of the request

What callers saw: 502 target-reset for a request with an identity of 60,000 bytes, which the manifest allows and an endpoint ran. The node could also take the endpoint for crashed, since target-reset is how a crash looks.

Endpoints repeat X-Attempt-Id.

Change: a node reads as much from its target as from callers, and 16 KiB more. The client of the tests reads 128 KiB.

Before: both new cases get 502. After: they get 200; proper_requests_test: 25 pass.

--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -26,6 +26,7 @@
   type ExchangeEvents,
   type ResponseHead,
 } from "./exchange.ts";
+import { defaultHeaderBytes } from "./http_listener.ts";
 import type { NodeState } from "./node_state.ts";
 import { getRefusalMessage } from "./refusal_messages.ts";
 import { ServiceTime } from "./service_time.ts";
@@ -358,6 +359,8 @@
       memory: this.#state.bodyMemory,
       buffersResponse: this.#state.protocol.buffersResponses ||
         isResponseBuffered(details),
+      // Targets may repeat headers of the request.
+      headerBytes: this.#state.protocol.headerBytes + defaultHeaderBytes,
       events: this,
     });
     headers.length = length;
--- a/tests/support/http_call.ts
+++ b/tests/support/http_call.ts
@@ -33,6 +33,7 @@
       path: call.path,
       headers: call.headers,
       agent: false,
+      maxHeaderSize: 128 * 1024,
       signal: call.signal,
     }, (response) => {
       const chunks: Buffer[] = [];
