Pass requests with the path of the outcome query on in protocols without keys

What callers saw: 400 malformed-request for a GET whose path begins with /dogwoodwalk/outcome, on a host whose manifest has a route for it, such as "/".

Cause: the listener for callers reserves that path in each protocol, although only requests with keys have an outcome to ask for.

Change: the path is reserved only where the protocol has keys.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -367,7 +367,10 @@
 
   #onOutside(request: IncomingMessage, response: ServerResponse): void {
     const url = request.url ?? "";
-    if (url.startsWith(outcomeQueryPath) && request.method === "GET") {
+    if (
+      this.state.protocol.getKey !== undefined && request.method === "GET" &&
+      url.startsWith(outcomeQueryPath)
+    ) {
       handleOutcomeQuery(this.state, url, response);
       return;
     }
