--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -59,12 +59,17 @@
   readonly revision: number;
 }
 
-/** Times by which a session detects that its control instance is lost. */
+/** Times by which a session leaves a control instance that is lost or isolated. */
 export interface SessionTiming {
   /** Time between two renewals. */
   readonly renewalIntervalMilliseconds: number;
   /** Time after which an unanswered renewal ends the session. */
   readonly renewalTimeoutMilliseconds: number;
+  /**
+   * Mean time between searches for another instance while no other one accepts
+   * the node, for example because all are isolated.
+   */
+  readonly isolatedRetryMilliseconds: number;
 }
 
 /** Settings of a control session; times in milliseconds. */
@@ -101,11 +106,6 @@
   readonly jitterMilliseconds?: number;
   /** Time after which a connection attempt without an answer is closed. */
   readonly connectTimeoutMilliseconds?: number;
-  /**
-   * Mean time between searches for another instance while no other one accepts
-   * the node, for example because all are isolated.
-   */
-  readonly isolatedRetryMilliseconds?: number;
 }
 
 const defaults = {
@@ -171,6 +171,8 @@
   #unansweredSince: number | undefined;
   #failedConnectionCycles = 0;
   #revision = 0;
+  /** Time at which control last confirmed that no newer document exists. */
+  #documentConfirmedAt = -Infinity;
   #documentPart: { bytes: Uint8Array; hash: string } | undefined;
   readonly #linkByteCounter = new LinkByteCounter();
   #linkShares: readonly LinkShare[] = [];
@@ -254,6 +256,17 @@
     };
   }
 
+  /**
+   * Reports whether control has confirmed the document as the newest one within
+   * a renewal interval and its timeout. An isolated instance cannot do that.
+   */
+  get isDocumentConfirmed(): boolean {
+    const { renewalIntervalMilliseconds, renewalTimeoutMilliseconds } =
+      this.#options;
+    return this.#clock.monotonicMilliseconds() - this.#documentConfirmedAt <=
+      renewalIntervalMilliseconds + renewalTimeoutMilliseconds;
+  }
+
   /** Gets the control addresses, the one of the current session first. */
   getControlAddresses(): readonly string[] {
     const current = this.#currentConnection?.address;
@@ -599,6 +612,9 @@
     } else if (this.#unansweredSince !== undefined) {
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
+    if (answer.revision > 0 && answer.revision <= this.#revision) {
+      this.#documentConfirmedAt = this.#clock.monotonicMilliseconds();
+    }
     this.#answeredSequence = answer.sequence;
     this.#announcedTargets.confirm(answer.sequence);
     this.#unconfirmedMessages.confirm(answer.sequence);
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -372,7 +372,10 @@
 
   #onOutside(request: IncomingMessage, response: ServerResponse): void {
     const url = request.url ?? "";
-    if (url.startsWith(outcomeQueryPath) && request.method === "GET") {
+    if (
+      this.state.protocol.getKey !== undefined && request.method === "GET" &&
+      url.startsWith(outcomeQueryPath)
+    ) {
       handleOutcomeQuery(this.state, url, response);
       return;
     }
@@ -439,6 +442,7 @@
     peerCredential: options.peerCredential,
     ledger: options.ledger ?? unavailableLedger,
     view: undefined,
+    isDocumentConfirmed: () => true,
     levels: new LevelTable({ clock, classCount: 1 }),
     isStopping: false,
     isStopLimitNear: false,
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -101,7 +101,13 @@
       getCallOfRequest: (id) => this.#targetDispatcher.getCallOfRequest(id),
     });
     if (accepted.kind === "refused") {
-      refuse(accepted.reason, accepted.message);
+      // A newer document may have the route.
+      const isOutdated = accepted.reason === "unknown-route" &&
+        !this.state.isDocumentConfirmed();
+      refuse(
+        isOutdated ? "document-unconfirmed" : accepted.reason,
+        accepted.message,
+      );
       return;
     }
     const bodyBytes = view.document.callerLimits?.bodyBytes ?? Infinity;
