--- a/src/node/verify_connection_end_test.ts
+++ b/src/node/verify_connection_end_test.ts
@@ -1,49 +1,7 @@
 import assert from "node:assert/strict";
-import { createServer, type Socket } from "node:net";
-import { test, type TestContext } from "node:test";
-import { announceServer } from "../../tests/support/announce_server.ts";
+import { test } from "node:test";
 import { sendCall, waitFor } from "../../tests/support/http_call.ts";
-import {
-  connectPairs,
-  startPair,
-  type TestPair,
-} from "../../tests/support/test_pair.ts";
-
-/** Answers a request with raw bytes. */
-type RawHandler = (socket: Socket) => void;
-
-/** A node for callers, and the node of the target; both can be the same. */
-interface Path {
-  readonly origin: TestPair;
-  readonly last: TestPair;
-  readonly call: { port: number; path: string; headers: { Host: string } };
-}
-
-/** Starts one node, or two nodes of which the second has the target. */
-async function startPath(
-  context: TestContext,
-  nodeCount: number,
-  handler: RawHandler,
-): Promise<Path> {
-  const origin = await startPair("front-1");
-  context.after(() => origin.close());
-  let last = origin;
-  if (nodeCount === 2) {
-    const second = await startPair("back-1", { service: "back" });
-    context.after(() => second.close());
-    connectPairs([origin, second]);
-    last = second;
-  }
-  const server = createServer({ allowHalfOpen: true }, (socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => handler(socket));
-    socket.on("end", () => socket.end());
-  });
-  await announceServer(context, last, server);
-  const Host = nodeCount === 2 ? "back" : "front";
-  const call = { port: origin.outside, path: "/views/1", headers: { Host } };
-  return { origin, last, call };
-}
+import { type RawHandler, startRawPath } from "../../tests/support/raw_path.ts";
 
 const head = "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\r\n";
 const small = "x".repeat(1000);
@@ -95,7 +53,7 @@
   for (const { name, handler, body } of closes) {
     // Guards against a ready response that is replaced by a failure.
     test(`a response without length whose connection closes ${name} is passed on whole through ${nodeCount} nodes`, async (context) => {
-      const { origin, last, call } = await startPath(
+      const { origin, last, call } = await startRawPath(
         context,
         nodeCount,
         handler,
@@ -164,7 +122,7 @@
   for (const { name, handler } of resets) {
     // Guards against a response that broke off and seems complete.
     test(`a response without length that is reset ${name} never seems complete through ${nodeCount} nodes`, async (context) => {
-      const { origin, last, call } = await startPath(
+      const { origin, last, call } = await startRawPath(
         context,
         nodeCount,
         handler,
@@ -190,7 +148,7 @@
 
 test("a small body without length or end fails at the deadline", async (context) => {
   let isClosed = false;
-  const { origin, call } = await startPath(context, 1, (socket) => {
+  const { origin, call } = await startRawPath(context, 1, (socket) => {
     socket.write(head);
     const timer = setInterval(() => socket.write("x"), 10);
     socket.on("close", () => {
@@ -206,7 +164,7 @@
 
 test("a large body without length or end stops when the caller leaves", async (context) => {
   let isClosed = false;
-  const { origin, call } = await startPath(context, 1, (socket) => {
+  const { origin, call } = await startRawPath(context, 1, (socket) => {
     socket.write(head);
     const write = () => {
       while (!socket.destroyed && socket.write(Buffer.alloc(65_536)));
@@ -237,7 +195,7 @@
 
 for (const { name, framing, body } of lateFramings) {
   test(`a response that is cut before its end never seems complete when ${name} is behind many headers`, async (context) => {
-    const { origin, call } = await startPath(context, 1, (socket) => {
+    const { origin, call } = await startRawPath(context, 1, (socket) => {
       socket.end(
         `HTTP/1.1 200 OK\r\nConnection: close\r\n${"A: 1\r\n".repeat(1500)}` +
           `${framing}\r\n\r\n${body}`,
