Pass on no body whose transfer coding was removed

What callers saw: a response with Transfer-Encoding gzip, with or without chunks, arrived as 200 with the encoded bytes and without the coding. Without chunks, one that was reset seemed complete. A request with "gzip, chunked" was not refused, and its coding was not passed on.

Cause: each Transfer-Encoding was taken for chunked. The header is not passed on, and a response whose last coding is not chunked ends with its connection (RFC 9112, section 6.3), which was verified only without the header.

Ruled out: passing the coding on. A caller that sent no TE accepts only chunked, and nodes send no TE to targets.

Change: only chunked, identity and an empty value are read. A response with another coding fails as answer-incomplete (502, unknown), unless its status or method leaves it without a body; a request with one gets 400 and not-run. A response with identity alone is verified like one without a length.

--- a/src/node/claim.ts
+++ b/src/node/claim.ts
@@ -141,6 +141,7 @@
       headers: [...answer.headers],
       contentLength: answer.body.length,
       isChunked: false,
+      hasUnknownCoding: false,
       answer: undefined,
       keepAliveSeconds: -1,
       hasInvalidName: false,
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -197,7 +197,12 @@
       this.#fail("incomplete", `the response has status ${head.status}`);
       return;
     }
-    if (!this.#hasDelimitedBody(head)) {
+    const hasBody = this.#hasBody(head);
+    if (hasBody && head.hasUnknownCoding) {
+      this.#fail("incomplete", "the transfer coding is not chunked");
+      return;
+    }
+    if (hasBody && head.contentLength < 0 && !head.isChunked) {
       verifyConnectionEnd(response);
       this.#endsWithConnection = true;
       // The next hop gets the body with a length or in chunks.
@@ -263,10 +268,9 @@
     });
   }
 
-  /** Reports whether the end of a response is marked by its framing. */
-  #hasDelimitedBody(head: ResponseHead): boolean {
-    return head.contentLength >= 0 || head.isChunked ||
-      head.status === 204 || head.status === 304 || this.#method === "HEAD";
+  /** Reports whether a response can have a body. */
+  #hasBody({ status }: ResponseHead): boolean {
+    return status !== 204 && status !== 304 && this.#method !== "HEAD";
   }
 
   #isRequestIncomplete(): boolean {
--- a/src/node/forwarded_headers.ts
+++ b/src/node/forwarded_headers.ts
@@ -9,7 +9,13 @@
   readonly headers: string[];
   /** Value of Content-Length; -1 when absent. */
   readonly contentLength: number;
+  /** Whether the body is in chunks. */
   readonly isChunked: boolean;
+  /**
+   * Whether the body has a transfer coding other than `chunked`. Such a body
+   * must not be passed on, because the coding is not.
+   */
+  readonly hasUnknownCoding: boolean;
   /** Value of `dogwoodwalk-answer`; `undefined` when absent. */
   readonly answer: string | undefined;
   /** Idle timeout of the sender from Keep-Alive; -1 when absent. */
@@ -29,7 +35,7 @@
 export function copyHeaders(raw: readonly string[]): ForwardedHeaders {
   const headers: string[] = [];
   let contentLength = -1;
-  let isChunked = false;
+  let transferEncoding: string | undefined;
   let answer: string | undefined;
   let keepAliveSeconds = -1;
   let connectionHeaders: string | undefined;
@@ -79,7 +85,9 @@
         break;
       case 17:
         if (name.toLowerCase() === "transfer-encoding") {
-          isChunked = true;
+          transferEncoding = transferEncoding === undefined
+            ? value
+            : `${transferEncoding},${value}`;
           continue;
         }
         break;
@@ -95,10 +103,12 @@
   if (connectionHeaders !== undefined) {
     removeConnectionHeaders(headers, connectionHeaders);
   }
+  const coding = getTransferCoding(transferEncoding);
   return {
     headers,
     contentLength,
-    isChunked,
+    isChunked: coding === "chunked",
+    hasUnknownCoding: coding === "unknown",
     answer,
     keepAliveSeconds,
     hasInvalidName,
@@ -121,6 +131,40 @@
   headers.push("Content-Length", String(length));
 }
 
+/**
+ * Checks whether a request can be passed on.
+ * @param framing Headers of the request.
+ * @returns What is wrong; `undefined` if nothing is.
+ */
+export function getRequestError(framing: ForwardedHeaders): string | undefined {
+  if (framing.hasInvalidName) {
+    return "The name of a header contains a space";
+  }
+  return framing.hasUnknownCoding
+    ? "The transfer coding is not chunked"
+    : undefined;
+}
+
+type TransferCoding = "none" | "chunked" | "unknown";
+
+/**
+ * Gets how a body is encoded. As the parser of Node.js does, it takes a body for
+ * chunked only if that coding is the last one (RFC 9112, section 6.3).
+ */
+function getTransferCoding(value: string | undefined): TransferCoding {
+  if (value === undefined || value === "") {
+    return "none";
+  }
+  const codings = value.toLowerCase().split(",").map((each) => each.trim());
+  if (codings.every((each) => each === "identity")) {
+    return "none";
+  }
+  return codings.at(-1) === "chunked" &&
+      codings.every((each) => each === "chunked" || each === "identity")
+    ? "chunked"
+    : "unknown";
+}
+
 const hopByHopHeaders = new Set([
   "te",
   "expect",
--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -9,7 +9,7 @@
 import { getEarlyDisposition } from "./early_refusal.ts";
 import { addDiscoveredServices } from "./reported_levels.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
-import { copyHeaders } from "./forwarded_headers.ts";
+import { copyHeaders, getRequestError } from "./forwarded_headers.ts";
 import { KeyedCalls } from "./keyed_calls.ts";
 import { PeerConnectionPools } from "./peer_connection_pools.ts";
 import type { NodeState } from "./node_state.ts";
@@ -77,8 +77,8 @@
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
-    if (framing.hasInvalidName) {
-      const message = "The name of a header contains a space";
+    const message = getRequestError(framing);
+    if (message !== undefined) {
       this.#refuseRequest(response, "malformed-request", { target, message });
       return;
     }
--- a/src/node/peer_request_handler.ts
+++ b/src/node/peer_request_handler.ts
@@ -6,7 +6,7 @@
   type RequestContext,
 } from "../request/mod.ts";
 import { writeFailure } from "./caller_response.ts";
-import { copyHeaders } from "./forwarded_headers.ts";
+import { copyHeaders, getRequestError } from "./forwarded_headers.ts";
 import { InboundCall } from "./inbound_call.ts";
 import type { NodeState } from "./node_state.ts";
 import { peerHeader } from "./peer_credential.ts";
@@ -98,8 +98,8 @@
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
-    if (framing.hasInvalidName) {
-      const message = "The name of a header contains a space";
+    const message = getRequestError(framing);
+    if (message !== undefined) {
       this.#refuse(response, "malformed-request", { context, message });
       return;
     }
