Send no chunks to callers of HTTP/1.0, and reset incomplete responses

What callers saw: a caller of HTTP/1.0 got a streamed response in chunks, which that version does not have (RFC 9112, section 6.1), with chunk sizes as part of the body. A response that broke off ended regularly, which is how that version marks a complete body.

Cause: Transfer-Encoding was set whatever the caller can read, and every end of a connection before the response is complete was a regular close: by the target, a limit or stop of the node, or the caller that closes its own direction.

Ruled out: a reset only where a streamed response is aborted. The stop limit and the end of a listener close sockets directly.

Change: a response to another version than HTTP/1.1 is written without chunks and ends with the connection. Its socket is reset when it is destroyed without an error while the response is incomplete. A process that is killed still ends it regularly. Complete responses in front of it that the caller has not received are lost with the reset.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -16,6 +16,7 @@
   OpenConnection,
   type UnansweredConnection,
 } from "./open_connection.ts";
+import { resetIncompleteResponse } from "./reset_incomplete_response.ts";
 import { sendClientError } from "./send_client_error.ts";
 
 /** Maximum size of the request line and headers together. */
@@ -221,6 +222,10 @@
     if (this.#state.isDraining || endsConnection(request)) {
       response.shouldKeepAlive = false;
     }
+    if (!canReadChunks(request)) {
+      response.useChunkedEncodingByDefault = false;
+      resetIncompleteResponse(response);
+    }
     connection.add(response);
     this.#busyConnections.add(connection);
     if (request.headers.host === undefined && request.httpVersion === "1.1") {
@@ -333,8 +338,13 @@
  * need the end of the connection to know the end of the response, and Node.js
  * discards what follows an upgrade that it ignores.
  */
-function endsConnection({ httpVersion, headers }: IncomingMessage): boolean {
-  return httpVersion === "1.0" || headers.upgrade !== undefined;
+function endsConnection(request: IncomingMessage): boolean {
+  return !canReadChunks(request) || request.headers.upgrade !== undefined;
+}
+
+/** Checks whether a caller can read chunks (RFC 9112, section 6.1). */
+function canReadChunks({ httpVersion }: IncomingMessage): boolean {
+  return httpVersion === "1.1";
 }
 
 /** Refuses a request of HTTP/1.1 without Host (RFC 9112, section 3.2). */
--- a/src/node/streamed_delivery.ts
+++ b/src/node/streamed_delivery.ts
@@ -55,7 +55,10 @@
   ) {
     this.#response = response;
     const { head } = streamed;
-    if (head.contentLength < 0 && head.isChunked) {
+    if (
+      head.contentLength < 0 && head.isChunked &&
+      response.useChunkedEncodingByDefault
+    ) {
       head.headers.push("Transfer-Encoding", "chunked");
     }
     if (options.answer !== undefined) {
