--- a/src/node/origin_dispatcher.ts
+++ b/src/node/origin_dispatcher.ts
@@ -12,7 +12,7 @@
 import type { UnacceptedRequest } from "./call_protocol.ts";
 import { shortenText } from "./decision_log.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
-import { copyHeaders } from "./forwarded_headers.ts";
+import { copyHeaders, getRequestError } from "./forwarded_headers.ts";
 import { KeyedCalls } from "./keyed_calls.ts";
 import { PeerConnectionPools } from "./peer_connection_pools.ts";
 import type { NodeState } from "./node_state.ts";
@@ -86,8 +86,9 @@
       return;
     }
     const framing = copyHeaders(request.rawHeaders);
-    if (framing.hasInvalidName) {
-      refuse("malformed-request", "The name of a header contains a space");
+    const message = getRequestError(framing);
+    if (message !== undefined) {
+      refuse("malformed-request", message);
       return;
     }
     const accepted = this.state.protocol.parseRequest({
