Record the calls of stand-in targets that their node refuses

A check of the soak needs the status and the reason that a target got for its own call; its caller only sees the target's 502. The types of a run have a file of their own.

--- a/soak/check_exchanges_test.ts
+++ b/soak/check_exchanges_test.ts
@@ -201,6 +201,7 @@
       timeline,
       runs,
       brokenCalls,
+      refusedCalls: [],
     };
     const found = [
       ...checkExchanges(observation),
--- a/soak/soak_observation.ts
+++ b/soak/soak_observation.ts
@@ -1,4 +1,7 @@
-import type { StandInRun } from "../tests/support/stand_in_target.ts";
+import type {
+  StandInRefusal,
+  StandInRun,
+} from "../tests/support/stand_in_run.ts";
 import type { Exchange } from "./exchange.ts";
 import type { ProcessTimeline } from "./process_timeline.ts";
 
@@ -8,6 +11,13 @@
   readonly node: string;
 }
 
+/** A call of a target that its node refused. */
+export interface RefusedCall {
+  /** The run that made the call. */
+  readonly run: TargetRun;
+  readonly refusal: StandInRefusal;
+}
+
 /** What callers and targets saw during a run. */
 export interface SoakObservation {
   readonly exchanges: readonly Exchange[];
@@ -16,6 +26,7 @@
   readonly runs: readonly TargetRun[];
   /** Runs one of whose calls ended without an answer. */
   readonly brokenCalls: readonly TargetRun[];
+  readonly refusedCalls: readonly RefusedCall[];
 }
 
 /**
@@ -25,7 +36,7 @@
  */
 export function separateEntries(
   entries: readonly TargetRun[],
-): Pick<SoakObservation, "runs" | "brokenCalls"> {
+): Pick<SoakObservation, "runs" | "brokenCalls" | "refusedCalls"> {
   const shed = new Set(
     entries.filter((each) => each.end === "shed").map(getRunKey),
   );
@@ -34,6 +45,9 @@
       shed.has(getRunKey(each)) ? { ...each, end: "shed" } : each
     ),
     brokenCalls: entries.filter((each) => each.end === "call-broken"),
+    refusedCalls: entries.flatMap((run) =>
+      run.refusal === undefined ? [] : [{ run, refusal: run.refusal }]
+    ),
   };
 }
 
--- a/tests/support/run_record.ts
+++ b/tests/support/run_record.ts
@@ -1,5 +1,5 @@
 import { existsSync, readFileSync } from "node:fs";
-import type { StandInRun } from "./stand_in_target.ts";
+import type { StandInRun } from "./stand_in_run.ts";
 
 /**
  * Reads which calls stand-in targets ran, without those that they shed before
@@ -13,7 +13,8 @@
     runs.filter((each) => each.end === "shed").map((each) => each.request),
   );
   return runs.filter((each) =>
-    !shed.has(each.request) && each.end !== "call-broken"
+    !shed.has(each.request) && each.end !== "call-broken" &&
+    each.end !== "call-refused"
   );
 }
 
--- a/tests/support/stand_in_target.ts
+++ b/tests/support/stand_in_target.ts
@@ -7,13 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-
-/** A call that the stand-in target makes for each call that it receives. */
-export interface StandInCall {
-  readonly service: string;
-  readonly method: string;
-  readonly path: string;
-}
+import type { StandInCall, StandInRun } from "./stand_in_run.ts";
 
 /**
  * Behavior of a stand-in target. A request to `/stand-in/behavior` changes it at
@@ -46,33 +40,6 @@
   onCrash?(): void;
 }
 
-/** One call that a stand-in target ran. */
-export interface StandInRun {
-  readonly service: string;
-  readonly method: string;
-  readonly path: string;
-  /** Value of the header dogwoodwalk-request. */
-  readonly request: string;
-  /** Value of the header Idempotency-Key; empty if absent. */
-  readonly key: string;
-  /** Value of the header x-call, by which a test identifies its call. */
-  readonly call: string;
-  readonly bytes: number;
-  /** Value of dogwoodwalk-request of the run that made this call. */
-  readonly parent: string;
-  /** Time at which the run started, in milliseconds since the epoch. */
-  readonly startMilliseconds: number;
-  /** `call-broken` in a record: a call of the run ended without an answer. */
-  end:
-    | "running"
-    | "completed"
-    | "cancelled"
-    | "crashed"
-    | "failed"
-    | "shed"
-    | "call-broken";
-}
-
 /** A call that was received completely and has not been answered. */
 interface ReceivedCall {
   readonly request: IncomingMessage;
@@ -289,7 +256,7 @@
 
   /**
    * Appends a run to the record file: when it starts, when it is shed, and when
-   * one of its calls ends without an answer.
+   * one of its calls ends without an answer or is refused.
    */
   #writeRecord(run: StandInRun): void {
     if (this.#options.recordFile !== undefined) {
@@ -304,7 +271,7 @@
     const { calls } = this.behavior;
     const prefix = Object.keys(calls).find((each) => run.path.startsWith(each));
     for (const [index, call] of (calls[prefix ?? ""] ?? []).entries()) {
-      const status = await this.#makeCall(call, headers);
+      const status = await this.#makeCall(run, call, headers);
       if (status === "broken") {
         this.#writeRecord({ ...run, end: "call-broken" });
         return 502;
@@ -320,6 +287,7 @@
   }
 
   #makeCall(
+    run: StandInRun,
     call: StandInCall,
     headers: IncomingMessage["headers"],
   ): Promise<number | "not-run" | "broken"> {
@@ -344,6 +312,7 @@
         headers: forwardedHeaders,
       }, (response) => {
         response.resume();
+        this.#recordRefusal(run, call, response);
         response.on("end", () =>
           resolve(
             response.headers["dogwoodwalk-disposition"] === "not-run"
@@ -357,6 +326,18 @@
     });
   }
 
+  #recordRefusal(
+    run: StandInRun,
+    call: StandInCall,
+    { statusCode: status = 0, headers }: IncomingMessage,
+  ): void {
+    const reason = headers["dogwoodwalk-reason"];
+    if (typeof reason === "string" && status < 500) {
+      const refusal = { ...call, status, reason, milliseconds: Date.now() };
+      this.#writeRecord({ ...run, refusal, end: "call-refused" });
+    }
+  }
+
   #changeRunning(change: number): void {
     this.#running += change;
     const load = this.#running;
--- a/tests/support/strike_fund_cluster.ts
+++ b/tests/support/strike_fund_cluster.ts
@@ -6,7 +6,7 @@
 } from "./cluster.ts";
 import { type HttpCall, sendCall, waitFor } from "./http_call.ts";
 import { readRuns } from "./run_record.ts";
-import type { StandInRun } from "./stand_in_target.ts";
+import type { StandInRun } from "./stand_in_run.ts";
 
 /** Path of the document that the cluster has in force. */
 export const strikeFundDocument: string = fileURLToPath(
