Remove and restore services and routes in the soak

The documents of the soak differed in one number only, so that no two nodes ever disagreed on which requests are allowed.

Change: the plan removes a service that callers reach through other nodes, or a route of it, and restores it up to 3.5 s later. Before six of ten removals a node or a control instance freezes, so that two documents are in force at once; removals overlap each other and all other events. Their random numbers are separate: the other events of a seed are as before.

--- a/soak/document_changer.ts
+++ b/soak/document_changer.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Cluster } from "../tests/support/cluster.ts";
 import { strikeFundDocument } from "../tests/support/strike_fund_cluster.ts";
+import { type DocumentRemoval, removeParts } from "./document_removal.ts";
 
 /** A document change that a control instance acknowledged. */
 export interface AcknowledgedChange {
@@ -18,11 +19,15 @@
 const resendPauseMilliseconds = 300;
 const maximumSends = 30;
 const exitCodes = { ok: 0, conflict: 3 } as const;
+const originalText = readFileSync(strikeFundDocument, "utf8");
 
 /** Applies documents with the command line, as operators do. */
 export class DocumentChanger {
   readonly acknowledged: AcknowledgedChange[] = [];
   readonly #cluster: Cluster;
+  readonly #removals = new Set<DocumentRemoval>();
+  /** Texts of the changes, by number. */
+  readonly #texts = new Map<number, string>();
   #revision = 1;
   #changes = 0;
 
@@ -32,21 +37,45 @@
   }
 
   /**
-   * Applies a changed document. Resends the change while its outcome is unknown,
+   * Removes a part of the document.
+   * @param removal The part.
+   * @returns Whether the change was acknowledged.
+   */
+  remove(removal: DocumentRemoval): Promise<boolean> {
+    this.#removals.add(removal);
+    return this.apply();
+  }
+
+  /**
+   * Restores a part of the document.
+   * @param removal The value with which the part was removed.
+   * @returns Whether the change was acknowledged.
+   */
+  restore(removal: DocumentRemoval): Promise<boolean> {
+    this.#removals.delete(removal);
+    return this.apply();
+  }
+
+  /**
+   * Applies a changed document, without the parts that are removed. Resends the change while its outcome is unknown,
    * and gives it a new base after a conflict with another one.
-   * @param warmUpMilliseconds The value that distinguishes the document.
+   * @param warmUpMilliseconds A value that distinguishes the document; absent
+   * for that of the original document.
    * @returns Whether the change was acknowledged.
    */
-  async apply(warmUpMilliseconds: number): Promise<boolean> {
+  async apply(warmUpMilliseconds?: number): Promise<boolean> {
     const change = ++this.#changes;
     const file = join(this.#cluster.folder, `document-${change}.toml`);
-    writeFileSync(
-      file,
-      readFileSync(strikeFundDocument, "utf8").replaceAll(
+    const text = removeParts(originalText, [...this.#removals]) +
+      `# Change ${change}\n`;
+    this.#texts.set(
+      change,
+      warmUpMilliseconds === undefined ? text : text.replaceAll(
         /^warm_up_ms = .*$/gm,
         `warm_up_ms = ${warmUpMilliseconds}`,
-      ) + `# Change ${change}\n`,
+      ),
     );
+    writeFileSync(file, this.#texts.get(change) as string);
     let conflicts = 0;
     let base = this.#revision;
     for (let send = 0; send < maximumSends; send++) {
@@ -77,6 +106,19 @@
     return false;
   }
 
+  /**
+   * Gets the document of a revision.
+   * @param changeId Identity of the change that made it; absent for the original
+   * document.
+   * @returns The text; `undefined` if the change is not one of this changer.
+   */
+  getText(changeId: string | undefined): string | undefined {
+    if (changeId === undefined) {
+      return originalText;
+    }
+    return this.#texts.get(Number(/^change-(\d+)-/.exec(changeId)?.[1]));
+  }
+
   /** Gets the history of the environment, newest revision first. */
   async getHistory(): Promise<readonly AcknowledgedChange[] | undefined> {
     const { code, output } = await this.#cluster.runCommand(
--- a/soak/soak_plan.ts
+++ b/soak/soak_plan.ts
@@ -1,4 +1,5 @@
 import { createSeededRandom, type RandomSource } from "../src/common/mod.ts";
+import type { DocumentRemoval } from "./document_removal.ts";
 
 /** Kind of a process that an event concerns. */
 export type ProcessKind = "node" | "control";
@@ -30,6 +31,12 @@
   }
   | { readonly kind: "roll"; readonly process: ProcessKind }
   | { readonly kind: "apply"; readonly warmUpMilliseconds: number }
+  | {
+    readonly kind: "remove";
+    readonly removal: DocumentRemoval;
+    /** Time after the change at which the part is restored. */
+    readonly milliseconds: number;
+  }
   | {
     readonly kind: "drain";
     readonly index: number;
@@ -51,7 +58,7 @@
   readonly controlCount: number;
 }
 
-type ActionKind = SoakAction["kind"];
+type ActionKind = Exclude<SoakAction["kind"], "remove">;
 
 const weights: readonly (readonly [ActionKind, number])[] = [
   ["stop", 10],
@@ -65,6 +72,19 @@
 const intervalMilliseconds = 1200;
 /** Every fourth event comes at once after the one before it. */
 const adjoiningShare = 0.25;
+/** Parts of the document that callers reach through other nodes. */
+const removals: readonly DocumentRemoval[] = [
+  { service: "treasury" },
+  { service: "roster-registry" },
+  { service: "treasury" },
+  { service: "roster-registry" },
+  { service: "treasury", route: { method: "GET", path: "/balances/*" } },
+  { service: "treasury", route: { method: "POST", path: "/transfers" } },
+  { service: "roster-registry", route: { method: "*", path: "/rosters/*" } },
+];
+const removalIntervalMilliseconds = 5000;
+/** Share of the removals that do not reach some of the nodes at once. */
+const lateShare = 0.6;
 
 /**
  * Draws the events of a run. Events overlap: an action that takes long is not
@@ -73,6 +93,11 @@
  * @returns The events in the order of their times.
  */
 export function createSoakPlan(size: SoakSize): SoakEvent[] {
+  return [...drawEvents(size), ...drawRemovals(size)]
+    .toSorted((one, other) => one.atMilliseconds - other.atMilliseconds);
+}
+
+function drawEvents(size: SoakSize): SoakEvent[] {
   // Spreads the seeds: neighboring ones begin with similar numbers.
   const random = createSeededRandom(Math.imul(size.seed, 0x9e3779b1));
   const events: SoakEvent[] = [];
@@ -89,6 +114,48 @@
   return events;
 }
 
+/**
+ * Draws when parts of the document are removed. Before some of the changes, a
+ * process freezes, so that nodes have different documents for longer.
+ */
+function drawRemovals(size: SoakSize): SoakEvent[] {
+  // Separate from the other events, whose plan does not depend on these.
+  const random = createSeededRandom(Math.imul(size.seed, 0x85ebca6b));
+  const events: SoakEvent[] = [];
+  let atMilliseconds = 500 + random() * removalIntervalMilliseconds;
+  while (atMilliseconds < size.seconds * 1000) {
+    const removal =
+      removals[Math.floor(random() * removals.length)] as DocumentRemoval;
+    events.push({
+      atMilliseconds: Math.round(atMilliseconds),
+      action: {
+        kind: "remove",
+        removal,
+        milliseconds: Math.round(500 + random() * 3000),
+      },
+    });
+    if (random() < lateShare) {
+      events.push({
+        atMilliseconds: Math.round(atMilliseconds - random() * 500),
+        action: drawFreeze(random, size),
+      });
+    }
+    atMilliseconds += random() * 2 * removalIntervalMilliseconds;
+  }
+  return events;
+}
+
+function drawFreeze(random: RandomSource, size: SoakSize): SoakAction {
+  const process: ProcessKind = random() < 0.5 ? "node" : "control";
+  const count = process === "node" ? size.nodeCount : size.controlCount;
+  return {
+    kind: "freeze",
+    process,
+    index: Math.floor(random() * count),
+    milliseconds: Math.round(500 + random() * 4000),
+  };
+}
+
 function drawAction(random: RandomSource, size: SoakSize): SoakAction {
   const process: ProcessKind = random() < 0.7 ? "node" : "control";
   const drawIndex = (of: ProcessKind) =>
--- a/soak/soak_plan_test.ts
+++ b/soak/soak_plan_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import { test } from "node:test";
 import { createSoakPlan } from "./soak_plan.ts";
 
@@ -17,7 +18,7 @@
   ).flat().map(({ action }) => action);
   assert.deepEqual(
     [...new Set(actions.map((action) => action.kind))].sort(),
-    ["apply", "drain", "freeze", "kill", "roll", "stop"],
+    ["apply", "drain", "freeze", "kill", "remove", "roll", "stop"],
   );
   for (const action of actions) {
     if (action.kind === "stop") {
@@ -28,3 +29,19 @@
     }
   }
 });
+
+test("a seed of CI removes a service and restores it before the end", () => {
+  const script = readFileSync("scripts/run_soak.sh", "utf8");
+  const [, text = "", duration] =
+    /--seed ([\d ]+) --seconds (\d+)/.exec(script) ?? [];
+  const seconds = Number(duration);
+  const hasRemoval = text.split(" ").some((seed) =>
+    createSoakPlan({ ...size, seed: Number(seed), seconds }).some((
+      { atMilliseconds, action },
+    ) =>
+      action.kind === "remove" && action.removal.route === undefined &&
+      atMilliseconds + 2 * action.milliseconds < seconds * 1000
+    )
+  );
+  assert.ok(hasRemoval);
+});
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -15,6 +15,7 @@
 import { checkNestedCalls } from "./check_nested_calls.ts";
 import { checkTransfers } from "./check_transfers.ts";
 import { DocumentChanger } from "./document_changer.ts";
+import type { DocumentRemoval } from "./document_removal.ts";
 import type { Exchange } from "./exchange.ts";
 import { ProcessSupervisor } from "./process_supervisor.ts";
 import { ProcessTimeline } from "./process_timeline.ts";
@@ -111,6 +112,7 @@
   readonly #changer: DocumentChanger;
   readonly #drainer: TargetDrainer;
   #unconfirmedChanges = 0;
+  #removals = 0;
   #isRunning = true;
 
   constructor(cluster: Cluster, size: SoakSize) {
@@ -175,6 +177,7 @@
           .length,
       revisions: this.#changer.acknowledged.length,
       unconfirmedChanges: this.#unconfirmedChanges,
+      removals: this.#removals,
       drains: this.#drainer.confirmed.length,
       requests: this.#exchanges.length,
       ran: countDisposition("ran"),
@@ -255,6 +258,7 @@
       .with({ kind: "freeze" }, (each) => this.#supervisor.freeze(each))
       .with({ kind: "roll" }, (each) => this.#supervisor.roll(each.process))
       .with({ kind: "apply" }, (each) => this.#apply(each.warmUpMilliseconds))
+      .with({ kind: "remove" }, (each) => this.#remove(each))
       .with({ kind: "drain" }, async (each) => {
         const node = this.#cluster.nodes[each.index];
         if (node !== undefined) {
@@ -265,7 +269,23 @@
   }
 
   async #apply(warmUpMilliseconds: number): Promise<void> {
-    if (!await this.#changer.apply(warmUpMilliseconds)) {
+    this.#countChange(await this.#changer.apply(warmUpMilliseconds));
+  }
+
+  async #remove(
+    { removal, milliseconds }: SoakAction & { kind: "remove" },
+  ): Promise<void> {
+    // Removals of the same part may overlap.
+    const part: DocumentRemoval = { ...removal };
+    this.#removals++;
+    const removed = this.#changer.remove(part);
+    await sleep(milliseconds);
+    this.#countChange(await removed);
+    this.#countChange(await this.#changer.restore(part));
+  }
+
+  #countChange(isAcknowledged: boolean): void {
+    if (!isAcknowledged) {
       this.#unconfirmedChanges++;
     }
   }
