Check in the soak that no proper request is denied

Change: a request that is valid, and whose route is in each document that the node which received it had in force meanwhile, may not get a 3xx or 4xx of a node, except 408, 421, 429 and 409 about an earlier request with the same key. The same holds for calls of targets, except 499 when the request that made them has ended. Malformed requests must still get 400, and those without a route 404, or 503 from a node without a document. Clients also call other services through their node, with large bodies and with headers of 14,000 bytes.

--- a/soak/check_exchanges_test.ts
+++ b/soak/check_exchanges_test.ts
@@ -40,6 +40,7 @@
     request: {
       id,
       method: "GET",
+      host: "soak",
       path: "/balances/1",
       key: options.key,
       body: "",
--- a/soak/exchange.ts
+++ b/soak/exchange.ts
@@ -5,14 +5,22 @@
   /** Identity of the request, which its response repeats. */
   readonly id: string;
   readonly method: "GET" | "POST";
+  /** Name of a service; any other name means that of the node. */
+  readonly host: string;
   readonly path: string;
   /** Idempotency key; absent for a request that may run twice. */
   readonly key?: string | undefined;
   readonly body: string;
   /** Bytes by which the target enlarges its response. */
   readonly fillerBytes: number;
-  /** Whether the bytes are no valid request, so that any answer is right. */
+  /** Bytes of a body in place of `body`; 0 or absent for none. */
+  readonly bodyBytes?: number;
+  /** Bytes by which the headers are enlarged; 0 or absent for none. */
+  readonly paddingBytes?: number;
+  /** Whether the bytes are no valid request. */
   readonly isMalformed?: boolean;
+  /** Whether no document has a route for the request. */
+  readonly isUnknownRoute?: boolean;
 }
 
 /** What a node told the caller about a request. */
@@ -61,13 +69,16 @@
  * @returns The text to send.
  */
 export function encodeRequest(request: SoakRequest, member: string): string {
-  const { id, method, path, key, body, fillerBytes, isMalformed } = request;
+  const { id, method, host, path, key, fillerBytes, isMalformed } = request;
+  const { bodyBytes = 0, paddingBytes = 0 } = request;
+  const body = bodyBytes > 0 ? "b".repeat(bodyBytes) : request.body;
   return [
     `${method} ${path} HTTP/1.1`,
-    "Host: soak",
+    `Host: ${host}`,
     ...(isMalformed ? ["a line without a colon"] : []),
     `X-Call: ${id}`,
     `X-Member: ${member}`,
+    ...(paddingBytes > 0 ? [`X-Padding: ${"p".repeat(paddingBytes)}`] : []),
     ...(fillerBytes > 0 ? [`X-Filler-Bytes: ${fillerBytes}`] : []),
     ...(key === undefined ? [] : [`Idempotency-Key: ${key}`]),
     ...(body === "" ? [] : [`Content-Length: ${Buffer.byteLength(body)}`]),
--- a/soak/known_faults_test.ts
+++ b/soak/known_faults_test.ts
@@ -37,6 +37,8 @@
   createViolation("read-unanswered", { key: "k", stoppingMilliseconds: 9500 }),
   createViolation("read-unanswered", { key: "k" }),
   createViolation("ran-twice", { key: "k" }),
+  createViolation("denied", { status: 404, reason: "unknown-route" }),
+  createViolation("accepted-invalid", { status: 200 }),
 ];
 
 for (const violation of newFaults) {
--- a/soak/soak_client.ts
+++ b/soak/soak_client.ts
@@ -56,6 +56,13 @@
   treasury: "/balances/",
   "roster-registry": "/rosters/",
 };
+/** Services that the nodes of a service call. */
+const calledServices: Readonly<Record<string, string>> = {
+  "member-portal": "treasury",
+  treasury: "roster-registry",
+};
+/** A host that is no service, which means the service of the node. */
+const ownHost = "soak";
 /** Time before the next attempt when a connection or request was refused. */
 const refusalPauseMilliseconds = 50;
 /** Sends of one transfer, the first one included. */
@@ -63,6 +70,14 @@
 const resendShare = 0.3;
 /** Share of the requests for which there is no route. */
 const unknownRouteShare = 0.05;
+/** Share of the requests for a service that the node calls. */
+const calledServiceShare = 0.3;
+const largeHeadersShare = 0.03;
+/** Leaves room in 16 KiB for the headers that nodes add. */
+const paddingBytes = 14_000;
+const largeBodyShare = 0.1;
+/** Above the size of a body that a node buffers. */
+const largeBodyBytes = 200_000;
 
 /** Settings of a client. */
 export interface SoakClientOptions {
@@ -96,20 +111,16 @@
     while (isRunning() && channel.canSend) {
       while (channel.canSend && channel.openCount < behavior.window) {
         const id = `${options.name}-${++sends}`;
-        const path = random() < unknownRouteShare
-          ? "/unknown/"
-          : pathsByService[node.service];
         channel.send({
           id,
-          method: "GET",
-          path: `${path}${id}`,
+          ...drawRoute(node, { id, random }),
           body: "",
           fillerBytes: behavior.fillerBytes,
           isMalformed: random() < behavior.malformedShare,
         });
       }
       const exchange = await channel.nextEnd();
-      if (exchange.end?.kind === "answered" && exchange.end.status === 503) {
+      if (isRefused(exchange)) {
         await sleep(refusalPauseMilliseconds);
       }
       if (behavior.isFresh) {
@@ -145,6 +156,7 @@
         id: `${key}-${send}`,
         method: "POST",
         path: "/transfers",
+        host: ownHost,
         key,
         body: `amount=5&key=${key}`,
         fillerBytes: 0,
@@ -163,6 +175,36 @@
   await channel.finish();
 }
 
+/** Reports whether other requests of the client would be refused, too. */
+function isRefused({ request, end }: Exchange): boolean {
+  return end?.kind === "answered" && (end.status === 503 ||
+    (end.status === 404 && request.isUnknownRoute !== true));
+}
+
+/** Draws the route of a request that may run twice, and how large it is. */
+function drawRoute(
+  node: ClusterNode,
+  { id, random }: { id: string; random: RandomSource },
+): Omit<SoakRequest, "id" | "body" | "fillerBytes"> {
+  if (random() < unknownRouteShare) {
+    const path = `/unknown/${id}`;
+    return { method: "GET", host: ownHost, path, isUnknownRoute: true };
+  }
+  const called = random() < calledServiceShare
+    ? calledServices[node.service]
+    : undefined;
+  const path = `${pathsByService[called ?? node.service]}${id}`;
+  // Only the routes of this path allow other methods.
+  const hasBody = path.startsWith("/rosters/") && random() < largeBodyShare;
+  return {
+    method: hasBody ? "POST" : "GET",
+    host: called ?? ownHost,
+    path,
+    bodyBytes: hasBody ? largeBodyBytes : 0,
+    paddingBytes: random() < largeHeadersShare ? paddingBytes : 0,
+  };
+}
+
 /** The connection that a client uses at the moment. */
 class ClientChannel {
   readonly #options: SoakClientOptions;
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -10,12 +10,17 @@
   startStrikeFundCluster,
 } from "../tests/support/strike_fund_cluster.ts";
 import { checkHistory, checkNodeRevisions } from "./check_documents.ts";
+import { checkDenied } from "./check_denied.ts";
 import { checkDrains } from "./check_drains.ts";
 import { checkExchanges } from "./check_exchanges.ts";
 import { checkNestedCalls } from "./check_nested_calls.ts";
 import { checkTransfers } from "./check_transfers.ts";
-import { DocumentChanger } from "./document_changer.ts";
+import {
+  type AcknowledgedChange,
+  DocumentChanger,
+} from "./document_changer.ts";
 import type { DocumentRemoval } from "./document_removal.ts";
+import { DocumentsInForce, readDocumentStarts } from "./documents_in_force.ts";
 import type { Exchange } from "./exchange.ts";
 import { ProcessSupervisor } from "./process_supervisor.ts";
 import { ProcessTimeline } from "./process_timeline.ts";
@@ -141,6 +146,10 @@
       ...checkNestedCalls(observation),
       ...checkTransfers(observation),
       ...checkDrains(observation, this.#drainer.confirmed),
+      ...checkDenied({
+        ...observation,
+        documents: this.#createDocumentsInForce(history),
+      }),
       ...checkHistory(this.#changer.acknowledged, history),
       ...this.#cluster.nodes.flatMap(({ name }) =>
         checkNodeRevisions(name, this.#readLog(`${name}-node`))
@@ -180,6 +189,7 @@
       removals: this.#removals,
       drains: this.#drainer.confirmed.length,
       requests: this.#exchanges.length,
+      unknownRoutes: this.#countKnownRoutes(404),
       ran: countDisposition("ran"),
       notRun: countDisposition("not-run"),
       unknown: countDisposition("unknown"),
@@ -290,6 +300,34 @@
     }
   }
 
+  /** Counts the responses with a status to requests with a known route. */
+  #countKnownRoutes(status: number): number {
+    return this.#exchanges.filter(({ request, end }) =>
+      request.isUnknownRoute !== true && end?.kind === "answered" &&
+      end.status === status
+    ).length;
+  }
+
+  #createDocumentsInForce(
+    history: readonly AcknowledgedChange[],
+  ): Map<string, DocumentsInForce> {
+    const changeIds = new Map(
+      history.map((each) => [each.revision, each.changeId]),
+    );
+    const getText = (revision: number) =>
+      this.#changer.getText(
+        revision === 1 ? undefined : changeIds.get(revision) ?? "",
+      );
+    return new Map(this.#cluster.nodes.map(({ name, service }) => [
+      name,
+      new DocumentsInForce(
+        service,
+        readDocumentStarts(this.#readLog(`${name}-node`)),
+        getText,
+      ),
+    ]));
+  }
+
   async #readHistory() {
     const end = Date.now() + lastAnswerMilliseconds;
     while (Date.now() < end) {
--- a/soak/violation.ts
+++ b/soak/violation.ts
@@ -9,6 +9,8 @@
   | "ran-twice"
   | "false-not-run"
   | "wrong-response"
+  | "denied"
+  | "accepted-invalid"
   | "work-after-drain"
   | "lost-revision"
   | "older-revision"
