--- a/soak/check_exchanges_test.ts
+++ b/soak/check_exchanges_test.ts
@@ -40,6 +40,7 @@
     request: {
       id,
       method: "GET",
+      host: "soak",
       path: "/balances/1",
       key: options.key,
       body: "",
@@ -201,6 +202,7 @@
       timeline,
       runs,
       brokenCalls,
+      refusedCalls: [],
     };
     const found = [
       ...checkExchanges(observation),
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -10,11 +10,17 @@
   startStrikeFundCluster,
 } from "../tests/support/strike_fund_cluster.ts";
 import { checkHistory, checkNodeRevisions } from "./check_documents.ts";
+import { checkDenied } from "./check_denied.ts";
 import { checkDrains } from "./check_drains.ts";
 import { checkExchanges } from "./check_exchanges.ts";
 import { checkNestedCalls } from "./check_nested_calls.ts";
 import { checkTransfers } from "./check_transfers.ts";
-import { DocumentChanger } from "./document_changer.ts";
+import {
+  type AcknowledgedChange,
+  DocumentChanger,
+} from "./document_changer.ts";
+import type { DocumentRemoval } from "./document_removal.ts";
+import { DocumentsInForce, readDocumentStarts } from "./documents_in_force.ts";
 import type { Exchange } from "./exchange.ts";
 import { ProcessSupervisor } from "./process_supervisor.ts";
 import { ProcessTimeline } from "./process_timeline.ts";
@@ -111,6 +117,7 @@
   readonly #changer: DocumentChanger;
   readonly #drainer: TargetDrainer;
   #unconfirmedChanges = 0;
+  #removals = 0;
   #isRunning = true;
 
   constructor(cluster: Cluster, size: SoakSize) {
@@ -139,6 +146,10 @@
       ...checkNestedCalls(observation),
       ...checkTransfers(observation),
       ...checkDrains(observation, this.#drainer.confirmed),
+      ...checkDenied({
+        ...observation,
+        documents: this.#createDocumentsInForce(history),
+      }),
       ...checkHistory(this.#changer.acknowledged, history),
       ...this.#cluster.nodes.flatMap(({ name }) =>
         checkNodeRevisions(name, this.#readLog(`${name}-node`))
@@ -175,8 +186,10 @@
           .length,
       revisions: this.#changer.acknowledged.length,
       unconfirmedChanges: this.#unconfirmedChanges,
+      removals: this.#removals,
       drains: this.#drainer.confirmed.length,
       requests: this.#exchanges.length,
+      unknownRoutes: this.#countKnownRoutes(404),
       ran: countDisposition("ran"),
       notRun: countDisposition("not-run"),
       unknown: countDisposition("unknown"),
@@ -255,6 +268,7 @@
       .with({ kind: "freeze" }, (each) => this.#supervisor.freeze(each))
       .with({ kind: "roll" }, (each) => this.#supervisor.roll(each.process))
       .with({ kind: "apply" }, (each) => this.#apply(each.warmUpMilliseconds))
+      .with({ kind: "remove" }, (each) => this.#remove(each))
       .with({ kind: "drain" }, async (each) => {
         const node = this.#cluster.nodes[each.index];
         if (node !== undefined) {
@@ -265,11 +279,55 @@
   }
 
   async #apply(warmUpMilliseconds: number): Promise<void> {
-    if (!await this.#changer.apply(warmUpMilliseconds)) {
+    this.#countChange(await this.#changer.apply(warmUpMilliseconds));
+  }
+
+  async #remove(
+    { removal, milliseconds }: SoakAction & { kind: "remove" },
+  ): Promise<void> {
+    // Removals of the same part may overlap.
+    const part: DocumentRemoval = { ...removal };
+    this.#removals++;
+    const removed = this.#changer.remove(part);
+    await sleep(milliseconds);
+    this.#countChange(await removed);
+    this.#countChange(await this.#changer.restore(part));
+  }
+
+  #countChange(isAcknowledged: boolean): void {
+    if (!isAcknowledged) {
       this.#unconfirmedChanges++;
     }
   }
 
+  /** Counts the responses with a status to requests with a known route. */
+  #countKnownRoutes(status: number): number {
+    return this.#exchanges.filter(({ request, end }) =>
+      request.isUnknownRoute !== true && end?.kind === "answered" &&
+      end.status === status
+    ).length;
+  }
+
+  #createDocumentsInForce(
+    history: readonly AcknowledgedChange[],
+  ): Map<string, DocumentsInForce> {
+    const changeIds = new Map(
+      history.map((each) => [each.revision, each.changeId]),
+    );
+    const getText = (revision: number) =>
+      this.#changer.getText(
+        revision === 1 ? undefined : changeIds.get(revision) ?? "",
+      );
+    return new Map(this.#cluster.nodes.map(({ name, service }) => [
+      name,
+      new DocumentsInForce(
+        service,
+        readDocumentStarts(this.#readLog(`${name}-node`)),
+        getText,
+      ),
+    ]));
+  }
+
   async #readHistory() {
     const end = Date.now() + lastAnswerMilliseconds;
     while (Date.now() < end) {
