Ask again for a document that cannot be used

What callers would see: requests handled by an old document, with 404 or, since the last change, 503 for new routes, until another change is made.

Cause: an instance sends a document once in a session, and without its bytes when the hello named their hash. A node that gets another document from its old instance while the hello to the new one is on its way has other bytes; it logged document-damaged and waited for good. Bytes that are not compressed threw an exception in the handler of the stream.

Change: the node ends the session, and the hello of the next one says what it really has.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -72,6 +72,12 @@
   readonly isolatedRetryMilliseconds: number;
 }
 
+/** The part of a document that the node has. */
+interface DocumentPart {
+  readonly bytes: Uint8Array;
+  readonly hash: string;
+}
+
 /** Settings of a control session; times in milliseconds. */
 export interface ControlSessionOptions extends Partial<SessionTiming> {
   readonly controlAddresses: readonly string[];
@@ -173,7 +179,7 @@
   #revision = 0;
   /** Time at which control last confirmed that no newer document exists. */
   #documentConfirmedAt = -Infinity;
-  #documentPart: { bytes: Uint8Array; hash: string } | undefined;
+  #documentPart: DocumentPart | undefined;
   readonly #linkByteCounter = new LinkByteCounter();
   #linkShares: readonly LinkShare[] = [];
   #onStreamEnded: (() => void) | undefined;
@@ -655,15 +661,16 @@
     if (update.revision <= this.#revision) {
       return;
     }
-    let part = this.#documentPart;
-    if (update.part.length > 0) {
-      const bytes = inflateRawSync(update.part);
-      part = { bytes, hash: getBytesHash(bytes) };
-    }
+    const part = update.part.length > 0
+      ? decodeDocumentPart(update.part)
+      : this.#documentPart;
     if (part === undefined || part.hash !== update.partHash) {
       this.#options.log?.error("document-damaged", {
         revision: update.revision,
       });
+      // The instance sends it once in a session, unless the next hello says that
+      // the node lacks it.
+      this.#onSessionLost("the document is damaged");
       return;
     }
     this.#documentPart = part;
@@ -752,3 +759,14 @@
     this.#currentConnection?.send(message);
   }
 }
+
+/** Decompresses a part of a document; `undefined` when it is malformed. */
+function decodeDocumentPart(compressed: Uint8Array): DocumentPart | undefined {
+  try {
+    const bytes = inflateRawSync(compressed);
+    return { bytes, hash: getBytesHash(bytes) };
+  } catch {
+    // The caller logs it like a part with another hash.
+    return undefined;
+  }
+}
