Refuse a context whose identity has no characters

Found by the review: an encoded identity of one character, %A, decodes to nothing. No node sends it; it counts as malformed like other contexts without an identity.

--- a/src/request/codec_test.ts
+++ b/src/request/codec_test.ts
@@ -164,6 +164,7 @@
   { name: "newer format", text: "2;r;c;0;10;1;1;0;s;7" },
   { name: "truncated escape in the caller", text: "1;r;%E0;0;10;1;1;0;s;7" },
   { name: "line break in the identity", text: "1;r\n;c;0;10;1;1;0;s;7" },
+  { name: "identity without characters", text: "1;%A;c;0;10;1;1;0;s;7" },
   { name: "service without a name", text: "1;r;c;0;10;1;1;0;;7" },
   { name: "hash of 33 bits", text: "1;r;c;0;10;1;1;0;s;4294967296" },
   { name: "oversized header", text: `1;r;${"c".repeat(9999)};0;10;1;1;0;s;7` },
--- a/src/request/context_codec.ts
+++ b/src/request/context_codec.ts
@@ -121,7 +121,8 @@
     requestId = Buffer.from(text.slice(encodedPrefix.length), "base64url")
       .toString();
   }
-  return (requestId?.length ?? 0) > fieldLimits.requestIdLength
+  const length = requestId?.length ?? 0;
+  return length === 0 || length > fieldLimits.requestIdLength
     ? undefined
     : requestId;
 }
