Serve outcome queries only where calls have keys

What callers saw: 400 for a GET request of a route whose paths begin with /dogwoodwalk/outcome.

Cause: the listener for callers takes this path for the query of the project's own protocol, whatever the protocol of its callers is.

Change: the query is served if the protocol has idempotency keys; without them there is no outcome to ask for.

Before: the new case gets 400. After: 200, and proper_requests_test and bad_input_test pass.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -367,7 +367,11 @@
 
   #onOutside(request: IncomingMessage, response: ServerResponse): void {
     const url = request.url ?? "";
-    if (url.startsWith(outcomeQueryPath) && request.method === "GET") {
+    // Without keys there are no outcomes, and the path may be that of a route.
+    const hasKeys = this.state.protocol.getKey !== undefined;
+    if (
+      hasKeys && url.startsWith(outcomeQueryPath) && request.method === "GET"
+    ) {
       handleOutcomeQuery(this.state, url, response);
       return;
     }
