--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -372,9 +372,10 @@
 
   #onOutside(request: IncomingMessage, response: ServerResponse): void {
     const url = request.url ?? "";
+    // Without keys there are no outcomes, and the path may be that of a route.
+    const hasKeys = this.state.protocol.getKey !== undefined;
     if (
-      this.state.protocol.getKey !== undefined && request.method === "GET" &&
-      url.startsWith(outcomeQueryPath)
+      hasKeys && url.startsWith(outcomeQueryPath) && request.method === "GET"
     ) {
       handleOutcomeQuery(this.state, url, response);
       return;
