Log the calls of a stop whose keys are being fenced

Cause: a call counts as ended while the fence of its key is pending, so the log of a stop did not say that it waits for the ledger.

Change: the phase of such a call is fencing.

Before: the new test of stop_report_test.ts got ended:1. After: it passes, and stop_limit_test.ts.

--- a/src/node/call_phase.ts
+++ b/src/node/call_phase.ts
@@ -2,8 +2,10 @@
 export type CallPhase =
   /** The rest of the request. */
   | "receiving"
-  /** A retry, or the fence of its key. */
+  /** A retry. */
   | "waiting"
+  /** The fence of its key by the ledger. */
+  | "fencing"
   /** A slot of the local target. */
   | "queued"
   /** The grant of its key by the ledger. */
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -130,7 +130,7 @@
       return "receiving";
     }
     if (this.#isEnded) {
-      return "ended";
+      return this.#fencedFailure === undefined ? "ended" : "fencing";
     }
     return this.#isStreaming
       ? "delivering"
--- a/src/node/stop_report_test.ts
+++ b/src/node/stop_report_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { connect } from "node:net";
 import { test } from "node:test";
+import { FakeLedger } from "../../tests/support/fake_ledger.ts";
 import { sendCall, waitFor } from "../../tests/support/http_call.ts";
 import { startPair, type TestPair } from "../../tests/support/test_pair.ts";
 
@@ -84,3 +85,24 @@
     "phase=at-target target=front-2",
   ]);
 });
+
+// Guards against a stop whose log does not say that it waits for the ledger.
+test("a stop logs the calls whose keys are being fenced", async (context) => {
+  const ledger = new FakeLedger();
+  ledger.fence = () => new Promise<never>(() => {});
+  const front = await startPair("front-1", { ledger });
+  context.after(() => front.close());
+  front.node.state.isStopping = true;
+  void sendCall({
+    port: front.outside,
+    method: "POST",
+    path: "/transfers",
+    headers: { "Idempotency-Key": "key-1" },
+  }).catch(() => {});
+  await waitFor(() => front.node.originDispatcher.callCount === 1);
+  await front.node.stop({ limitMilliseconds: 0 });
+  assert.equal(
+    getLines(front, "stop phase")[0],
+    "phase=propagation origin=fencing:1 responses=1",
+  );
+});
