Take the ports of a test cluster at once

Cause: the ports of the nodes were taken in a second call, which starts again at the first port of the process when the 99 of a range are used up. The port of a control instance that does not listen yet still looks free then. A call returns no port twice, so there is one call now.

--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -72,8 +72,11 @@
   static async start(options: ClusterOptions): Promise<Cluster> {
     const cluster = new Cluster(options);
     try {
-      await cluster.#startControlInstances(options.controlCount);
-      await cluster.#startNodes(options.nodes);
+      // In one call, which returns no port twice before it is bound.
+      const { controlCount, nodes } = options;
+      const ports = await getFreePorts(controlCount + nodes.length * 4);
+      cluster.#startControlInstances(ports.slice(0, controlCount));
+      await cluster.#startNodes(nodes, ports.slice(controlCount));
     } catch (error) {
       await cluster.stop();
       throw error;
@@ -136,8 +139,7 @@
     }
   }
 
-  async #startControlInstances(count: number): Promise<void> {
-    const ports = await getFreePorts(count);
+  #startControlInstances(ports: readonly number[]): void {
     this.#controlAddresses = ports.map((port) => `127.0.0.1:${port}`);
     const members = JSON.stringify(this.#controlAddresses);
     this.#controlAddresses.forEach((address, index) => {
@@ -157,8 +159,10 @@
     });
   }
 
-  async #startNodes(nodeOptions: readonly ClusterNodeOptions[]): Promise<void> {
-    const ports = await getFreePorts(nodeOptions.length * 4);
+  async #startNodes(
+    nodeOptions: readonly ClusterNodeOptions[],
+    ports: readonly number[],
+  ): Promise<void> {
     this.#nodes = nodeOptions.map((options, index) => ({
       ...options,
       outside: ports[index * 4] as number,
