--- a/soak/check_denied.ts
+++ b/soak/check_denied.ts
@@ -12,10 +12,16 @@
   "claim-unknown",
   "claim-superseded",
 ]);
+/** Reasons of a node that cannot know whether a document has a route. */
+const documentReasons: ReadonlySet<string> = new Set([
+  "no-target",
+  "document-unconfirmed",
+]);
 /** Resolution of the times of callers and nodes. */
 const clockMarginMilliseconds = 10;
 const malformedStatus = 400;
 const unknownRouteStatus = 404;
+const noDocumentStatus = 503;
 
 /** What callers and targets were told about their requests. */
 export interface DeniedCheckInput {
@@ -66,7 +72,8 @@
       : [createViolation("accepted-invalid", fields)];
   }
   if (request.isUnknownRoute === true) {
-    const hasNoDocument = reason === "no-target";
+    const hasNoDocument = status === noDocumentStatus &&
+      reason !== undefined && documentReasons.has(reason);
     return status === unknownRouteStatus || hasNoDocument
       ? []
       : [createViolation("accepted-invalid", fields)];
--- a/soak/check_denied_test.ts
+++ b/soak/check_denied_test.ts
@@ -200,6 +200,13 @@
     reason: "no-target",
     violations: [],
   },
+  {
+    name: "503 to an unknown route at a node that may miss a document",
+    request: unknownRoute,
+    status: 503,
+    reason: "document-unconfirmed",
+    violations: [],
+  },
   {
     name: "503 to an unknown route",
     request: unknownRoute,
