Do not call a target unknown that an instance may not know yet

What operators saw: unknown-target, which is final and ends the command with invalid input, for the drain of a target that exists: at an instance that has just started, that is cut off from the others, or whose node is between two sessions.

Cause: the session host reported what it does not know as what does not exist.

Change: the outcome unavailable, which the operator service reports as session-elsewhere without an address, so that also commands of earlier releases try again. A target that no instance can know is unknown-target as before.

--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -273,6 +273,11 @@
         const refusal = createRefusal("unknown-target", message);
         return { ...createAnswerFields(refusal), state: "" };
       }
+      case "unavailable": {
+        const message = `This instance does not reach ${targetId} at present`;
+        const refusal = createRefusal("session-elsewhere", message);
+        return { ...createAnswerFields(refusal), state: "" };
+      }
       case "elsewhere": {
         const message =
           `The node of ${targetId} has its session with another control instance`;
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -87,6 +87,8 @@
   /** The request was sent to the node; `state` is the target's state before. */
   | { readonly kind: "asked"; readonly state: string }
   | { readonly kind: "unknown-target" }
+  /** No instance has the session now, or this one may not know the target. */
+  | { readonly kind: "unavailable" }
   /** Another instance has the session of the target's node. */
   | { readonly kind: "elsewhere"; readonly controlAddress: string };
 
@@ -246,7 +248,8 @@
     const { environment, targetId } = request;
     const target = this.#directory.getTarget(request);
     if (target === undefined) {
-      return { kind: "unknown-target" };
+      const mayBeMissing = !this.#isAvailable() || this.isCollecting();
+      return { kind: mayBeMissing ? "unavailable" : "unknown-target" };
     }
     const session = this.#sessions.getByNode(getNodeKey({
       environment,
@@ -260,7 +263,7 @@
     const peer = this.#options.state.getPeers()
       .find(({ instanceId }) => instanceId === owner);
     return peer === undefined
-      ? { kind: "unknown-target" }
+      ? { kind: "unavailable" }
       : { kind: "elsewhere", controlAddress: peer.address };
   }
 
--- a/src/session_server/session_host_test.ts
+++ b/src/session_server/session_host_test.ts
@@ -7,6 +7,7 @@
   startFakeControlInstances,
 } from "../../tests/support/fake_control_instance.ts";
 import { SessionNode } from "../../tests/support/session_node.ts";
+import { TcpProxy } from "../../tests/support/tcp_proxy.ts";
 import { waitUntil } from "../../tests/support/wait_until.ts";
 
 const file = "examples/benefits-office.toml";
@@ -130,3 +131,56 @@
   after(() => void node.session.stop());
   return node;
 }
+
+const unreachableTargets: readonly {
+  readonly name: string;
+  prepare(control: FakeControlInstance): Promise<void> | void;
+}[] = [
+  {
+    name: "an isolated instance",
+    prepare: (control) => control.setAvailability("isolated"),
+  },
+  { name: "an instance that does not know all targets yet", prepare: () => {} },
+  {
+    name: "the last instance of a node without session",
+    prepare: async (control) => {
+      const proxy = new TcpProxy(control.address);
+      await proxy.listen();
+      const node = new SessionNode({
+        controlAddresses: [proxy.address],
+        identity: { nodeId: "n1" },
+      });
+      after(() => void node.session.stop());
+      node.announce("ready");
+      const { sessionHost } = control;
+      await waitUntil(
+        () => sessionHost.getTargets("trial").length === 1,
+        "the target is known",
+      );
+      proxy.close();
+      await waitUntil(() => sessionHost.sessionCount === 0, "the session ends");
+    },
+  },
+];
+
+for (const { name, prepare } of unreachableTargets) {
+  // Guards against a proper drain that is final although it can succeed later.
+  test(`${name} does not call a target unknown`, async () => {
+    const [control] = await startFakeControlInstances(1);
+    assert.ok(control !== undefined);
+    after(() => control.kill());
+    await prepare(control);
+    const request = { environment: "trial", targetId: "n1-target" };
+    assert.equal(control.sessionHost.drain(request).kind, "unavailable");
+  });
+}
+
+test("an instance that knows all targets calls another one unknown", async () => {
+  const [control] = await startFakeControlInstances(1, {
+    graceMilliseconds: 0,
+  });
+  assert.ok(control !== undefined);
+  after(() => control.kill());
+  const request = { environment: "trial", targetId: "n1-target" };
+  assert.equal(control.sessionHost.drain(request).kind, "unknown-target");
+});
