Send a call to another instance when one cannot write its disk

What operators saw: storage-failed as the end of a command, with the exit code for other errors, although the other instances would execute it.

Cause: the list of refusals after which another instance is asked lacks storage-failed, which is a state of one instance. The list of the exit codes was a copy of it.

Ruled out: that a change runs twice, since each carries a change id and is sent again after a lost response already.

Change: both use one list, with storage-failed.

Before: 2 of 9 cases of control_connection_test and exit_code_test fail. After: 9 pass.

--- a/src/command_line/control_connection.ts
+++ b/src/command_line/control_connection.ts
@@ -18,10 +18,11 @@
  * Refusal reasons after which another instance, or the same one later, may
  * accept the call.
  */
-const retryableReasons = new Set([
+export const retryableReasons: ReadonlySet<string> = new Set([
   "not-leader",
   "isolated",
   "stopping",
+  "storage-failed",
   "session-elsewhere",
   "outcome-unknown",
 ]);
--- a/src/command_line/exit_code.ts
+++ b/src/command_line/exit_code.ts
@@ -1,3 +1,4 @@
+import { retryableReasons } from "./control_connection.ts";
 import type { Refusal } from "../protocol/generated/common.ts";
 
 /** Exit codes of the command line. */
@@ -20,13 +21,6 @@
   "unknown-revision",
   "unknown-target",
 ]);
-const unreachableReasons = new Set([
-  "not-leader",
-  "isolated",
-  "stopping",
-  "session-elsewhere",
-  "outcome-unknown",
-]);
 
 /**
  * Gets the exit code for a refusal of a control instance.
@@ -37,7 +31,7 @@
   if (invalidInputReasons.has(refusal.reason)) {
     return exitCodes.invalidInput;
   }
-  return unreachableReasons.has(refusal.reason)
+  return retryableReasons.has(refusal.reason)
     ? exitCodes.unreachable
     : exitCodes.other;
 }
