Confirm the members before a replacement is refused as invalid

What operators would see: invalid-request, which is final, for the replacement of a member by way of an instance that is cut off or behind, and does not know the member.

Cause: the instance checked its own list of members without a confirmed read. All other changes are checked where they are applied.

Change: the instance confirms that it has every committed entry first, and answers not-leader or isolated otherwise, after which another one is asked.

Before: the new case gets invalid-request. After: isolated; src/control and src/command_line pass.

--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -300,6 +300,10 @@
     operator: string;
   }): Promise<Refusal | undefined> {
     const { oldAddress, newAddress, operator } = request;
+    const refusal = await this.confirmRead();
+    if (refusal !== undefined) {
+      return refusal;
+    }
     const { members } = this.#options.log.getStatus();
     const old = members.find((each) => each.address === oldAddress);
     const isDone = old === undefined &&
