--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -273,6 +273,11 @@
         const refusal = createRefusal("unknown-target", message);
         return { ...createAnswerFields(refusal), state: "" };
       }
+      case "unavailable": {
+        const message = `This instance does not reach ${targetId} at present`;
+        const refusal = createRefusal("session-elsewhere", message);
+        return { ...createAnswerFields(refusal), state: "" };
+      }
       case "elsewhere": {
         const message =
           `The node of ${targetId} has its session with another control instance`;
@@ -295,6 +300,10 @@
     operator: string;
   }): Promise<Refusal | undefined> {
     const { oldAddress, newAddress, operator } = request;
+    const refusal = await this.confirmRead();
+    if (refusal !== undefined) {
+      return refusal;
+    }
     const { members } = this.#options.log.getStatus();
     const old = members.find((each) => each.address === oldAddress);
     const isDone = old === undefined &&
