--- a/soak/regression_seeds.ts
+++ b/soak/regression_seeds.ts
@@ -31,4 +31,8 @@
     seed: 104,
     finding: "a deadline cut a response that its target had sent",
   },
+  {
+    seed: 302,
+    finding: "a deadline cut a response while its node stopped",
+  },
 ];
