--- a/soak/document_changer.ts
+++ b/soak/document_changer.ts
@@ -57,8 +57,9 @@
   }
 
   /**
-   * Applies a changed document, without the parts that are removed. Resends the change while its outcome is unknown,
-   * and gives it a new base after a conflict with another one.
+   * Applies a changed document, without the parts that are removed. Resends the
+   * change while its outcome is unknown, and gives it a new base after a conflict
+   * with another one.
    * @param warmUpMilliseconds A value that distinguishes the document; absent
    * for that of the original document.
    * @returns Whether the change was acknowledged.
