--- a/review/lib/installation.mjs
+++ b/review/lib/installation.mjs
@@ -395,6 +395,10 @@
   async close() {
     this.isClosing = true;
     await Promise.all(this.machines.map((each) => each.kill()));
+    this.removeFiles();
+  }
+
+  removeFiles() {
     rmSync(this.folder, { recursive: true, force: true });
   }
 }
--- a/review/lib/run_case.mjs
+++ b/review/lib/run_case.mjs
@@ -23,6 +23,7 @@
     for (const machine of installation?.machines ?? []) {
       machine.signal("SIGKILL");
     }
+    installation?.removeFiles();
     process.exit(2);
   };
   setTimeout(() => endNow("the time is up"), limitMilliseconds).unref();
