--- a/review/lib/run_case.mjs
+++ b/review/lib/run_case.mjs
@@ -30,6 +30,10 @@
   for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
     process.on(signal, () => endNow(`ended by ${signal}`));
   }
+  // Otherwise an error of the script would end with 1, and leave processes.
+  for (const event of ["uncaughtException", "unhandledRejection"]) {
+    process.on(event, (error) => endNow(`could not run: ${error?.stack}`));
+  }
   try {
     installation = await Installation.create({ record, ...options });
     record.add(
