Pass nothing on behind a response that a listener gives by itself

Cause: after a pause of the process, timers run before the bytes that arrived meanwhile are read. Node.js reports the head as late, the listener answers 408 and keeps reading so that the close does not reset the connection, and the parser, which has no error after a timeout, then hands over the request. The connection was marked as closing only by responses to requests, not by an answer of the listener.

Ruled out: 400 and 431 for bytes that are not HTTP, because the parser of Node.js stays in its error (these cases passed before).

Change: an answer of the listener ends its connection, whatever the parser reports afterwards. A request that is late is refused only after the bytes that waited were read, so that a caller whose request came in time is served instead of asked to come back. A request without Host, which was answered with 400 on a kept connection, now ends it as well.

--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -216,6 +216,7 @@
   }
 
   #acceptRequest(request: IncomingMessage, response: ListenerResponse): void {
+    this.#newSockets.delete(request.socket);
     const connection = this.#getConnection(request.socket);
     if (connection.isClosing) {
       // Node.js sends no response behind the one that closes the connection. The
@@ -241,25 +242,54 @@
   }
 
   #endByClientError(error: Error & { code?: string }, socket: Duplex): void {
-    const connection = this.#connections.get(socket);
-    if (connection?.isClosing === true && !connection.hasOpenRequests) {
+    const connection = this.#getConnection(socket as Socket);
+    if (connection.isClosing && !connection.hasOpenRequests) {
       // What the caller sends behind the last response is discarded.
       return;
     }
-    if (connection?.hasOpenRequests === true) {
+    if (connection.hasOpenRequests) {
       // An error response would be read as the response to the open request,
       // and would claim "not-run" although its body may be reaching a target.
       connection.endByError(error);
+    } else if (error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+      this.#refuseLateRequest(error, socket, connection);
     } else {
-      connection?.setEndByError(error);
-      const sent = sendClientError(error, socket, {
-        disposition: this.#getDisposition(),
-        headerBytes: this.#headerBytes,
-      });
-      if (sent !== undefined) {
-        const { code, message } = error;
-        this.#reportRefusal(socket as Socket, { ...sent, code, message });
+      this.#refuseUnread(error, socket, connection);
+    }
+  }
+
+  /**
+   * Refuses a request that is not complete in time. After a pause of the process,
+   * timers run before the bytes that arrived meanwhile are read, so these are
+   * read first.
+   */
+  #refuseLateRequest(
+    error: Error,
+    socket: Duplex,
+    connection: OpenConnection,
+  ): void {
+    const { requestCount } = connection;
+    setImmediate(() => {
+      if (connection.requestCount === requestCount && !connection.isClosing) {
+        this.#refuseUnread(error, socket, connection);
       }
+    });
+  }
+
+  /** Answers bytes that are no request, with the last response. */
+  #refuseUnread(
+    error: Error & { code?: string },
+    socket: Duplex,
+    connection: OpenConnection,
+  ): void {
+    connection.endByRefusal(error);
+    const sent = sendClientError(error, socket, {
+      disposition: this.#getDisposition(),
+      headerBytes: this.#headerBytes,
+    });
+    if (sent !== undefined) {
+      const { code, message } = error;
+      this.#reportRefusal(socket as Socket, { ...sent, code, message });
     }
   }
 
@@ -288,6 +318,7 @@
   /** Refuses a request of HTTP/1.1 without Host (RFC 9112, section 3.2). */
   #refuseMissingHost(request: IncomingMessage, response: ServerResponse): void {
     request.resume();
+    response.shouldKeepAlive = false;
     const status = 400;
     const failure = {
       disposition: this.#getDisposition(request),
@@ -332,7 +363,6 @@
   #getConnection(socket: Socket): OpenConnection {
     let connection = this.#connections.get(socket);
     if (connection === undefined) {
-      this.#newSockets.delete(socket);
       connection = new OpenConnection({
         socket,
         listener: this.#state,
--- a/src/node/open_connection.ts
+++ b/src/node/open_connection.ts
@@ -76,6 +76,7 @@
   readonly #options: OpenConnectionOptions;
   readonly #responses: ListenerResponse[] = [];
   #latest: ListenerResponse | undefined;
+  #requestCount = 0;
   #unread = 0;
   #end: ConnectionEnd | undefined;
   /** End after the responses to the requests that were received completely. */
@@ -88,6 +89,8 @@
       "end",
       () => this.setEnd({ closedBy: "caller", reason: "closed" }),
     );
+    // Node.js stops listening for errors after the first one that it reports.
+    options.socket.on("error", (error) => this.setEndByError(error));
     // Before Node.js closes the response, because that ends its call.
     options.socket.prependOnceListener("close", () => this.#onClose());
   }
@@ -102,6 +105,11 @@
     return this.#responses.length;
   }
 
+  /** Gets the number of requests that were passed on so far. */
+  get requestCount(): number {
+    return this.#requestCount;
+  }
+
   /** Checks whether the connection is closed after the responses added so far. */
   get isClosing(): boolean {
     return this.#latest?.shouldKeepAlive === false ||
@@ -124,6 +132,7 @@
     response.openConnection = this;
     this.#responses.push(response);
     this.#latest = response;
+    this.#requestCount++;
     response.once("finish", this.#onResponseFinished);
   }
 
@@ -142,6 +151,17 @@
     this.#endAfterResponses ??= end;
   }
 
+  /**
+   * Ends the connection with a response of the listener to bytes that are no
+   * complete request. Whatever is received from now on is not passed on, because
+   * that response says that it was not read.
+   */
+  endByRefusal(error: Error & { code?: string }): void {
+    const end = getEndByError(error);
+    this.setEnd(end);
+    this.endAfterResponses(end);
+  }
+
   /** Records the end by an error of the socket or of the HTTP parser. */
   setEndByError(error: Error & { code?: string }): void {
     this.setEnd(getEndByError(error));
