Answer a call whose message Node.js reads and refuses to write

Cause: the parser of Node.js accepts header names that its writer refuses, and the node passed them on. writeHead and http.request then throw after the call has given up its timers, so nothing answers the caller, and each throw counts as an unexpected error of the process.

Evidence: each of the 256 bytes was tried in names, values, reason phrases and paths of requests and responses. Read and refused are: an empty name, a space in a name, control characters in a reason phrase, tab and form feed in a path. The last three were handled before; the empty name was not. Trailers, 1xx responses, versions and zones of heartbeats are not passed on.

Change: names are checked against the grammar of a token: omitted from a response, 400 for a request, as for a space before. Whatever else Node.js refuses to write now answers its call: "not run" if it was the request, 502 if it was the response, buffered or streamed, at both hops, and the log has the reason (event "response not delivered", reason unwritable).

--- a/src/node/caller_group.ts
+++ b/src/node/caller_group.ts
@@ -54,11 +54,24 @@
     return this.#callers.shift() as Caller;
   }
 
-  /** Writes a buffered response to all callers. */
-  writeBuffered(head: ResponseHead, body: Buffer): void {
+  /**
+   * Writes a buffered response to all callers; a failure to those to whom it
+   * cannot be written.
+   * @returns The failure, if there is one.
+   */
+  writeBuffered(
+    head: ResponseHead,
+    body: Buffer,
+    requestId: string,
+  ): CallFailure | undefined {
+    let failure: CallFailure | undefined;
     for (const { response } of this.#callers) {
-      writeBuffered(response, head, { body });
+      failure = writeBuffered(response, head, { body });
+      if (failure !== undefined) {
+        this.#protocol.writeFailure(response, failure, requestId);
+      }
     }
+    return failure;
   }
 
   /**
@@ -68,7 +81,7 @@
    */
   writeStreamed(
     streamed: StreamedResponse,
-    options: StreamedDeliveryOptions,
+    options: Omit<StreamedDeliveryOptions, "writeFailure">,
   ): StreamedDelivery | undefined {
     const [first, ...others] = this.#callers;
     for (const { response } of others) {
@@ -83,7 +96,11 @@
       options.onEnd("closed", 0);
       return undefined;
     }
-    return new StreamedDelivery(first.response, streamed, options);
+    return new StreamedDelivery(first.response, streamed, {
+      ...options,
+      writeFailure: (failure) =>
+        this.#protocol.writeFailure(first.response, failure, ""),
+    });
   }
 
   /** Writes a refusal or failure to all callers. */
--- a/src/node/caller_response.ts
+++ b/src/node/caller_response.ts
@@ -8,17 +8,41 @@
 import { hasUnreadBody } from "./has_unread_body.ts";
 import type { ResponseHead } from "./exchange.ts";
 
+/**
+ * Writes the head of a response that was received from another process.
+ * @param response Response to write to.
+ * @param head Status, reason phrase and headers.
+ * @returns The failure to write instead, when Node.js refuses to write the head;
+ * `undefined` when it is written.
+ */
+export function writeReceivedHead(
+  response: ServerResponse,
+  { status, statusMessage, headers }: ResponseHead,
+): CallFailure | undefined {
+  try {
+    response.writeHead(status, statusMessage, headers);
+    return undefined;
+  } catch (error) {
+    return {
+      disposition: "ran",
+      reason: "answer-incomplete",
+      message: `The response cannot be written: ${(error as Error).message}`,
+    };
+  }
+}
+
 /**
  * Writes a response whose body is buffered.
  * @param response Response to write to.
  * @param head Status and headers.
  * @param options Body, and the value of `dogwoodwalk-answer` for a node.
+ * @returns The failure to write instead, when Node.js refuses to write the head.
  */
 export function writeBuffered(
   response: ServerResponse,
   head: ResponseHead,
   options: { body: Buffer; answer?: string | undefined },
-): void {
+): CallFailure | undefined {
   const { headers } = head;
   const { length } = headers;
   if (head.contentLength < 0 && head.isChunked) {
@@ -27,10 +51,13 @@
   if (options.answer !== undefined) {
     headers.push("dogwoodwalk-answer", options.answer);
   }
-  response.writeHead(head.status, head.statusMessage, headers);
+  const failure = writeReceivedHead(response, head);
   // Several callers can get the same response, so the list is restored.
   headers.length = length;
-  endWithBody(response, options.body);
+  if (failure === undefined) {
+    endWithBody(response, options.body);
+  }
+  return failure;
 }
 
 /**
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -52,6 +52,8 @@
 export type ExchangeError =
   /** No connection was made, so no byte of the request was sent. */
   | "not-sent"
+  /** Node.js refuses to write the request, so no byte of it was sent. */
+  | "not-written"
   /** The connection closed before a response began. */
   | "reset"
   /** The response is invalid or was aborted. */
@@ -88,7 +90,8 @@
   readonly #options: ExchangeOptions;
   readonly #events: ExchangeEvents;
   readonly #method: string;
-  readonly #request: ClientRequest;
+  /** The request; `undefined` when Node.js refuses to write it. */
+  readonly #request: ClientRequest | undefined;
   #response: IncomingMessage | undefined;
   #head: ResponseHead | undefined;
   #collector: BodyCollector | undefined;
@@ -107,25 +110,21 @@
     this.#options = options;
     this.#events = options.events;
     this.#method = outgoing.method;
-    const { pool } = options;
-    this.#request = request({
-      // The pool has the members of `Agent` that ClientRequest uses.
-      agent: pool as never,
-      host: pool.host,
-      port: pool.port,
-      method: outgoing.method,
-      path: outgoing.path,
-      headers: outgoing.headers as never,
-      maxHeaderSize: options.headerBytes,
-    });
-    // No limit: Node.js omits headers beyond it, and their size is limited.
-    this.#request.maxHeadersCount = 0;
+    try {
+      this.#request = createRequest(outgoing, options);
+    } catch (error) {
+      // The owner gets its event once it has stored the exchange.
+      process.nextTick(() =>
+        this.#fail("not-written", (error as Error).message)
+      );
+      return;
+    }
     this.#request.on("information", this.#onInterimResponse);
     this.#request.on("response", this.#onResponse);
     this.#request.on("upgrade", this.#onUpgrade);
     this.#request.on("error", this.#onError);
     if (outgoing.source !== undefined) {
-      this.#streamBody(outgoing.source);
+      this.#streamBody(this.#request, outgoing.source);
     } else {
       endWithBody(this.#request, outgoing.body ?? noBytes);
     }
@@ -133,7 +132,7 @@
 
   /** Reports whether a byte of the request may have been sent. */
   get mayHaveBeenSent(): boolean {
-    const { socket } = this.#request;
+    const socket = this.#request?.socket;
     return socket !== null && socket !== undefined && !socket.connecting;
   }
 
@@ -143,17 +142,17 @@
       this.#isDone = true;
       this.#collector?.stop();
     }
-    this.#request.destroy();
+    this.#request?.destroy();
   }
 
   /** Prevents reuse of the connection after a complete response. */
   discardConnection(): void {
-    this.#request.socket?.destroy();
+    this.#request?.socket?.destroy();
   }
 
   onBody(body: Buffer): void {
     this.#isDone = true;
-    if (!this.#request.writableFinished && this.#isRequestIncomplete()) {
+    if (this.#request?.writableEnded === false) {
       // The response ended before the request was sent completely, so the
       // connection cannot be reused.
       this.#request.destroy();
@@ -255,8 +254,8 @@
     }
   };
 
-  #streamBody(source: BodySource): void {
-    pipeBody(source.message, this.#request, {
+  #streamBody(request: ClientRequest, source: BodySource): void {
+    pipeBody(source.message, request, {
       chunks: source.chunks,
       limit: maximumStreamedBodyBytes,
       onEnd: (bodyError) => {
@@ -265,7 +264,7 @@
         }
         if (bodyError !== "destination-closed") {
           this.#hasBodyFailed = true;
-          this.#request.destroy();
+          request.destroy();
         } else if (this.#response === undefined) {
           this.#fail("reset", "the connection closed during the request");
         }
@@ -278,20 +277,39 @@
     return status !== 204 && status !== 304 && this.#method !== "HEAD";
   }
 
-  #isRequestIncomplete(): boolean {
-    return !this.#request.writableEnded;
-  }
-
   #fail(error: ExchangeError, message: string): void {
     if (!this.#isDone) {
       this.#isDone = true;
       this.#collector?.stop();
-      this.#request.destroy();
+      this.#request?.destroy();
       this.#events.onError(error, message);
     }
   }
 }
 
+/**
+ * Creates a request, without its body.
+ * @throws When Node.js refuses to write its path or one of its headers.
+ */
+function createRequest(
+  { method, path, headers }: ExchangeRequest,
+  { pool, headerBytes }: ExchangeOptions,
+): ClientRequest {
+  const created = request({
+    // The pool has the members of `Agent` that ClientRequest uses.
+    agent: pool as never,
+    host: pool.host,
+    port: pool.port,
+    method,
+    path,
+    headers: headers as never,
+    maxHeaderSize: headerBytes,
+  });
+  // No limit: Node.js omits headers beyond it, and their size is limited.
+  created.maxHeadersCount = 0;
+  return created;
+}
+
 const noBytes = Buffer.alloc(0);
 
 /** Characters that Node.js reads in a reason phrase and refuses to write. */
--- a/src/node/forwarded_headers.ts
+++ b/src/node/forwarded_headers.ts
@@ -3,6 +3,9 @@
 /** Prefix of the headers that are reserved for nodes. */
 const reservedPrefix = "dogwoodwalk-";
 
+/** Matches a header name that Node.js writes (RFC 9110, section 5.6.2). */
+const token = /^[\w!#$%&'*+.^`|~-]+$/;
+
 /** Headers of a message for the next hop, with the framing of the message. */
 export interface ForwardedHeaders {
   /** Alternating names and values, ready for the next hop. */
@@ -20,7 +23,7 @@
   readonly answer: string | undefined;
   /** Idle timeout of the sender from Keep-Alive; -1 when absent. */
   readonly keepAliveSeconds: number;
-  /** Whether a name contains a space, which Node.js reads but does not write. */
+  /** Whether a name is empty or has a space; Node.js reads but never writes it. */
   readonly hasInvalidName: boolean;
 }
 
@@ -28,7 +31,7 @@
  * Copies raw headers for the next hop, in order. Omits the hop-by-hop headers,
  * those that the Connection header lists, and every `dogwoodwalk-*` header.
  * Content-Length is kept; Transfer-Encoding is set when the body is sent. Spaces
- * behind a name are removed; a name with another space is omitted.
+ * behind a name are removed; a header whose name is still invalid is omitted.
  * @param raw Alternating names and values, as in `rawHeaders` of Node.js.
  * @returns The copied headers, with the framing of the message.
  */
@@ -42,10 +45,10 @@
   let hasInvalidName = false;
   for (let index = 0; index + 1 < raw.length; index += 2) {
     let name = raw[index] as string;
-    if (name.includes(" ")) {
+    if (!token.test(name)) {
       hasInvalidName = true;
       name = name.trimEnd();
-      if (name.includes(" ")) {
+      if (!token.test(name)) {
         continue;
       }
     }
@@ -138,7 +141,7 @@
  */
 export function getRequestError(framing: ForwardedHeaders): string | undefined {
   if (framing.hasInvalidName) {
-    return "The name of a header contains a space";
+    return "The name of a header is empty or contains a space";
   }
   return framing.hasUnknownCoding
     ? "The transfer coding is not chunked"
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -111,12 +111,15 @@
   onBufferedResponse(answer: Answer, head: ResponseHead, body: Buffer): void {
     this.#hasResponse = true;
     this.#end();
-    const { response } = this.#options;
-    writeBuffered(response, head, {
+    const failure = writeBuffered(this.#options.response, head, {
       body,
       answer: this.#encodeAnswerWithLevels(answer),
     });
     this.#state.bodyMemory.release(body.length);
+    if (failure !== undefined) {
+      this.#recordUndelivered("unwritable", this.phase);
+      this.#writeFailure({ ...answer, ...failure });
+    }
   }
 
   onStreamedResponse(answer: Answer, streamed: StreamedResponse): void {
@@ -128,6 +131,7 @@
     this.#delivery = new StreamedDelivery(response, streamed, {
       limit: { clock, timers, deadlineMilliseconds, times: peerDeliveryTimes },
       answer: this.#encodeAnswerWithLevels(answer),
+      writeFailure: (failure) => this.#writeFailure({ ...answer, ...failure }),
       onEnd: (failure) => {
         if (failure !== undefined && !this.#isEnded) {
           this.#recordUndelivered(failure, "delivering");
@@ -142,10 +146,7 @@
       return;
     }
     this.#end();
-    writeFailure(this.#options.response, failure, {
-      requestId: this.#options.details.requestId,
-      answer: this.#encodeAnswerWithLevels(failure),
-    });
+    this.#writeFailure(failure);
   }
 
   onDeadline(): void {
@@ -256,6 +257,13 @@
     });
   }
 
+  #writeFailure(failure: CallFailure & Answer): void {
+    writeFailure(this.#options.response, failure, {
+      requestId: this.requestId,
+      answer: this.#encodeAnswerWithLevels(failure),
+    });
+  }
+
   #encodeAnswerWithLevels(answer: Answer): string {
     const { plan } = this.#options.details;
     const reportedLevels = getRelevantLevels(this.#state.levels, plan);
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -220,15 +220,16 @@
         } else {
           const { head, body } = createStoredResponse(result.answer);
           this.#finish();
-          this.#callers.writeBuffered(head, body);
+          this.#writeBuffered(head, body);
         }
       });
   }
 
   onBufferedResponse(answer: Answer, head: ResponseHead, body: Buffer): void {
+    const targetId = this.#current?.choice.targetId;
     this.#onResponse(answer, { status: head.status, bytes: body.length });
     this.#finish();
-    this.#callers.writeBuffered(head, body);
+    this.#writeBuffered(head, body, targetId);
     this.#dispatcher.state.bodyMemory.release(body.length);
   }
 
@@ -620,6 +621,13 @@
     this.#callers.writeFailure(failure, requestId);
   }
 
+  #writeBuffered(head: ResponseHead, body: Buffer, targetId?: string): void {
+    const failure = this.#callers.writeBuffered(head, body, this.requestId);
+    if (failure !== undefined) {
+      this.#recordUndelivered("unwritable", targetId);
+    }
+  }
+
   /** Records that this node or a target ended a response before its end. */
   #recordUndelivered(
     reason: DeliveryFailure,
--- a/src/node/remote_attempt.ts
+++ b/src/node/remote_attempt.ts
@@ -57,6 +57,7 @@
   Record<ExchangeError, { disposition: Disposition; reason: RefusalReason }>
 > = {
   "not-sent": { disposition: "not-run", reason: "node-unreachable" },
+  "not-written": { disposition: "not-run", reason: "node-unreachable" },
   "reset": { disposition: "unknown", reason: "node-unreachable" },
   "incomplete": { disposition: "unknown", reason: "answer-incomplete" },
   "body-broken": { disposition: "unknown", reason: "malformed-request" },
@@ -160,7 +161,9 @@
 
   onError(error: ExchangeError, message: string): void {
     const { disposition, reason } = failuresByError[error];
-    const unusedAttempts = error === "not-sent" ? this.#options.allowance : 0;
+    const unusedAttempts = disposition === "not-run"
+      ? this.#options.allowance
+      : 0;
     this.#options.sink.onFailure(
       createAttemptFailure({ disposition, reason, message }, unusedAttempts),
     );
--- a/src/node/streamed_delivery.ts
+++ b/src/node/streamed_delivery.ts
@@ -1,5 +1,7 @@
 import type { ServerResponse } from "node:http";
+import type { CallFailure } from "../request/mod.ts";
 import type { StreamedResponse } from "./attempt.ts";
+import { writeReceivedHead } from "./caller_response.ts";
 import { DeliveryLimit, type DeliveryLimitOptions } from "./delivery_limit.ts";
 import { maximumStreamedBodyBytes } from "./exchange.ts";
 import {
@@ -15,7 +17,11 @@
 import { type BodyTransfer, pipeBody } from "./pipe_body.ts";
 
 /** Why a response was not delivered completely. */
-export type DeliveryFailure = CallerEndReason | NodeEndReason;
+export type DeliveryFailure =
+  | CallerEndReason
+  | NodeEndReason
+  /** Node.js refuses to write its head, and a failure was written instead. */
+  | "unwritable";
 
 /** Settings of a {@link StreamedDelivery}. */
 export interface StreamedDeliveryOptions {
@@ -26,6 +32,8 @@
   >;
   /** The value of `dogwoodwalk-answer` for a node. */
   readonly answer?: string | undefined;
+  /** Writes a failure in place of a head that Node.js refuses to write. */
+  writeFailure(failure: CallFailure): void;
   /**
    * Called once, at the end.
    * @param failure Why the response is incomplete; `undefined` if it is complete.
@@ -64,7 +72,14 @@
     if (options.answer !== undefined) {
       head.headers.push("dogwoodwalk-answer", options.answer);
     }
-    response.writeHead(head.status, head.statusMessage, head.headers);
+    const unwritable = writeReceivedHead(response, head);
+    if (unwritable !== undefined) {
+      this.#transfer = endedTransfer;
+      streamed.onEnd(false, 0);
+      options.writeFailure(unwritable);
+      options.onEnd("unwritable", 0);
+      return;
+    }
     const limit = new DeliveryLimit({
       ...options.limit,
       isBehindOthers: () => isBehindOthers(response),
@@ -100,3 +115,5 @@
     return this.#abortReason;
   }
 }
+
+const endedTransfer: BodyTransfer = { abort: () => {} };
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -279,6 +279,10 @@
       this.#failNotRun("unreachable", "target-unreachable");
       return;
     }
+    if (error === "not-written") {
+      this.#failNotRun("cancelled", "target-unreachable", message);
+      return;
+    }
     if (error === "body-broken") {
       this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
       this.#fail("unknown", "malformed-request", message);
@@ -412,13 +416,17 @@
    * Fails a call that did not run. The claim is released before the caller gets
    * the failure, because a resend would otherwise be denied.
    */
-  #failNotRun(kind: CallOutcome["kind"], reason: RefusalReason): void {
+  #failNotRun(
+    kind: CallOutcome["kind"],
+    reason: RefusalReason,
+    message = getRefusalMessage(reason),
+  ): void {
     this.#end({ kind, serviceMilliseconds: 0 });
     if (this.#claim === undefined) {
-      this.#fail("not-run", reason);
+      this.#fail("not-run", reason, message);
       return;
     }
-    this.#claim.release().then(() => this.#fail("not-run", reason));
+    this.#claim.release().then(() => this.#fail("not-run", reason, message));
   }
 
   #end(outcome: CallOutcome): void {
--- a/src/node/unwritable_characters_test.ts
+++ b/src/node/unwritable_characters_test.ts
@@ -32,6 +32,25 @@
   });
 }
 
+/** Announces a target that sends the same bytes to every request. */
+async function announceServer(
+  context: TestContext,
+  { node }: TestPair,
+  bytes: string,
+): Promise<void> {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => socket.write(bytes, "latin1"));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  node.targetDispatcher.target.announce({
+    endpoint: { host: "127.0.0.1", port },
+    incarnation: Date.now() + 1000,
+  }, { hasLease: false });
+}
+
 function hasOpenCalls(pairs: readonly TestPair[]): boolean {
   return pairs.some(({ node }) =>
     node.callCount > 0 || node.targetDispatcher.getStatus()?.running !== 0
@@ -43,6 +62,7 @@
   { name: "a form feed in its path", path: "/a?b\fc", header: "X-A: 1" },
   { name: "a space in a header name", path: "/a", header: "X A: 1" },
   { name: "a space behind a header name", path: "/a", header: "X-A : 1" },
+  { name: "a header without a name", path: "/a", header: ": 1" },
 ];
 
 // Guards against calls that get no response and keep their slots, because
@@ -76,6 +96,10 @@
     name: "a space behind a header name",
     head: "HTTP/1.1 200 OK\r\nX-Own : 1",
   },
+  {
+    name: "a header without a name",
+    head: "HTTP/1.1 200 OK\r\n: 1\r\nX-Own: 1",
+  },
 ];
 
 for (const host of ["front", "back"]) {
@@ -83,24 +107,11 @@
     test(`a response of ${host} with ${name} is passed on and its call keeps no slot`, async (context) => {
       const pairs = await startNodes(context);
       const [front, back] = pairs as [TestPair, TestPair];
-      const server = createServer((socket) => {
-        socket.on("error", () => {});
-        socket.on(
-          "data",
-          () => socket.write(`${head}\r\nContent-Length: 4\r\n\r\ndone`),
-        );
-      });
-      await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", resolve)
+      await announceServer(
+        context,
+        host === "front" ? front : back,
+        `${head}\r\nContent-Length: 4\r\n\r\ndone`,
       );
-      context.after(() => server.close());
-      const { port } = server.address() as AddressInfo;
-      const { target } = (host === "front" ? front : back).node
-        .targetDispatcher;
-      target.announce({
-        endpoint: { host: "127.0.0.1", port },
-        incarnation: Date.now() + 1000,
-      }, { hasLease: false });
       const response = await sendBytes(
         front.outside,
         `GET /views/1 HTTP/1.1\r\nHost: ${host}\r\n\r\n`,
