Close the connection on which an endpoint rejected a request

Cause: a rejected request is sent again with the same attempt id, and the pool gave it the connection on which the rejection had come, as the one used last. A second copy of the rejection, which comes where the next response is expected, then has the id of the request in progress and was taken as proof that it did not run.

Ruled out: copies in the same segment (Node.js destroys the connection) and on an idle connection (the pool does). Responses of other nodes are not concerned: a node writes one response to each request.

Change: a rejection closes its connection, as a response to another request did already, so that no copy of it can meet a request. Remembering the ids of each connection instead was ruled out: a copy would still fail the other request that it meets.

--- a/src/node/claim.ts
+++ b/src/node/claim.ts
@@ -145,6 +145,7 @@
       answer: undefined,
       keepAliveSeconds: -1,
       hasInvalidName: false,
+      isFirstOnConnection: true,
     },
     body: Buffer.from(answer.body),
   };
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -46,6 +46,8 @@
 export interface ResponseHead extends ForwardedHeaders {
   readonly status: number;
   readonly statusMessage: string;
+  /** Whether no earlier response was read on the connection. */
+  readonly isFirstOnConnection: boolean;
 }
 
 /** Why an exchange ended without a complete response. */
@@ -182,11 +184,12 @@
     if (this.#isDone) {
       return;
     }
-    const head = copyHeaders(response.rawHeaders) as
-      & ForwardedHeaders
-      & { status: number; statusMessage: string; isChunked: boolean };
+    const head = copyHeaders(response.rawHeaders) as {
+      -readonly [Key in keyof ResponseHead]: ResponseHead[Key];
+    };
     head.status = response.statusCode ?? 0;
     head.statusMessage = getReasonPhrase(response);
+    head.isFirstOnConnection = this.#request?.reusedSocket !== true;
     this.#response = response;
     this.#head = head;
     if (head.keepAliveSeconds >= 0) {
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -371,12 +371,13 @@
   }
 
   #handleUnacceptedResponse(classification: "not-run" | "foreign"): void {
+    // A surplus response may follow on this connection. A copy of this one would
+    // be read as the response to the next call, or to the same call sent again.
+    this.#exchange?.discardConnection();
     if (classification === "not-run") {
       this.#onShed();
       return;
     }
-    // Later responses on this connection could belong to other calls, too.
-    this.#exchange?.discardConnection();
     this.#end({ kind: "cancelled", serviceMilliseconds: 0 });
     const message = "The response belongs to another call";
     this.#fail("unknown", "answer-incomplete", message);
