Acknowledge a departure of an endpoint once control remembers it

Cause: the adapter kept a departure in the memory of the node's process, and only if it belonged to the latest heartbeat that this process knew. Control remembers drains of targets across restarts of their nodes, but the adapter bypassed it: it announced nothing for a deregistration without a heartbeat, it did not wait for control before it used an endpoint that is older than the node, and it acknowledged before control knew.

Change: a deregistration is announced as a drain of the start that it names, whether or not its heartbeat came. A restarted node waits for control, as the product does by default. An instance that is lost leaves its drained targets as tombstones. So that a restart of the whole system costs no 3 s, an instance says whether it has the records of all others, which it has long before it knows all targets (protocol field has_all_records; absent from older instances, whose nodes wait as before).

Ruled out: keeping it at the node, which has no disk, and confirming without the 600 ms, because an instance that restarted has its own earlier records only once the others answer an announcement.

--- a/src/control_client/announcement_confirmation.ts
+++ b/src/control_client/announcement_confirmation.ts
@@ -7,20 +7,52 @@
   renew(): number | undefined;
 }
 
-/**
- * Time for which a newer record of an announced target can be on its way: two
- * push intervals of 200 ms between control instances, and the network.
- */
-const settlingMilliseconds = 600;
+/** What is confirmed of an announcement. */
+export type ConfirmedFact =
+  /**
+   * Control knows no newer record of the target: an instance that has all records
+   * of the others answers a renewal.
+   */
+  | "newest"
+  /**
+   * Several instances know the record: one that reaches a majority of them answers
+   * a renewal after it has pushed the record.
+   */
+  | "remembered";
+
+/** Waits for the confirmation of an announcement. */
+export interface ConfirmationListener {
+  readonly fact: ConfirmedFact;
+  /** Called at most once. */
+  onConfirmed(): void;
+}
+
+/** An answer of control to a renewal. */
+export interface ConfirmingAnswer {
+  /** Sequence of the renewal. */
+  readonly sequence: number;
+  /** Whether the instance reaches a majority of the instances. */
+  readonly hasMajority: boolean;
+  /** Whether the instance has all target records that the others have. */
+  readonly hasAllRecords: boolean;
+}
+
+/** Time from an announcement until the renewal whose answer confirms it. */
+const settlingMilliseconds: Readonly<Record<ConfirmedFact, number>> = {
+  // A newer record can be on its way for two push intervals of 200 ms between
+  // control instances, and the time of the network.
+  newest: 600,
+  // One push interval, and the time of the network.
+  remembered: 300,
+};
 
-/**
- * Detects that control knows no newer record of an announced target: an instance
- * that has all targets of the others answers a renewal, some time after it got
- * the announcement.
- */
+/** Time after which an instance that could not confirm yet is asked again. */
+const retryMilliseconds = 300;
+
+/** Detects that control has dealt with an announcement of a target. */
 export class AnnouncementConfirmation {
   readonly #options: AnnouncementConfirmationOptions;
-  #onConfirmed: (() => void) | undefined;
+  #listener: ConfirmationListener | undefined;
   #timer: NodeJS.Timeout | undefined;
   #renewSequence = Infinity;
   #isCollecting = false;
@@ -32,25 +64,18 @@
 
   /**
    * Waits for the confirmation of an announcement instead of an earlier one.
-   * @param onConfirmed Called at most once; `undefined` to wait for nothing.
+   * @param listener What to wait for; `undefined` to wait for nothing.
    */
-  setListener(onConfirmed: (() => void) | undefined): void {
+  setListener(listener: ConfirmationListener | undefined): void {
     this.stop();
-    this.#onConfirmed = onConfirmed;
+    this.#listener = listener;
   }
 
   /** Begins to wait, after the announcement was sent. */
   onSent(): void {
-    this.stop();
-    if (this.#onConfirmed !== undefined) {
-      this.#timer = setTimeout(() => {
-        const sequence = this.#options.renew();
-        if (sequence === undefined) {
-          this.onSent();
-        } else {
-          this.#renewSequence = sequence;
-        }
-      }, settlingMilliseconds);
+    const listener = this.#listener;
+    if (listener !== undefined) {
+      this.#renewAfter(settlingMilliseconds[listener.fact]);
     }
   }
 
@@ -66,18 +91,37 @@
     }
   }
 
-  /**
-   * Records that control answered a renewal.
-   * @param sequence Its sequence.
-   */
-  onRenewAnswer(sequence: number): void {
-    if (sequence >= this.#renewSequence && !this.#isCollecting) {
-      const onConfirmed = this.#onConfirmed;
+  /** Records that control answered a renewal. */
+  onRenewAnswer(
+    { sequence, hasMajority, hasAllRecords }: ConfirmingAnswer,
+  ): void {
+    const listener = this.#listener;
+    if (sequence < this.#renewSequence || listener === undefined) {
+      return;
+    }
+    const isConfirmed = listener.fact === "newest"
+      ? hasAllRecords || !this.#isCollecting
+      : hasMajority;
+    if (isConfirmed) {
       this.setListener(undefined);
-      onConfirmed?.();
+      listener.onConfirmed();
+    } else {
+      this.#renewAfter(retryMilliseconds);
     }
   }
 
+  #renewAfter(milliseconds: number): void {
+    this.stop();
+    this.#timer = setTimeout(() => {
+      const sequence = this.#options.renew();
+      if (sequence === undefined) {
+        this.#renewAfter(retryMilliseconds);
+      } else {
+        this.#renewSequence = sequence;
+      }
+    }, milliseconds);
+  }
+
   /** Stops waiting until the announcement is sent again. */
   stop(): void {
     clearTimeout(this.#timer);
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -23,7 +23,10 @@
   ViewUpdate,
 } from "../protocol/generated/session.ts";
 import { AnnouncedTargets } from "./announced_targets.ts";
-import { AnnouncementConfirmation } from "./announcement_confirmation.ts";
+import {
+  AnnouncementConfirmation,
+  type ConfirmationListener,
+} from "./announcement_confirmation.ts";
 import { ControlAddresses } from "./control_addresses.ts";
 import { LinkByteCounter } from "./link_byte_counter.ts";
 import { ReceivedViews } from "./received_views.ts";
@@ -201,14 +204,11 @@
    * Announces the node's target, or a new state of it. The session sets the
    * sequence, and announces the target again after each move.
    * @param record The target; its `sequence` is ignored.
-   * @param options Called once control has the announcement and knows no newer
-   * record of the target, unless another one is announced before.
+   * @param listener Waits for the confirmation of the announcement, unless another
+   * one is made before.
    */
-  announce(
-    record: TargetRecord,
-    options: { onConfirmed?: () => void } = {},
-  ): void {
-    this.#confirmation.setListener(options.onConfirmed);
+  announce(record: TargetRecord, listener?: ConfirmationListener): void {
+    this.#confirmation.setListener(listener);
     const sent = this.#announcedTargets.set({
       ...record,
       nodeId: this.#options.nodeIdentity.nodeId,
@@ -624,7 +624,12 @@
     this.#answeredSequence = answer.sequence;
     this.#announcedTargets.confirm(answer.sequence);
     this.#unconfirmedMessages.confirm(answer.sequence);
-    this.#confirmation.onRenewAnswer(answer.sequence);
+    this.#confirmation.onRenewAnswer({
+      sequence: answer.sequence,
+      // Only such an instance states a revision.
+      hasMajority: answer.revision > 0,
+      hasAllRecords: answer.hasAllRecords,
+    });
     if (answer.ledgerIndex > 0) {
       this.#options.onLedgerIndex?.(answer.ledgerIndex);
     }
--- a/src/control_client/damaged_document_test.ts
+++ b/src/control_client/damaged_document_test.ts
@@ -26,6 +26,7 @@
   linkShares: [],
   revision: 2,
   controlAddresses: [],
+  hasAllRecords: false,
 };
 const intact: DocumentUpdate = {
   revision: 2,
--- a/src/control_client/mod.ts
+++ b/src/control_client/mod.ts
@@ -1,3 +1,4 @@
+export type { ConfirmationListener } from "./announcement_confirmation.ts";
 export {
   ControlSession,
   type ControlSessionOptions,
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -13,6 +13,7 @@
   compareTargets,
   getTargetKey,
   getTargetVersion,
+  isDrained,
   isForgottenDrain,
   isLiveTarget,
   type KnownTarget,
@@ -268,6 +269,7 @@
       }
     }
     for (const owner of this.#owners.takeLostOwners(now)) {
+      this.#expireDrainedTargets(owner, now);
       this.#targets.drop(owner);
       this.#nodes.drop(owner);
     }
@@ -376,6 +378,16 @@
     return this.#owners.isCollecting(this.#options.getPeers(), now);
   }
 
+  /**
+   * Gets whether this instance has all records that the others have. Instances
+   * that restart together have them long before they know all targets again.
+   * @param now Monotonic time in milliseconds.
+   */
+  hasAllRecords(now: number): boolean {
+    return !this.isCollecting(now) ||
+      this.#owners.isSynchronizedWith(this.#options.getPeers());
+  }
+
   /**
    * Creates a batch for another instance.
    * @param content Items to send, the buckets that the receiver requested, and
@@ -468,6 +480,15 @@
     }
   }
 
+  /** Keeps the drains of a lost instance in mind, as those of ended leases. */
+  #expireDrainedTargets(owner: string, now: number): void {
+    for (const target of this.#targets.getLive(owner)) {
+      if (isDrained(target)) {
+        this.#targets.merge({ ...target, state: "expired" }, { owner, now });
+      }
+    }
+  }
+
   #extendDeadlines(milliseconds: number): void {
     for (const lease of this.#leases.values()) {
       lease.expiresAt += milliseconds;
--- a/src/membership/directory_test.ts
+++ b/src/membership/directory_test.ts
@@ -124,6 +124,37 @@
   });
 }
 
+// Guards against a drain that is lost with the instance that had its session.
+test("a drain outlives the instance that had the session of its node", () => {
+  const [lost, other] = [createDirectory(0, 2), createDirectory(1, 2)];
+  lost.openLease(createNode("n", 1), 0);
+  const drained = {
+    ...createTarget("t", { incarnation: 1, sequence: 1, state: "draining" }),
+    drainedIncarnation: 1,
+  };
+  lost.announce(session, { target: drained, now: 0 });
+  other.mergeBatch(
+    lost.createBatch(
+      { ...lost.takeOwnChanges(), requestedBuckets: [], hasDigests: true },
+      0,
+    ),
+    0,
+  );
+  for (let now = 0; now <= 20_000; now += 250) {
+    other.expire(now);
+  }
+  assert.deepEqual(getStates(other), {});
+  other.openLease(createNode("n", 1), 20_000);
+  const target = createTarget("t", {
+    incarnation: 1,
+    sequence: 2,
+    state: "ready",
+  });
+  const known = other.announce(session, { target, now: 20_000 });
+  assert.ok(typeof known === "object");
+  assert.equal(known.drainedIncarnation, 1);
+});
+
 // Guards against a drain that is lost because the node restarts at an instance
 // that has not received it yet.
 test("a drain outlives a newer announcement at another instance", () => {
--- a/src/membership/owner_tracker.ts
+++ b/src/membership/owner_tracker.ts
@@ -133,11 +133,16 @@
       return false;
     }
     return peers.length === 0 || !peers.every((peer) => {
-      const owner = this.#owners.get(`${peer}#${this.#newestBoots.get(peer)}`);
+      const owner = this.#getNewest(peer);
       return owner !== undefined && owner.synchronized && !owner.collecting;
     });
   }
 
+  /** Gets whether the items of each peer's newest process are known in full. */
+  isSynchronizedWith(peers: readonly string[]): boolean {
+    return peers.every((peer) => this.#getNewest(peer)?.synchronized === true);
+  }
+
   /**
    * Extends all deadlines by a pause in which this process received nothing.
    */
@@ -148,6 +153,13 @@
     this.#collectingUntil += milliseconds;
   }
 
+  /** Gets the newest known process of an instance. */
+  #getNewest(instanceId: string): Owner | undefined {
+    return this.#owners.get(
+      `${instanceId}#${this.#newestBoots.get(instanceId)}`,
+    );
+  }
+
   #getOrCreate(name: string, now: number): Owner {
     const known = this.#owners.get(name);
     if (known !== undefined) {
--- a/src/membership/replicated_table.ts
+++ b/src/membership/replicated_table.ts
@@ -133,6 +133,17 @@
     return items;
   }
 
+  /** Gets the live items of an owner. */
+  getLive(owner: string): Item[] {
+    const items: Item[] = [];
+    for (const entry of this.#entries.values()) {
+      if (entry.owner === owner && this.#rules.isLive(entry.item)) {
+        items.push(entry.item);
+      }
+    }
+    return items;
+  }
+
   /**
    * Removes live items of an owner without leaving tombstones.
    * @param owner The owner.
--- a/src/membership/target_record.ts
+++ b/src/membership/target_record.ts
@@ -115,7 +115,7 @@
 }
 
 /** Gets whether the incarnation of a record was drained. */
-function isDrained(record: TargetAttributes): boolean {
+export function isDrained(record: TargetAttributes): boolean {
   return record.incarnation === record.drainedIncarnation;
 }
 
--- a/src/node/announced_target.ts
+++ b/src/node/announced_target.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../common/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
+import { DrainConfirmation } from "./drain_confirmation.ts";
 
 /** State of the local target. */
 export type LocalTargetState =
@@ -23,6 +24,14 @@
   readonly slots?: number;
 }
 
+/** How a target is announced. */
+export interface AnnounceOptions {
+  /** Whether the announcement expires without renewal; not from the settings. */
+  readonly hasLease: boolean;
+  /** Whether the target takes no new calls; false when absent. */
+  readonly isDraining?: boolean;
+}
+
 /** Settings of an {@link AnnouncedTarget}. */
 export interface AnnouncedTargetOptions {
   readonly clock: Clock;
@@ -41,6 +50,8 @@
 
 /** Tracks the state of the local target by its announcements. */
 export class AnnouncedTarget {
+  /** Tells whether control remembers the drain of the target. */
+  readonly drainConfirmation = new DrainConfirmation();
   readonly #options: AnnouncedTargetOptions;
   #state: LocalTargetState = "absent";
   #announcement: TargetAnnouncement | undefined;
@@ -108,13 +119,12 @@
    * have requested it; one that was drained before it expired or crashed drains
    * again.
    * @param announcement The announcement.
-   * @param options Whether the announcement expires without renewal; one from
-   * the settings does not.
+   * @param options Whether it expires, and whether the target drains.
    * @returns Whether the announcement was accepted.
    */
   announce(
     announcement: TargetAnnouncement,
-    options: { hasLease: boolean },
+    { hasLease, isDraining = false }: AnnounceOptions,
   ): boolean {
     const previous = this.#announcement;
     if (
@@ -124,19 +134,23 @@
     }
     const isNew = previous?.incarnation !== announcement.incarnation;
     this.#announcement = announcement;
-    this.#hasLease = options.hasLease;
+    this.#hasLease = hasLease;
     this.#renewLease();
     const hasLeft = this.#state === "draining" || this.#state === "left";
     const isAnnounced = this.#state === "ready" ||
       this.#state === "unconfirmed";
     if (isNew || (!isAnnounced && !hasLeft)) {
-      if (!isNew && announcement.incarnation === this.#drainedIncarnation) {
+      const wasDrained = !isNew &&
+        announcement.incarnation === this.#drainedIncarnation;
+      if (isDraining || wasDrained) {
         this.#setState("draining");
       } else if (this.#mustBeConfirmed()) {
         this.#setState("unconfirmed");
       } else {
         this.#setReady();
       }
+    } else if (isDraining) {
+      this.drain();
     }
     return true;
   }
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -1,5 +1,6 @@
 import type { Interceptor } from "@grpc/grpc-js";
 import {
+  type ConfirmationListener,
   ControlSession,
   LedgerClient,
   type SessionTiming,
@@ -19,8 +20,7 @@
   readonly nodeAddress: string;
   /**
    * Time for which a target that started before this node waits for control,
-   * which may know that it was drained. 3 s by default; 0 when targets report
-   * their drains themselves as long as they run.
+   * which may know that it was drained; 3 s by default.
    */
   readonly confirmationLimitMilliseconds?: number;
   /** Intervals of the session; its defaults when absent. */
@@ -74,10 +74,8 @@
       limitMilliseconds,
       hasDocument: () => state.view !== undefined,
     });
-    if (limitMilliseconds > 0) {
-      // A target that is younger than this process was never drained before it.
-      target.requireConfirmation(node.startMilliseconds);
-    }
+    // A target that is younger than this process was never drained before it.
+    target.requireConfirmation(node.startMilliseconds);
     this.#session = new ControlSession({
       controlAddresses: settings.controlAddresses,
       ...options.sessionTiming,
@@ -185,15 +183,26 @@
   #announce(): void {
     const { target } = this.#node.targetDispatcher;
     const record = this.#createRecord(recordStates[target.state]);
-    this.#session.announce(
-      record,
-      target.state === "unconfirmed"
-        ? { onConfirmed: () => target.confirm() }
-        : {},
-    );
+    this.#session.announce(record, this.#createListener());
     this.#confirmation.update();
   }
 
+  /** Creates what waits for the confirmation of the latest announcement. */
+  #createListener(): ConfirmationListener | undefined {
+    const { target } = this.#node.targetDispatcher;
+    if (target.state === "unconfirmed") {
+      return { fact: "newest", onConfirmed: () => target.confirm() };
+    }
+    const incarnation = target.announcement?.incarnation;
+    return incarnation !== undefined &&
+        incarnation === target.drainedIncarnation
+      ? {
+        fact: "remembered",
+        onConfirmed: () => target.drainConfirmation.confirm(incarnation),
+      }
+      : undefined;
+  }
+
   #createRecord(recordState: TargetRecord["state"]): TargetRecord {
     const { settings } = this.#node.state;
     const { target } = this.#node.targetDispatcher;
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -535,6 +535,7 @@
         controlAddresses: session.takeChangedControlAddresses(
           this.#getAddresses(),
         ),
+        hasAllRecords: this.#directory.hasAllRecords(this.#now()),
       },
     });
   }
