--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -350,12 +350,16 @@
   /**
    * Adds a snapshot of the state machine and discards entries that it covers.
    * @param index Index up to which the snapshot includes all entries.
-   * @param options Content, and number of entries to keep for members that are
-   * behind.
+   * @param options Content, and maximum number and size of the entries to keep
+   * for members that are behind.
    */
   recordSnapshot(
     index: number,
-    options: { data: Uint8Array; retainedEntries: number },
+    options: {
+      data: Uint8Array;
+      retainedEntries: number;
+      retainedBytes: number;
+    },
   ): void {
     if (index <= this.#snapshot.index || index > this.#commitIndex) {
       return;
@@ -363,7 +367,10 @@
     const info = this.#log.getSnapshotInfo(index);
     this.#snapshot = info;
     this.#writeBuffer.addSnapshot({ info, data: options.data });
-    this.#log.discardThrough(Math.max(0, index - options.retainedEntries));
+    this.#log.discardThrough(this.#log.getDiscardIndex(index, {
+      entries: options.retainedEntries,
+      bytes: options.retainedBytes,
+    }));
   }
 
   /** Handles a received message. */
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -217,7 +217,11 @@
   takeSnapshot(slot: number): void {
     const { core, appliedIndex, hash } = this.at(slot);
     const data = Buffer.from(String(hash));
-    core?.recordSnapshot(appliedIndex, { data, retainedEntries: 2 });
+    core?.recordSnapshot(appliedIndex, {
+      data,
+      retainedEntries: 2,
+      retainedBytes: Infinity,
+    });
   }
 
   /**
--- a/src/consensus/durable_storage.ts
+++ b/src/consensus/durable_storage.ts
@@ -124,9 +124,13 @@
       if (hardState && isMarkChecked && !isMarked) {
         options.log.warn("data folder was moved or copied");
         hardState = { ...hardState, isMoved: true };
-        await replaceFile(files, "hard_state", [encodeHardState(hardState)]);
+        await replaceFile(files, "hard_state", [
+          createRecord(encodeHardState(hardState)),
+        ]);
       }
-      await replaceFile(files, "identity", [encodeIdentity(identity)]);
+      await replaceFile(files, "identity", [
+        createRecord(encodeIdentity(identity)),
+      ]);
       return new DurableStorage(files, {
         state: {
           identity,
@@ -197,20 +201,22 @@
     // a term above its own.
     if (request.hardState !== undefined) {
       await replaceFile(this.#files, "hard_state", [
-        encodeHardState(request.hardState),
+        createRecord(encodeHardState(request.hardState)),
       ]);
     }
     const { snapshot } = request;
     if (snapshot !== undefined) {
       await replaceFile(this.#files, "snapshot", [
-        encodeSnapshotInfo(snapshot.info),
+        createRecord(encodeSnapshotInfo(snapshot.info)),
         // The prefix is needed because a record has at least one byte.
-        Buffer.concat([Buffer.of(0), snapshot.data]),
+        createRecord(Buffer.of(0), snapshot.data),
       ]);
       this.#snapshot = { index: snapshot.info.index, data: snapshot.data };
-      await replaceFile(this.#files, "log", [
-        encodeLogRecord(request.entries, request.peers),
-      ]);
+      await replaceFile(
+        this.#files,
+        "log",
+        createLogRecords(request.entries, request.peers),
+      );
       await this.#logFile.close();
       this.#logFile = await this.#files.open("log");
       return;
@@ -224,19 +230,29 @@
   }
 }
 
+/** Creates the records of a new log; none when there is nothing to store. */
+function createLogRecords(
+  entries: readonly LogEntry[],
+  peers: ReadonlyMap<string, PeerState> | undefined,
+): Buffer[] {
+  const payload = encodeLogRecord(entries, peers);
+  return payload.length === 0 ? [] : [createRecord(payload)];
+}
+
+/** Replaces a file. Writes its records one by one, because they may be large. */
 async function replaceFile(
   files: FileSystem,
   name: string,
-  payloads: readonly Uint8Array[],
+  records: readonly Buffer[],
 ): Promise<void> {
   const temporary = `${name}.new`;
   await files.remove(temporary);
   const file = await files.open(temporary);
   try {
-    await file.append(Buffer.concat([
-      createFileHeader(),
-      ...payloads.filter((each) => each.length > 0).map(createRecord),
-    ]));
+    await file.append(createFileHeader());
+    for (const record of records) {
+      await file.append(record);
+    }
     await file.sync();
   } finally {
     await file.close();
@@ -294,7 +310,7 @@
   // A new log gets its header like the other files, by a rename: a header that
   // is torn by a loss of power would look like damage.
   if (entriesAfterSnapshot === undefined || validLength < fileHeaderBytes) {
-    await replaceFile(files, "log", [encodeLogRecord([], peers)]);
+    await replaceFile(files, "log", createLogRecords([], peers));
     return { file: await files.open("log"), entries: [], peers };
   }
   const file = await files.open("log");
--- a/src/consensus/entry_log.ts
+++ b/src/consensus/entry_log.ts
@@ -142,6 +142,29 @@
     };
   }
 
+  /**
+   * Gets the index through which entries can be discarded after a snapshot.
+   * @param index Index up to which the snapshot includes all entries.
+   * @param kept Maximum number and total size of the entries to keep before it,
+   * for members that are behind.
+   */
+  getDiscardIndex(
+    index: number,
+    kept: { entries: number; bytes: number },
+  ): number {
+    let discard = index;
+    let bytes = 0;
+    while (discard > this.#base.index && index - discard < kept.entries) {
+      const entry = this.getEntry(discard);
+      bytes += entry === undefined ? 0 : getEntrySize(entry);
+      if (bytes > kept.bytes) {
+        break;
+      }
+      discard--;
+    }
+    return discard;
+  }
+
   /** Discards the entries up to an index that a snapshot covers. */
   discardThrough(index: number): void {
     if (index <= this.#base.index) {
--- a/src/consensus/log_instance.ts
+++ b/src/consensus/log_instance.ts
@@ -13,7 +13,7 @@
 } from "./core_types.ts";
 import type { DurableStorage } from "./durable_storage.ts";
 import { createGrpcTransport } from "./grpc_transport.ts";
-import type { LogEntry, SnapshotInfo } from "./log_entry.ts";
+import { getEntrySize, type LogEntry, type SnapshotInfo } from "./log_entry.ts";
 import type { MemberChange } from "./member.ts";
 import type { Envelope } from "./message.ts";
 import type { StorageRequest } from "./persisted_state.ts";
@@ -29,10 +29,16 @@
   TransportReceiver,
 } from "./transport.ts";
 
-/** Entries kept in memory after a snapshot for members that are behind. */
+/** Limits of the entries that are kept after a snapshot for members behind. */
 const retainedEntries = 1024;
+const retainedBytes = 8 * 1024 * 1024;
 
+/**
+ * Limits of the entries after which a snapshot is taken. All of them are in memory,
+ * and a start reads them from the disk.
+ */
 const defaultSnapshotEntries = 4096;
+const defaultSnapshotBytes = 32 * 1024 * 1024;
 const tickIntervalMilliseconds = 25;
 const snapshotChunkBytes = 512 * 1024;
 
@@ -61,6 +67,8 @@
   #isStopped = false;
 
   #appliedIndex: number;
+  /** Size of the entries that were applied since the latest snapshot. */
+  #appliedBytes = 0;
   /** Commands that the next cycle proposes. */
   #queuedProposals: {
     command: Uint8Array;
@@ -475,6 +483,7 @@
       })
       : new Uint8Array();
     this.#appliedIndex = index;
+    this.#appliedBytes += getEntrySize(entry);
     const proposal = this.#pendingProposals.get(index);
     if (proposal !== undefined) {
       this.#pendingProposals.delete(index);
@@ -489,6 +498,7 @@
   #installSnapshot(info: SnapshotInfo, data: Uint8Array): void {
     this.#options.stateMachine.restoreSnapshot(data);
     this.#appliedIndex = info.index;
+    this.#appliedBytes = 0;
     this.#options.log.info("snapshot installed", { index: info.index });
   }
 
@@ -501,13 +511,27 @@
   }
 
   #takeSnapshotIfDue(): void {
-    const limit = this.#options.snapshotEntries ?? defaultSnapshotEntries;
-    if (this.#appliedIndex - this.#core.snapshotIndex < limit) {
+    const {
+      snapshotEntries = defaultSnapshotEntries,
+      snapshotBytes = defaultSnapshotBytes,
+      log,
+    } = this.#options;
+    const entries = this.#appliedIndex - this.#core.snapshotIndex;
+    if (entries < snapshotEntries && this.#appliedBytes < snapshotBytes) {
       return;
     }
+    const data = this.#options.stateMachine.takeSnapshot();
+    log.info("snapshot taken", {
+      index: this.#appliedIndex,
+      entries,
+      entryBytes: this.#appliedBytes,
+      bytes: data.length,
+    });
+    this.#appliedBytes = 0;
     this.#core.recordSnapshot(this.#appliedIndex, {
-      data: this.#options.stateMachine.takeSnapshot(),
-      retainedEntries: Math.min(retainedEntries, limit),
+      data,
+      retainedEntries: Math.min(retainedEntries, snapshotEntries),
+      retainedBytes: Math.min(retainedBytes, snapshotBytes),
     });
     this.#scheduleCycle();
   }
--- a/src/consensus/record_file.ts
+++ b/src/consensus/record_file.ts
@@ -21,13 +21,18 @@
 /**
  * Creates a record: length, CRC-32C, payload. The checksum also covers the
  * length, so that a run of zeros is not a valid record.
- * @param payload The content; at least one byte.
+ * @param parts The parts of the content; together at least one byte.
  */
-export function createRecord(payload: Uint8Array): Buffer {
-  const record = Buffer.alloc(recordHeaderBytes + payload.length);
-  record.writeUInt32LE(payload.length, 0);
-  record.set(payload, recordHeaderBytes);
-  record.writeUInt32LE(getChecksum(record, 0, payload.length), 4);
+export function createRecord(...parts: readonly Uint8Array[]): Buffer {
+  const length = parts.reduce((sum, part) => sum + part.length, 0);
+  const record = Buffer.alloc(recordHeaderBytes + length);
+  record.writeUInt32LE(length, 0);
+  let offset = recordHeaderBytes;
+  for (const part of parts) {
+    record.set(part, offset);
+    offset += part.length;
+  }
+  record.writeUInt32LE(getChecksum(record, 0, length), 4);
   return record;
 }
 
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { statSync } from "node:fs";
+import { join } from "node:path";
 import { test } from "node:test";
 import {
   getFreeAddress,
@@ -92,6 +94,36 @@
   });
 }
 
+// Guards against an instance that needs more memory to start than it may use,
+// because its log is bounded by the number of entries and not by their size.
+test("a few large entries are replaced by a snapshot, and the rest is bounded by its size", async () => {
+  const snapshotBytes = 500_000;
+  const group = await ReplicatedLogGroup.start(3, { snapshotBytes });
+  try {
+    const large = "x".repeat(60_000);
+    for (let index = 0; index < 40; index++) {
+      await group.propose(large);
+    }
+    await group.waitForEqualState();
+    for (const instance of [...group.instances]) {
+      const { snapshotIndex, lastIndex } = instance.log.getStatus();
+      assert.ok((lastIndex - snapshotIndex) * large.length <= snapshotBytes);
+      // Those before the snapshot are kept for members that are behind.
+      const { size } = statSync(join(instance.dataFolder, "log"));
+      assert.ok(size <= 2.5 * snapshotBytes, `${size} bytes`);
+      await group.stopInstance(instance);
+      const { address, dataFolder } = instance;
+      await group.startInstance({ address, dataFolder });
+      await group.waitForEqualState();
+    }
+    for (const { stateMachine } of group.instances) {
+      assert.equal(stateMachine.texts.length, 40);
+    }
+  } finally {
+    await group.stop();
+  }
+});
+
 // Guards against losing entries when a second instance is lost right after the
 // replacement of the first, with real files and connections.
 test("a lost disk is replaced, and a second loss right after loses nothing", async () => {
--- a/src/consensus/replicated_log_types.ts
+++ b/src/consensus/replicated_log_types.ts
@@ -98,6 +98,8 @@
   readonly mayFolderBeCopy?: boolean;
   /** Number of entries after which a snapshot is taken; 4096 by default. */
   readonly snapshotEntries?: number;
+  /** Total size of entries after which a snapshot is taken; 32 MiB by default. */
+  readonly snapshotBytes?: number;
   /** Called once when the storage has failed and the instance has stopped. */
   readonly onFailure?: (message: string) => void;
   readonly timing?: ConsensusTiming;
--- a/tests/support/simulated_control_group.ts
+++ b/tests/support/simulated_control_group.ts
@@ -356,6 +356,7 @@
       core.recordSnapshot(process.appliedIndex, {
         data: Buffer.from(JSON.stringify(process.texts)),
         retainedEntries: 2,
+        retainedBytes: Infinity,
       });
     }
   }
