Take a late heartbeat of a start before a departed one for late after a restart, too

What callers saw: a node restarted after it had acknowledged a departure, and a late heartbeat of an earlier start of the endpoint, under the same id, made it ready; 262 transfers reached it later than drainS (trial with real processes).

Cause: the node's session raises the incarnation of an announcement that control knows to be older, because the clock may have been set back between two starts. A drained start of which control knows was superseded in that way. An incarnation that was raised also lost its mark of a drain.

Change: an announcement of a start that precedes a drained one is drained, as a process that did not restart does already. A start after a drain whose clock was set back below it waits for its next start; before, only without a restart.

--- a/src/control_client/announced_targets.ts
+++ b/src/control_client/announced_targets.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../common/mod.ts";
 import {
+  isDrained,
   isForgottenDrain,
   type KnownTarget,
   type TargetRecord,
@@ -82,8 +83,8 @@
     this.#lastSequence = Math.max(this.#lastSequence, known.sequence);
     return this.#assignNewSequence(
       // The clock was set back between two starts of the target, so that the
-      // later start got the lower incarnation.
-      isIncarnationEnded ? { ...own, incarnation: known.incarnation + 1 } : own,
+      // later start got the lower incarnation, or its node restarted.
+      isIncarnationEnded ? raiseIncarnation(own, known.incarnation + 1) : own,
     );
   }
 
@@ -128,3 +129,17 @@
     return this.#lastSequence;
   }
 }
+
+/** Raises the incarnation of a target, which stays drained if it was. */
+function raiseIncarnation(
+  target: KnownTarget,
+  incarnation: number,
+): KnownTarget {
+  return {
+    ...target,
+    incarnation,
+    drainedIncarnation: isDrained(target)
+      ? incarnation
+      : target.drainedIncarnation,
+  };
+}
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -1,6 +1,7 @@
 export {
   compareTargets,
   compareText,
+  isDrained,
   isForgottenDrain,
   isLiveTarget,
   type KnownTarget,
--- a/src/membership/target_record.ts
+++ b/src/membership/target_record.ts
@@ -101,7 +101,8 @@
 
 /**
  * Gets whether a record announces a target that was drained before as if it had
- * not been. Its node has restarted since and does not know.
+ * not been. Its node has restarted since and does not know. An earlier start than
+ * the drained one counts, too: its announcement is late.
  * @param record The announced record.
  * @param known The record that is known of the same target.
  */
@@ -110,8 +111,9 @@
   known: TargetAttributes,
 ): boolean {
   return known.drainedIncarnation !== 0 &&
-    record.incarnation === known.drainedIncarnation &&
-    record.drainedIncarnation !== known.drainedIncarnation;
+    record.drainedIncarnation !== known.drainedIncarnation &&
+    (record.incarnation === known.drainedIncarnation ||
+      (isDrained(known) && record.incarnation < known.incarnation));
 }
 
 /** Gets whether the incarnation of a record was drained. */
