Take no target without a start time for drained

A record without an incarnation has 0 for it and for its drained one. The platform's endpoints always state their start. The new case fails on the code before.

--- a/src/membership/directory_test.ts
+++ b/src/membership/directory_test.ts
@@ -6,6 +6,7 @@
   type BucketKey,
   Directory,
   type DirectoryBatch,
+  isDrained,
   isLiveTarget,
   type KnownTarget,
   type NodeRecord,
@@ -155,6 +156,21 @@
   assert.equal(known.drainedIncarnation, 1);
 });
 
+// Guards against a target without a start time that is taken for drained.
+test("a record without an incarnation is not drained", () => {
+  const target = createTarget("t", {
+    incarnation: 0,
+    sequence: 1,
+    state: "ready",
+  });
+  assert.equal(isDrained(target), false);
+  assert.equal(isDrained({ ...target, incarnation: 5 }), false);
+  assert.equal(
+    isDrained({ ...target, incarnation: 5, drainedIncarnation: 5 }),
+    true,
+  );
+});
+
 // Guards against a drain that is lost because the node restarts at an instance
 // that has not received it yet.
 test("a drain outlives a newer announcement at another instance", () => {
--- a/src/membership/target_record.ts
+++ b/src/membership/target_record.ts
@@ -118,7 +118,8 @@
 
 /** Gets whether the incarnation of a record was drained. */
 export function isDrained(record: TargetAttributes): boolean {
-  return record.incarnation === record.drainedIncarnation;
+  return record.drainedIncarnation !== 0 &&
+    record.incarnation === record.drainedIncarnation;
 }
 
 /** Gets whether a target may appear in views. */
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -194,13 +194,16 @@
       return { fact: "newest", onConfirmed: () => target.confirm() };
     }
     const incarnation = target.announcement?.incarnation;
-    return incarnation !== undefined &&
-        incarnation === target.drainedIncarnation
-      ? {
-        fact: "remembered",
-        onConfirmed: () => target.drainConfirmation.confirm(incarnation),
-      }
-      : undefined;
+    if (
+      target.state === "ready" || incarnation === undefined ||
+      incarnation !== target.drainedIncarnation
+    ) {
+      return undefined;
+    }
+    return {
+      fact: "remembered",
+      onConfirmed: () => target.drainConfirmation.confirm(incarnation),
+    };
   }
 
   #createRecord(recordState: TargetRecord["state"]): TargetRecord {
