--- a/src/control_client/announcement_confirmation.ts
+++ b/src/control_client/announcement_confirmation.ts
@@ -11,12 +11,13 @@
 export type ConfirmedFact =
   /**
    * Control knows no newer record of the target: an instance that has all records
-   * of the others answers a renewal.
+   * of the others answers a renewal. One that restarted gets those of its earlier
+   * process only when the others see the announcement.
    */
   | "newest"
   /**
-   * Several instances know the record: one that reaches a majority of them answers
-   * a renewal after it has pushed the record.
+   * Other instances know the record, too: one that reaches a majority of them
+   * answers a renewal once the time of a push has passed.
    */
   | "remembered";
 
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -626,7 +626,7 @@
     this.#unconfirmedMessages.confirm(answer.sequence);
     this.#confirmation.onRenewAnswer({
       sequence: answer.sequence,
-      // Only such an instance states a revision.
+      // Only such an instance states a revision, once there is a document.
       hasMajority: answer.revision > 0,
       hasAllRecords: answer.hasAllRecords,
     });
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -379,8 +379,9 @@
   }
 
   /**
-   * Gets whether this instance has all records that the others have. Instances
-   * that restart together have them long before they know all targets again.
+   * Gets whether this instance has all records that the present processes of the
+   * others own. Instances that restart together have them long before they know
+   * all targets again.
    * @param now Monotonic time in milliseconds.
    */
   hasAllRecords(now: number): boolean {
@@ -480,7 +481,7 @@
     }
   }
 
-  /** Keeps the drains of a lost instance in mind, as those of ended leases. */
+  /** Keeps the drained targets of a lost instance as tombstones. */
   #expireDrainedTargets(owner: string, now: number): void {
     for (const target of this.#targets.getLive(owner)) {
       if (isDrained(target)) {
--- a/src/node/http_listener.ts
+++ b/src/node/http_listener.ts
@@ -301,10 +301,7 @@
     const connection = this.#getConnection(socket as Socket);
     this.#refusedTunnels.add(socket);
     socket.once("close", () => this.#refusedTunnels.delete(socket));
-    socket.on("error", (error) => {
-      connection.setEndByError(error);
-      socket.destroy();
-    });
+    socket.on("error", () => socket.destroy());
     socket.once("end", () => {
       if (connection.hasOpenRequests) {
         socket.destroy();
--- a/src/node/listener_last_response_test.ts
+++ b/src/node/listener_last_response_test.ts
@@ -18,8 +18,14 @@
   write(bytes: string): void;
 }
 
-/** Opens a connection to a listener whose handler answers every request. */
-async function openConnection(context: TestContext): Promise<Connection> {
+/**
+ * Opens a connection to a listener whose handler answers every request, and waits
+ * for the responses to earlier requests on it.
+ */
+async function openConnection(
+  context: TestContext,
+  earlier: { bytes: string; paths: readonly string[] },
+): Promise<Connection> {
   const paths: (string | undefined)[] = [];
   const listener = new HttpListener({
     endpoint: { host: "127.0.0.1", port: 0 },
@@ -38,6 +44,10 @@
   socket.on("error", () => {});
   socket.on("data", (chunk) => received += chunk);
   await new Promise((resolve) => socket.once("connect", resolve));
+  socket.write(earlier.bytes);
+  await waitFor(() =>
+    received.split("done").length === earlier.paths.length + 1
+  );
   return {
     paths,
     getReceived: () => received,
@@ -107,11 +117,10 @@
     // Guards against a request that runs after its caller was told that it was
     // not read, and sent it again.
     test(`nothing is passed on behind the ${status} to ${name} ${earlier.name}`, async (context) => {
-      const { paths, getReceived, write } = await openConnection(context);
-      if (earlier.bytes !== "") {
-        write(earlier.bytes);
-        await waitFor(() => getReceived().endsWith("done"));
-      }
+      const { paths, getReceived, write } = await openConnection(
+        context,
+        earlier,
+      );
       if (first !== "") {
         write(first);
       }
@@ -139,11 +148,10 @@
     // Guards against a refusal of a request that had arrived in time, and against
     // its run after the refusal.
     test(`a process that stood still reads ${name} before it finds the request late ${earlier.name}`, async (context) => {
-      const { paths, getReceived, write } = await openConnection(context);
-      if (earlier.bytes !== "") {
-        write(earlier.bytes);
-        await waitFor(() => getReceived().endsWith("done"));
-      }
+      const { paths, getReceived, write } = await openConnection(
+        context,
+        earlier,
+      );
       if (first !== "") {
         write(first);
         await new Promise((resolve) => setTimeout(resolve, 50));
