Log where a change of a document is, and how old a state may be

The logs of a late change could not tell apart an instance that lacks it, an instance that has just started, and a document that was sent and not taken.

An instance now knows the time at which it held all that the group had committed: when the leader, which has committed an entry of its own term, states a commit index that the instance has applied. Sessions, documents that are sent, and revisions that control states and that differ from the one in force have a line each, with the revision and the operators' version. A document that an instance cannot parse was passed over without a trace; it has a line and a counter. Gauges give the revision and its age at nodes and instances. No behavior changes.

Ruled out: the version as a part of the document that nodes get. Its hash would change with each version, and equal parts would be sent again.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -66,6 +66,8 @@
   #lastLeaderContactAt: number;
   /** Latest known time at which the leader had contact with a majority. */
   #lastMajorityContactAt: number;
+  /** Latest time at which all that was committed is known to be applied here. */
+  #currentAt = -Infinity;
   #electionTimeoutAt = 0;
   #nextHeartbeatAt = 0;
   #votes = new Set<string>();
@@ -143,6 +145,13 @@
         leaderSince: this.#leaderSince,
       }),
       send: (to, message) => this.#send(to, message),
+      onResend: (to, { matchIndex, inFlight }) =>
+        this.#events.push({
+          kind: "notice",
+          text: "entries not acknowledged in time",
+          detail:
+            `${to.address}: ${inFlight.length} appends after ${matchIndex}`,
+        }),
     });
     this.#resetElectionTimer();
     this.#updateStartConfirmation();
@@ -211,6 +220,16 @@
     return nowMilliseconds - lastContactAt > this.#timing.isolationMilliseconds;
   }
 
+  /**
+   * Gets the time since the applied state was last known to include everything
+   * that the group had committed.
+   * @param nowMilliseconds Monotonic time.
+   * @returns The time; `Infinity` if that was not known since the start.
+   */
+  getStateAgeMilliseconds(nowMilliseconds: number): number {
+    return nowMilliseconds - this.#currentAt;
+  }
+
   /** On the leader, gets the index up to which each member holds the log. */
   getMatchIndexes(): ReadonlyMap<string, number> {
     const indexes = new Map<string, number>();
@@ -855,6 +874,10 @@
     }
     this.#nextHeartbeatAt = this.#monotonicNow +
       this.#timing.heartbeatMilliseconds;
+    this.#recordCommitIndex(
+      this.#commitIndex,
+      this.#replication.getMajorityContactAt(),
+    );
     this.#peerStates.requireWrite();
     this.#replication.sendHeartbeats();
   }
@@ -949,6 +972,21 @@
     }
   }
 
+  /**
+   * Records whether the applied state includes all that was committed at a time.
+   * @param commitIndex Commit index of the leader of the current term.
+   * @param atMilliseconds Monotonic time at which the leader had contact with a
+   * majority.
+   */
+  #recordCommitIndex(commitIndex: number, atMilliseconds: number): void {
+    // A leader that has committed no entry of its own term may not know of all
+    // entries that are committed.
+    const isTrusted = this.#log.getTerm(commitIndex) === this.term;
+    if (isTrusted && commitIndex <= this.#deliveredIndex) {
+      this.#currentAt = Math.max(this.#currentAt, atMilliseconds);
+    }
+  }
+
   // --- Follower ---
 
   #followLeader(envelope: Envelope): void {
@@ -963,10 +1001,21 @@
     message: Extract<ConsensusMessage, { kind: "append" }>,
   ): void {
     this.#followLeader(envelope);
+    const majorityContactAt = this.#monotonicNow -
+      message.majorityAgeMilliseconds;
     this.#lastMajorityContactAt = Math.max(
       this.#lastMajorityContactAt,
-      this.#monotonicNow - message.majorityAgeMilliseconds,
+      majorityContactAt,
     );
+    this.#addEntries(envelope, message);
+    this.#recordCommitIndex(message.commitIndex, majorityContactAt);
+  }
+
+  /** Appends the entries of a message to the log, and responds to it. */
+  #addEntries(
+    envelope: Envelope,
+    message: Extract<ConsensusMessage, { kind: "append" }>,
+  ): void {
     const respond = (isSuccess: boolean, index: number) =>
       this.#sendWhenDurable(envelope, {
         kind: "appendResponse",
--- a/src/consensus/log_instance.ts
+++ b/src/consensus/log_instance.ts
@@ -167,6 +167,9 @@
       term: core.term,
       ...(core.leader === undefined ? {} : { leader: core.leader }),
       isolated: this.#isIsolated(),
+      stateAgeMilliseconds: core.getStateAgeMilliseconds(
+        this.#clock.monotonicMilliseconds(),
+      ),
       members: core.members,
       matchIndexes: core.isLeader ? core.getMatchIndexes() : new Map(),
       lastContactAgesMilliseconds: core.isLeader
--- a/src/consensus/replicated_log_types.ts
+++ b/src/consensus/replicated_log_types.ts
@@ -31,6 +31,11 @@
    * may be outdated, or when the storage failed.
    */
   readonly isolated: boolean;
+  /**
+   * Time since the applied state was last known to include everything that the
+   * group had committed; `Infinity` if that was not known since the start.
+   */
+  readonly stateAgeMilliseconds: number;
   readonly members: readonly Member[];
   /** On the leader: index up to which each member holds the log. */
   readonly matchIndexes: ReadonlyMap<string, number>;
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -35,6 +35,8 @@
   readonly log: EntryLog;
   getState(): ReplicationState;
   send(to: Member, message: ConsensusMessage): void;
+  /** Called when appends were not acknowledged and are sent again. */
+  onResend(to: Member, progress: Progress): void;
 }
 
 /** Replicates the leader's log to the other members. */
@@ -224,6 +226,7 @@
     if (
       isStalled && progress.mode === "replicate" && progress.inFlight.length > 0
     ) {
+      this.#options.onResend(member, progress);
       this.#setMode(progress, "probe", progress.matchIndex);
       progress.resendTimerStartedAtMilliseconds = now;
     }
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -22,7 +22,7 @@
 import { OperatorService } from "../protocol/generated/operator.ts";
 import type { ControlSettings } from "../settings/mod.ts";
 import type { DocumentParser } from "./parsed_document_cache.ts";
-import { DocumentLog } from "./document_log.ts";
+import { DocumentLog, formatRevisions } from "./document_log.ts";
 import { ControlStateMachine } from "./control_state_machine.ts";
 import { MembershipManager } from "./membership_manager.ts";
 import { defaultToleratedLosses } from "./membership_rules.ts";
@@ -31,6 +31,7 @@
 import { createLedgerService } from "./ledger_service.ts";
 import { createOperatorService } from "./operator_service.ts";
 import { Proposer } from "./proposer.ts";
+import { StateAgeLog } from "./state_age_log.ts";
 import type { ReplicatedLog, StateMachine } from "../consensus/mod.ts";
 
 /** Interval at which the leader looks for revisions that every live node runs. */
@@ -133,6 +134,7 @@
     log,
     proposer,
     eventLog,
+    metrics,
     address: settings.address,
     parseDocument: options.parseDocument ?? parseDocument,
     interceptors: createInterceptors(token),
@@ -239,6 +241,12 @@
 }): NodeJS.Timeout[] {
   const { stateMachine, log, proposer, nodeSessions, options, documentLog } =
     parts;
+  const stateAgeLog = new StateAgeLog({
+    log,
+    eventLog: options.eventLog,
+    clock: systemClock,
+    getRevisions: () => formatRevisions(stateMachine.history),
+  });
   const marker = new InForceMarker({
     history: stateMachine.history,
     fleet: nodeSessions.sessionHost,
@@ -253,6 +261,7 @@
     setInterval(() => {
       nodeSessions.checkAvailability();
       documentLog.checkRecovery();
+      stateAgeLog.check();
     }, availabilityCheckIntervalMilliseconds),
     setInterval(() => void marker.check(), inForceCheckIntervalMilliseconds),
     setInterval(
@@ -271,12 +280,17 @@
   stateMachine: ControlStateMachine,
   log: ReplicatedLog,
 ): void {
-  const { isolated, role, failure } = log.getStatus();
+  const { isolated, role, failure, stateAgeMilliseconds } = log.getStatus();
   metrics.gauge("control.isolated", isolated ? 1 : 0, {});
   metrics.gauge("control.leader", role === "leader" ? 1 : 0, {});
   metrics.gauge("control.failed", failure === undefined ? 0 : 1, {});
   metrics.gauge("control.applied_index", stateMachine.index, {});
+  if (Number.isFinite(stateAgeMilliseconds)) {
+    metrics.gauge("control.state_age_milliseconds", stateAgeMilliseconds, {});
+  }
   for (const environment of stateMachine.history.getEnvironments()) {
+    const { revision = 0 } = stateMachine.history.getCurrent(environment) ?? {};
+    metrics.gauge("control.revision", revision, { environment });
     const { records, answerBytes } = stateMachine.ledger.getUsage(
       environment,
     );
--- a/src/control/document_log.ts
+++ b/src/control/document_log.ts
@@ -143,16 +143,21 @@
     this.#changes.clear();
   }
 
-  /** Formats the current revision of each environment. */
   #formatRevisions(): string | undefined {
-    const { history } = this.#options.stateMachine;
-    const revisions = history.getEnvironments().map((environment) =>
-      `${environment}:${history.getCurrent(environment)?.revision ?? 0}`
-    );
-    return revisions.length === 0 ? undefined : revisions.join(",");
+    return formatRevisions(this.#options.stateMachine.history);
   }
 }
 
+/** Formats the current revision of each environment; `undefined` for none. */
+export function formatRevisions(
+  history: ControlStateMachine["history"],
+): string | undefined {
+  const revisions = history.getEnvironments().map((environment) =>
+    `${environment}:${history.getCurrent(environment)?.revision ?? 0}`
+  );
+  return revisions.length === 0 ? undefined : revisions.join(",");
+}
+
 /**
  * Formats the addresses of the members that hold an index on their disks, as far
  * as the leader knows.
--- a/src/control/node_session_manager.ts
+++ b/src/control/node_session_manager.ts
@@ -1,5 +1,10 @@
 import type { Interceptor } from "@grpc/grpc-js";
-import { type Log, systemClock } from "../common/mod.ts";
+import {
+  formatFinding,
+  type Log,
+  type Metrics,
+  systemClock,
+} from "../common/mod.ts";
 import type { ReplicatedLog } from "../consensus/mod.ts";
 import { environments } from "../configuration/mod.ts";
 import {
@@ -27,6 +32,7 @@
   readonly log: ReplicatedLog;
   readonly proposer: Proposer;
   readonly eventLog: Log;
+  readonly metrics: Metrics;
   /** Address of this instance. */
   readonly address: string;
   readonly parseDocument: DocumentParser;
@@ -52,10 +58,18 @@
   constructor(options: NodeSessionManagerOptions) {
     this.#options = options;
     const { stateMachine, log, eventLog, interceptors } = options;
-    this.#documents = new ParsedDocumentCache(
-      stateMachine.history,
-      options.parseDocument,
-    );
+    this.#documents = new ParsedDocumentCache({
+      history: stateMachine.history,
+      parse: options.parseDocument,
+      onUnreadable: (environment, revision, findings) => {
+        eventLog.error("document unreadable", {
+          environment,
+          revision,
+          reason: findings.map(formatFinding).join("; "),
+        });
+        options.metrics.increment("documents.unreadable", { environment });
+      },
+    });
     this.#suspectCoordinator = new SuspectCoordinator({
       clock: systemClock,
       isLeader: () => log.getStatus().role === "leader",
--- a/src/control/parsed_document_cache.ts
+++ b/src/control/parsed_document_cache.ts
@@ -12,19 +12,29 @@
   file: string,
 ) => Result<EnvironmentDocument, Finding[]>;
 
+/** Options of {@link ParsedDocumentCache}. */
+export interface ParsedDocumentCacheOptions {
+  /** The committed revisions. */
+  readonly history: DocumentHistory;
+  readonly parse: DocumentParser;
+  /** Called once for a revision that this release cannot parse. */
+  onUnreadable(
+    environment: string,
+    revision: number,
+    findings: readonly Finding[],
+  ): void;
+}
+
 /** Caches the parsed current document of each environment. */
 export class ParsedDocumentCache {
-  readonly #history: DocumentHistory;
-  readonly #parse: DocumentParser;
+  readonly #options: ParsedDocumentCacheOptions;
   readonly #parsed = new Map<string, AcceptedDocument>();
+  /** Revisions that this release cannot parse, by environment. */
+  readonly #unreadableRevisions = new Map<string, number>();
 
-  /**
-   * @param history The committed revisions.
-   * @param parse Parses the text of a document.
-   */
-  constructor(history: DocumentHistory, parse: DocumentParser) {
-    this.#history = history;
-    this.#parse = parse;
+  /** @param options The revisions, and how to parse them. */
+  constructor(options: ParsedDocumentCacheOptions) {
+    this.#options = options;
   }
 
   /**
@@ -34,17 +44,21 @@
    * @returns The document; `undefined` when there is none.
    */
   get(environment: string): AcceptedDocument | undefined {
-    const current = this.#history.getCurrent(environment);
+    const { history, parse, onUnreadable } = this.#options;
+    const current = history.getCurrent(environment);
     if (current === undefined) {
       return undefined;
     }
     const cached = this.#parsed.get(environment);
-    if (cached?.revision === current.revision) {
+    if (
+      cached?.revision === current.revision ||
+      this.#unreadableRevisions.get(environment) === current.revision
+    ) {
       return cached;
     }
     const { revision, digest } = current;
-    const bytes = this.#history.getBytes(digest);
-    const parsed = this.#parse(
+    const bytes = history.getBytes(digest);
+    const parsed = parse(
       new TextDecoder().decode(bytes),
       `${environment} revision ${revision}`,
     );
@@ -52,6 +66,8 @@
       // Documents are validated before they are committed, so only one that
       // another release accepted can fail here. The previously parsed
       // document, if any, stays in use.
+      this.#unreadableRevisions.set(environment, revision);
+      onUnreadable(environment, revision, parsed.error);
       return cached;
     }
     const accepted = { revision, digest, document: parsed.value };
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -5,6 +5,7 @@
   type Clock,
   getBytesHash,
   type Log,
+  type Metrics,
   type RandomSource,
   systemClock,
 } from "../common/mod.ts";
@@ -60,6 +61,19 @@
   readonly controlAddress?: string;
   /** Revision of the document in force; 0 for none. */
   readonly revision: number;
+  /**
+   * Time since control confirmed the document as the newest one; absent while it
+   * never did.
+   */
+  readonly documentAgeMilliseconds?: number;
+}
+
+/** A document part that control sent, after its hash was checked. */
+export interface ReceivedDocument {
+  readonly revision: number;
+  readonly part: Uint8Array;
+  /** Version that the operators' own format gives the document; 0 for none. */
+  readonly sourceVersion: number;
 }
 
 /** Times by which a session leaves a control instance that is lost or isolated. */
@@ -90,12 +104,13 @@
   readonly clock?: Clock;
   readonly random?: RandomSource;
   readonly log?: Log;
+  readonly metrics?: Metrics;
   /** Gets the report of the next renewal. */
   getReport?(): NodeReport;
   /** Called when an instance has accepted the node. */
   onConnected?(): void;
   /** Called with a document part whose revision is higher than the last one. */
-  onDocument(revision: number, part: Uint8Array, digest: string): void;
+  onDocument(document: ReceivedDocument): void;
   /** Called with all targets of a service after each change. */
   onView(service: string, targets: readonly TargetRecord[]): void;
   /**
@@ -183,6 +198,7 @@
   /** Time at which control last confirmed that no newer document exists. */
   #documentConfirmedAt = -Infinity;
   #documentPart: DocumentPart | undefined;
+  #loggedStatedRevision: number | undefined;
   readonly #linkByteCounter = new LinkByteCounter();
   #linkShares: readonly LinkShare[] = [];
   #onStreamEnded: (() => void) | undefined;
@@ -259,6 +275,9 @@
       ...(this.#currentConnection !== undefined &&
         { controlAddress: this.#currentConnection.address }),
       revision: this.#revision,
+      ...(Number.isFinite(this.#documentConfirmedAt) && {
+        documentAgeMilliseconds: Math.round(this.#getDocumentAge()),
+      }),
     };
   }
 
@@ -269,7 +288,7 @@
   get isDocumentConfirmed(): boolean {
     const { renewalIntervalMilliseconds, renewalTimeoutMilliseconds } =
       this.#options;
-    return this.#clock.monotonicMilliseconds() - this.#documentConfirmedAt <=
+    return this.#getDocumentAge() <=
       renewalIntervalMilliseconds + renewalTimeoutMilliseconds;
   }
 
@@ -333,6 +352,25 @@
     this.#currentConnection = undefined;
   }
 
+  #getDocumentAge(): number {
+    return this.#clock.monotonicMilliseconds() - this.#documentConfirmedAt;
+  }
+
+  /** Logs a revision of control that differs from the one in force, once. */
+  #logStatedRevision(statedRevision: number): void {
+    if (statedRevision === this.#loggedStatedRevision) {
+      return;
+    }
+    this.#loggedStatedRevision = statedRevision;
+    const { documentAgeMilliseconds } = this.getStatus();
+    this.#options.log?.info("revision stated by control", {
+      address: this.#currentConnection?.address,
+      statedRevision,
+      revision: this.#revision,
+      ageMilliseconds: documentAgeMilliseconds,
+    });
+  }
+
   /** Schedules a search for another instance, unless one is scheduled. */
   #scheduleMove(delayMilliseconds: number): void {
     if (this.#isStopped || this.#moveTimer !== undefined) {
@@ -618,6 +656,9 @@
     } else if (this.#unansweredSince !== undefined) {
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
+    if (answer.revision !== this.#revision) {
+      this.#logStatedRevision(answer.revision);
+    }
     if (answer.revision > 0 && answer.revision <= this.#revision) {
       this.#documentConfirmedAt = this.#clock.monotonicMilliseconds();
     }
@@ -672,7 +713,10 @@
     if (part === undefined || part.hash !== update.partHash) {
       this.#options.log?.error("document-damaged", {
         revision: update.revision,
+        sourceVersion: update.sourceVersion || undefined,
+        hasPart: update.part.length > 0,
       });
+      this.#options.metrics?.increment("documents.damaged", {});
       // The instance sends it once in a session, unless the next hello says that
       // the node lacks it.
       this.#onSessionLost("the document is damaged");
@@ -680,7 +724,11 @@
     }
     this.#documentPart = part;
     this.#revision = update.revision;
-    this.#options.onDocument(update.revision, part.bytes, update.digest);
+    this.#options.onDocument({
+      revision: update.revision,
+      part: part.bytes,
+      sourceVersion: update.sourceVersion,
+    });
     this.#renew();
   }
 
--- a/src/control_client/damaged_document_test.ts
+++ b/src/control_client/damaged_document_test.ts
@@ -31,6 +31,7 @@
 const intact: DocumentUpdate = {
   revision: 2,
   digest: "",
+  sourceVersion: 0,
   part: deflateRawSync(part),
   partHash: getBytesHash(part),
 };
--- a/src/control_client/mod.ts
+++ b/src/control_client/mod.ts
@@ -5,6 +5,7 @@
   type ControlSessionStatus,
   type NodeIdentity,
   type NodeReport,
+  type ReceivedDocument,
   type SessionTiming,
 } from "./control_session.ts";
 export {
--- a/src/document/document_part.ts
+++ b/src/document/document_part.ts
@@ -37,12 +37,17 @@
 }
 
 /**
- * Encodes a part of a document, to be sent to a node.
+ * Encodes a part of a document, to be sent to a node. Parts that differ only in
+ * the version of their documents are equal.
  * @param part The part.
  * @returns UTF-8 JSON.
  */
 export function encodeDocumentPart(part: EnvironmentDocument): Uint8Array {
-  const plain = { ...part, services: [...part.services.values()] };
+  const plain = {
+    ...part,
+    sourceVersion: undefined,
+    services: [...part.services.values()],
+  };
   return encoder.encode(JSON.stringify(plain));
 }
 
--- a/src/document/environment_document.ts
+++ b/src/document/environment_document.ts
@@ -108,6 +108,8 @@
 /** Configuration that operators set for one environment. */
 export interface EnvironmentDocument {
   readonly format: 1;
+  /** Version that the operators' own format gives the document; for logs. */
+  readonly sourceVersion?: number | undefined;
   readonly objective: Objective;
   /** Names of the classes, the most important first. */
   readonly classes: readonly string[];
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -30,6 +30,8 @@
 /** Time in which every instance knows of a drain. */
 const defaultConfirmationLimitMilliseconds = 3000;
 
+const gaugeIntervalMilliseconds = 5000;
+
 const recordStates: Readonly<Record<LocalTargetState, TargetRecord["state"]>> =
   {
     absent: "left",
@@ -52,6 +54,7 @@
   readonly #session: ControlSession;
   readonly #ledger: LedgerClient;
   readonly #confirmation: TargetConfirmation;
+  readonly #gaugeTimer: NodeJS.Timeout;
   #crashCount = 0;
 
   /**
@@ -81,6 +84,7 @@
       ...options.sessionTiming,
       interceptors: options.interceptors,
       log: state.log,
+      metrics: node.metrics,
       nodeIdentity: {
         environment: settings.environment,
         nodeId: settings.nodeId,
@@ -100,8 +104,8 @@
         })),
       }),
       onConnected: () => this.#confirmation.onConnected(),
-      onDocument: (revision, part) => {
-        node.applyDocument(decodeDocumentPart(part), revision);
+      onDocument: ({ revision, part, sourceVersion }) => {
+        node.applyDocument(decodeDocumentPart(part), revision, sourceVersion);
         this.#confirmation.update();
       },
       onView: (service, targets) =>
@@ -158,6 +162,10 @@
     if (target.state !== "absent") {
       this.#announce();
     }
+    this.#gaugeTimer = setInterval(
+      () => this.#reportGauges(),
+      gaugeIntervalMilliseconds,
+    );
   }
 
   /** Announces to control that the target leaves, before the node stops. */
@@ -175,11 +183,25 @@
 
   /** Closes the session and the ledger client. */
   async stop(): Promise<void> {
+    clearInterval(this.#gaugeTimer);
     this.#confirmation.stop();
     await this.#session.stop();
     this.#ledger.stop();
   }
 
+  #reportGauges(): void {
+    const { revision, documentAgeMilliseconds } = this.#session.getStatus();
+    const { metrics } = this.#node;
+    metrics.gauge("node.revision", revision, {});
+    if (documentAgeMilliseconds !== undefined) {
+      metrics.gauge(
+        "node.document_age_milliseconds",
+        documentAgeMilliseconds,
+        {},
+      );
+    }
+  }
+
   #announce(): void {
     const { target } = this.#node.targetDispatcher;
     const record = this.#createRecord(recordStates[target.state]);
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -105,15 +105,15 @@
   getControlStatus: StatusSource["getControlStatus"] = () => undefined;
   readonly #views: TargetViews;
   readonly #peerRequestHandler: PeerRequestHandler;
-  readonly #metrics: Metrics;
+  readonly metrics: Metrics;
 
   /**
    * @param settings Settings of the process.
    * @param options Log, clock and other dependencies.
    */
   constructor(settings: NodeSettings, options: NodeProcessOptions) {
-    this.#metrics = options.metrics ?? disabledMetrics;
-    this.state = createState(settings, options, this.#metrics);
+    this.metrics = options.metrics ?? disabledMetrics;
+    this.state = createState(settings, options, this.metrics);
     this.startMilliseconds = this.state.clock.now().getTime();
     this.targetDispatcher = new TargetDispatcher(this.state, {
       onTargetChange: () => {
@@ -185,7 +185,11 @@
   }
 
   /** Puts a document in force. */
-  applyDocument(received: EnvironmentDocument, revision: number): void {
+  applyDocument(
+    received: EnvironmentDocument,
+    revision: number,
+    sourceVersion = 0,
+  ): void {
     const { state } = this;
     const document = keepOwnService(received, {
       service: state.settings.service,
@@ -210,6 +214,7 @@
     this.targetDispatcher.updateDocument();
     state.log.info("document in force", {
       revision,
+      sourceVersion: sourceVersion || undefined,
       ...getDocumentSize(received),
       hasOwnService: received.services.has(state.settings.service),
     });
@@ -292,7 +297,7 @@
     this.originDispatcher.stop();
     state.timers.stop();
     state.counters.close();
-    this.#metrics.close();
+    this.metrics.close();
     return { abortedCalls };
   }
 
@@ -312,7 +317,7 @@
     const { decisions, protocol } = this.state;
     return createCallListenerReports(listener, {
       decisions,
-      metrics: this.#metrics,
+      metrics: this.metrics,
       getRequestId: (request) =>
         protocol.getRequestId({
           request,
--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -83,6 +83,7 @@
    * Sends a document unless the node has that revision or a higher one.
    * @param parts The document.
    * @param encode Encodes an update; may share the result between nodes.
+   * @returns Whether the document was sent.
    */
   sendDocument(
     parts: DocumentParts,
@@ -90,9 +91,9 @@
       service: string;
       isPartKnown: boolean;
     }) => EncodedMessage,
-  ): void {
+  ): boolean {
     if (parts.accepted.revision <= this.#sentRevision) {
-      return;
+      return false;
     }
     const { service } = this.hello;
     const { hash } = parts.getPart(service);
@@ -102,6 +103,7 @@
     }));
     this.#sentRevision = parts.accepted.revision;
     this.#partHash = hash;
+    return true;
   }
 
   /**
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -6,7 +6,7 @@
   status,
 } from "@grpc/grpc-js";
 import { match } from "ts-pattern";
-import type { Clock, Log } from "../common/mod.ts";
+import type { Clock, Log, LogFields } from "../common/mod.ts";
 import {
   Directory,
   getNodeKey,
@@ -185,9 +185,18 @@
       return;
     }
     const encode = createDocumentEncoder();
+    let sentCount = 0;
+    let sessionCount = 0;
     for (const session of this.#sessions.getByEnvironment(environment)) {
-      session.sendDocument(parts, encode);
+      sessionCount++;
+      sentCount += session.sendDocument(parts, encode) ? 1 : 0;
     }
+    this.#options.log.info("document sent", {
+      environment,
+      ...describeDocument(parts.accepted),
+      nodes: sentCount,
+      sessions: sessionCount,
+    });
     this.#views.updateCallGraph(environment, parts);
   }
 
@@ -481,9 +490,15 @@
     this.#linkShares.addNode(session.nodeKey, hello);
     this.#sendRenewAnswer(session, 0);
     const parts = this.#getParts(environment);
-    if (parts !== undefined && this.#isAvailable()) {
+    const isSent = parts !== undefined && this.#isAvailable() &&
       session.sendDocument(parts, createDocumentEncoder());
-    }
+    this.#options.log.info("session opened", {
+      node: hello.nodeId,
+      nodeRevision: hello.revision,
+      ...(parts && describeDocument(parts.accepted)),
+      isSent,
+      availability,
+    });
     session.send({
       $case: "suspects",
       suspects: {
@@ -651,6 +666,13 @@
   }
 }
 
+/** Gets the fields by which log lines name a document. */
+function describeDocument(
+  { revision, document }: DocumentParts["accepted"],
+): LogFields {
+  return { revision, sourceVersion: document.sourceVersion };
+}
+
 /** Creates an encoder that encodes each variant of an update once. */
 function createDocumentEncoder(): (
   parts: DocumentParts,
@@ -662,12 +684,13 @@
     const key = isPartKnown ? `known ${part.hash}` : part.hash;
     let message = encoded.get(key);
     if (message === undefined) {
-      const { revision, digest } = parts.accepted;
+      const { revision, digest, document } = parts.accepted;
       message = encodeControlMessage({
         $case: "document",
         document: {
           revision,
           digest,
+          sourceVersion: document.sourceVersion ?? 0,
           part: isPartKnown ? Buffer.alloc(0) : part.compressed,
           partHash: part.hash,
         },
--- a/tests/support/session_node.ts
+++ b/tests/support/session_node.ts
@@ -43,7 +43,7 @@
     };
     this.session = new ControlSession({
       nodeIdentity: this.identity,
-      onDocument: (revision, part) => {
+      onDocument: ({ revision, part }) => {
         this.revisions.push(revision);
         this.documentPart = part;
       },
