--- a/tests/support/control_group.ts
+++ b/tests/support/control_group.ts
@@ -8,6 +8,7 @@
   runCommandLine,
 } from "../../src/command_line/mod.ts";
 import { getFreePorts } from "./free_ports.ts";
+import { SlowLink, type SlowLinkOptions } from "./slow_link.ts";
 import { waitUntil } from "./wait_until.ts";
 
 const controlProgram = fileURLToPath(
@@ -17,12 +18,19 @@
 /** A control instance that runs as a process of its own. */
 export class ControlProcess {
   readonly address: string;
+  /** Address at which the process listens; the same one without a link. */
+  readonly listenAddress: string;
   readonly #settingsFile: string;
   readonly #dataFolder: string;
   #child: ChildProcess | undefined;
 
-  constructor(address: string, settingsFile: string) {
+  constructor(
+    address: string,
+    settingsFile: string,
+    listenAddress: string = address,
+  ) {
     this.address = address;
+    this.listenAddress = listenAddress;
     this.#settingsFile = settingsFile;
     this.#dataFolder = `${settingsFile}.data`;
   }
@@ -38,7 +46,8 @@
     writeFileSync(
       this.#settingsFile,
       `data_folder = ${JSON.stringify(this.#dataFolder)}
-listen = "${this.address}"
+listen = "${this.listenAddress}"
+address = "${this.address}"
 ${membersLine}
 region = "Muntenia"
 availability_zone = "muntenia-a"
@@ -114,17 +123,32 @@
 export class ControlGroup {
   readonly instances: ControlProcess[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-control-"));
+  readonly #links: SlowLink[] = [];
   #members: string[] = [];
 
   /**
    * Starts a new group and waits until it has a leader.
    * @param count Number of instances.
+   * @param options Link in front of each instance; none by default.
    */
-  static async start(count: number): Promise<ControlGroup> {
+  static async start(
+    count: number,
+    options: { link?: Omit<SlowLinkOptions, "target"> } = {},
+  ): Promise<ControlGroup> {
+    const { link } = options;
     const group = new ControlGroup();
     group.#members = await getFreeAddresses(count);
-    for (const address of group.#members) {
-      group.#startInstance(address, group.#members);
+    const listenAddresses = link === undefined
+      ? group.#members
+      : await getFreeAddresses(count);
+    for (const [index, address] of group.#members.entries()) {
+      const target = listenAddresses[index] as string;
+      if (link !== undefined) {
+        const slowLink = new SlowLink({ ...link, target });
+        await slowLink.listen(address);
+        group.#links.push(slowLink);
+      }
+      group.#startInstance(address, group.#members, target);
     }
     await group.waitForLeader();
     return group;
@@ -185,6 +209,7 @@
   /** Kills all processes and removes their files. */
   async stop(): Promise<void> {
     await Promise.all(this.instances.map((each) => each.stop("SIGKILL")));
+    this.#links.forEach((each) => each.close());
     rmSync(this.#folder, { recursive: true });
   }
 
@@ -206,9 +231,13 @@
     return undefined;
   }
 
-  #startInstance(address: string, members: readonly string[]): ControlProcess {
+  #startInstance(
+    address: string,
+    members: readonly string[],
+    listenAddress: string = address,
+  ): ControlProcess {
     const file = join(this.#folder, `${this.instances.length}.toml`);
-    const instance = new ControlProcess(address, file);
+    const instance = new ControlProcess(address, file, listenAddress);
     instance.writeSettings(members);
     this.instances.push(instance);
     instance.start();
