Send entries of the log again only once they cannot arrive any more

Callers were handled by manifests that were confirmed seconds before, and operators got no acknowledgement: an instance that was behind stayed behind, and a large entry could keep the whole group from committing.

Cause: a heartbeat followed the entries that were sent last. One that overtook them, because they took longer than 250 ms, was rejected; the leader took that for a conflict and sent everything after the last acknowledgement again, up to 16 appends of 512 KiB. All copies shared the 64 KiB window of one HTTP/2 connection, and each delivery had 1 s whatever its size, so none arrived, and each failure and each second without progress sent the next copies. The state lasts after its trigger is gone.

Change: heartbeats follow what the member is known to hold. Unacknowledged appends are limited to 1 MiB. A rejection while entries are in flight is no conflict. The transport reports deliveries that failed, and they are sent again then, or after a time that grows with their size, as does the deadline of a delivery. A large delivery is the only one with entries in flight; above 512 KiB it is compressed and has a connection of its own, so that heartbeats do not wait for it. A response states all that the follower has verified in the term, so that a lost response costs nothing.

Ruled out: longer deadlines alone, because copies would still share the link.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -80,6 +80,8 @@
 
   readonly #startConfirmation: StartConfirmation;
   #isMembershipDenied = false;
+  /** Index up to which the log is equal to that of the leader of a term. */
+  #verified = { term: 0, index: 0 };
 
   /** Number of the latest heartbeat round that confirms reads. */
   #readRound = 0;
@@ -449,6 +451,17 @@
     }
   }
 
+  /** Handles a message of this instance that was not delivered. */
+  onDeliveryFailed({ toId, term, message }: Envelope): void {
+    const progress = this.#replication.get(toId);
+    if (
+      this.#role === "leader" && term === this.term &&
+      progress !== undefined && message.kind === "append"
+    ) {
+      this.#replication.onDeliveryFailed(progress);
+    }
+  }
+
   /** Handles the completion of a write. */
   onWriteCompleted(sequence: number): void {
     const write = this.#writeBuffer.completeOrThrow(sequence);
@@ -1065,7 +1078,12 @@
       Math.min(message.commitIndex, match),
     );
     this.#deliverCommitted();
-    respond(true, match);
+    // Includes earlier appends of this leader, whose responses may be lost.
+    const index = this.#verified.term === this.term
+      ? Math.max(this.#verified.index, match)
+      : match;
+    this.#verified = { term: this.term, index };
+    respond(true, index);
   }
 
   /**
--- a/src/consensus/grpc_transport.ts
+++ b/src/consensus/grpc_transport.ts
@@ -1,6 +1,7 @@
 import { timingSafeEqual } from "node:crypto";
 import {
   type ChannelOptions,
+  compressionAlgorithms,
   credentials,
   Metadata,
   type sendUnaryData,
@@ -59,8 +60,24 @@
 /** Maximum size of a delivery, which only a single large entry may exceed. */
 const maximumDeliveryBytes = 1024 * 1024;
 
+/** Size above which a delivery is the only one with entries in flight. */
+const largeDeliveryBytes = 64 * 1024;
+
+/**
+ * Size above which a delivery is compressed and has a connection of its own. The
+ * window of HTTP/2 limits a connection to 64 KiB for each round trip.
+ */
+const bulkDeliveryBytes = 512 * 1024;
+
+/** Throughput below which a delivery fails. */
+const minimumBytesPerMillisecond = 128;
+
+/** Approximate size of a message without entries or a part of a snapshot. */
+const signalBytes = 128;
+
 /** Bounds the memory for messages to an instance that does not respond. */
 const maximumQueueBytes = 16 * 1024 * 1024;
+const maximumQueuedSignals = 1024;
 
 const channelOptions: ChannelOptions = {
   "grpc.initial_reconnect_backoff_ms": 100,
@@ -74,6 +91,12 @@
   "grpc.max_send_message_length": 64 * 1024 * 1024,
 };
 
+const bulkChannelOptions: ChannelOptions = {
+  ...channelOptions,
+  "grpc.default_compression_algorithm": compressionAlgorithms.gzip,
+  "grpc.keepalive_permit_without_calls": 0,
+};
+
 /**
  * Creates a transport over gRPC. Adds its service to the given server, or
  * listens with a server of its own.
@@ -298,48 +321,62 @@
   }
 }
 
+/** A message with its approximate encoded size. */
+interface QueuedEnvelope {
+  readonly envelope: Envelope;
+  readonly bytes: number;
+}
+
 /** Sends messages to one address, and batches queued ones in a delivery. */
 class PeerSender {
   readonly #client: ConsensusClient;
+  #bulkClient: ConsensusClient | undefined;
   readonly #metadata = new Metadata();
   readonly #address: string;
   readonly #options: GrpcTransportOptions;
-  #queue: { envelope: Envelope; bytes: number }[] = [];
-  #queueBytes = 0;
+  /** Messages without entries or a part of a snapshot. */
+  readonly #signals: QueuedEnvelope[] = [];
+  /** Messages with entries or a part of a snapshot. */
+  #payloads: QueuedEnvelope[] = [];
+  #payloadBytes = 0;
   #inFlight = 0;
+  #isLargeDeliveryInFlight = false;
   #isReachable = true;
   #isClosed = false;
 
   constructor(address: string, options: GrpcTransportOptions) {
     this.#address = address;
     this.#options = options;
-    this.#client = new ConsensusClient(
-      options.resolveAddress?.(address) ?? address,
-      credentials.createInsecure(),
-      channelOptions,
-    );
+    this.#client = this.#createClient(channelOptions);
     if (options.token !== undefined) {
       this.#metadata.set("authorization", `Bearer ${options.token}`);
     }
   }
 
   enqueue(envelope: Envelope): void {
-    const bytes = getEnvelopeSize(envelope);
-    if (this.#queueBytes + bytes > maximumQueueBytes) {
-      // The protocol repeats lost messages, so outdated ones can be dropped.
-      this.#queue = [];
-      this.#queueBytes = 0;
+    const bytes = getPayloadSize(envelope);
+    if (bytes === 0) {
+      this.#signals.push({ envelope, bytes: signalBytes });
+      if (this.#signals.length > maximumQueuedSignals) {
+        // The protocol repeats lost messages, so the oldest one can be dropped.
+        this.#signals.shift();
+      }
+      return;
     }
-    this.#queue.push({ envelope, bytes });
-    this.#queueBytes += bytes;
+    if (this.#payloadBytes + bytes > maximumQueueBytes) {
+      this.#failPayloads();
+    }
+    this.#payloads.push({ envelope, bytes });
+    this.#payloadBytes += bytes;
   }
 
   flush(): void {
-    while (
-      this.#queue.length > 0 && this.#inFlight < maximumInFlightDeliveries &&
-      !this.#isClosed
-    ) {
-      this.#deliver(this.#takeBatch());
+    while (this.#inFlight < maximumInFlightDeliveries && !this.#isClosed) {
+      const batch = this.#takeBatch();
+      if (batch.length === 0) {
+        return;
+      }
+      this.#deliver(batch);
     }
   }
 
@@ -361,33 +398,69 @@
   close(): void {
     this.#isClosed = true;
     this.#client.close();
+    this.#bulkClient?.close();
+  }
+
+  #createClient(channel: ChannelOptions): ConsensusClient {
+    return new ConsensusClient(
+      this.#options.resolveAddress?.(this.#address) ?? this.#address,
+      credentials.createInsecure(),
+      channel,
+    );
+  }
+
+  #getClient(deliveryBytes: number): ConsensusClient {
+    if (deliveryBytes <= bulkDeliveryBytes) {
+      return this.#client;
+    }
+    this.#bulkClient ??= this.#createClient(bulkChannelOptions);
+    return this.#bulkClient;
+  }
+
+  #takeBatch(): QueuedEnvelope[] {
+    // Payloads behind a large delivery would overtake it, and would share the
+    // throughput of the connection with it.
+    const payloads = this.#isLargeDeliveryInFlight ? [] : this.#takePayloads();
+    return getTotalBytes(payloads) > largeDeliveryBytes
+      ? payloads
+      : [...this.#signals.splice(0), ...payloads];
   }
 
-  #takeBatch(): Envelope[] {
-    const batch: Envelope[] = [];
+  #takePayloads(): QueuedEnvelope[] {
+    let count = 0;
     let total = 0;
-    for (const { envelope, bytes } of this.#queue) {
-      if (batch.length > 0 && total + bytes > maximumDeliveryBytes) {
+    for (const { bytes } of this.#payloads) {
+      if (count > 0 && total + bytes > maximumDeliveryBytes) {
         break;
       }
-      batch.push(envelope);
+      count++;
       total += bytes;
     }
-    this.#queue.splice(0, batch.length);
-    this.#queueBytes -= total;
-    return batch;
+    this.#payloadBytes -= total;
+    return this.#payloads.splice(0, count);
   }
 
-  #deliver(batch: readonly Envelope[]): void {
+  #deliver(batch: readonly QueuedEnvelope[]): void {
+    const bytes = getTotalBytes(batch);
+    const isLarge = bytes > largeDeliveryBytes;
     this.#inFlight++;
-    this.#client.deliver(
-      { formatVersion, envelopes: batch.map(toEnvelopeRecord) },
+    this.#isLargeDeliveryInFlight ||= isLarge;
+    this.#getClient(bytes).deliver(
+      {
+        formatVersion,
+        envelopes: batch.map(({ envelope }) => toEnvelopeRecord(envelope)),
+      },
       this.#metadata,
-      { deadline: Date.now() + callTimeoutMilliseconds },
+      { deadline: Date.now() + getDeliveryTimeoutMilliseconds(bytes) },
       (error, answer) => {
         this.#inFlight--;
+        if (isLarge) {
+          this.#isLargeDeliveryInFlight = false;
+        }
         this.#logReachabilityChange(error);
-        if (error === null && !this.#isClosed) {
+        if (error !== null) {
+          this.#onFailed(batch);
+        } else if (!this.#isClosed) {
           readEnvelopes(answer.envelopes, this.#options).forEach((envelope) =>
             this.#options.receiver.receive(envelope)
           );
@@ -397,6 +470,28 @@
     );
   }
 
+  /** Reports lost payloads. Those behind them would not be accepted either. */
+  #onFailed(batch: readonly QueuedEnvelope[]): void {
+    const payloads = batch.filter(({ envelope }) =>
+      getPayloadSize(envelope) > 0
+    );
+    if (payloads.length > 0) {
+      payloads.forEach((each) =>
+        this.#options.receiver.onDeliveryFailed(each.envelope)
+      );
+      this.#failPayloads();
+    }
+  }
+
+  #failPayloads(): void {
+    const failed = this.#payloads;
+    this.#payloads = [];
+    this.#payloadBytes = 0;
+    failed.forEach(({ envelope }) =>
+      this.#options.receiver.onDeliveryFailed(envelope)
+    );
+  }
+
   #logReachabilityChange(error: ServiceError | null): void {
     const isReachable = error === null;
     if (isReachable !== this.#isReachable && !this.#isClosed) {
@@ -415,16 +510,26 @@
   }
 }
 
-function getEnvelopeSize({ message }: Envelope): number {
+/** Gets the approximate size of the entries or the part of a snapshot. */
+function getPayloadSize({ message }: Envelope): number {
   switch (message.kind) {
     case "append":
       return message.entries.reduce(
         (bytes, entry) => bytes + getEntrySize(entry),
-        128,
+        0,
       );
     case "snapshotChunk":
-      return message.data.length + 128;
+      return message.data.length;
     default:
-      return 128;
+      return 0;
   }
 }
+
+function getTotalBytes(batch: readonly QueuedEnvelope[]): number {
+  return batch.reduce((total, { bytes }) => total + bytes, 0);
+}
+
+/** Gets the time in which a delivery must arrive, also over a slow link. */
+function getDeliveryTimeoutMilliseconds(bytes: number): number {
+  return callTimeoutMilliseconds + bytes / minimumBytesPerMillisecond;
+}
--- a/src/consensus/log_instance.ts
+++ b/src/consensus/log_instance.ts
@@ -106,6 +106,7 @@
   async start(): Promise<void> {
     const receiver: TransportReceiver = {
       receive: (envelope) => this.#receive(envelope),
+      onDeliveryFailed: (envelope) => this.#core.onDeliveryFailed(envelope),
       getIdentity: () => ({
         id: this.#core.identity.id,
         groupId: this.#core.groupId,
--- a/src/consensus/progress.ts
+++ b/src/consensus/progress.ts
@@ -1,3 +1,9 @@
+/** An append with entries that is not acknowledged yet. */
+export interface InFlightAppend {
+  readonly lastIndex: number;
+  readonly bytes: number;
+}
+
 /** What a leader knows about the replication to another member. */
 export interface Progress {
   /** Highest index up to which the member durably holds the leader's log. */
@@ -10,8 +16,7 @@
    * sends the chunks of a snapshot.
    */
   mode: "probe" | "replicate" | "snapshot";
-  /** Last index of each append that is not acknowledged yet. */
-  inFlight: number[];
+  inFlight: InFlightAppend[];
   /** Monotonic time of the last response in this term, or -Infinity. */
   lastContactAtMilliseconds: number;
   /**
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -241,6 +241,7 @@
       token,
       log: { info: () => {}, warn: () => {}, error: () => {} },
       receiver: {
+        onDeliveryFailed: () => {},
         receive: () => assert.fail("delivered"),
         getIdentity: () => ({ id: "a", groupId: "" }),
       },
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -1,5 +1,5 @@
 import type { EntryLog } from "./entry_log.ts";
-import type { LogEntry, SnapshotInfo } from "./log_entry.ts";
+import { getEntrySize, type LogEntry, type SnapshotInfo } from "./log_entry.ts";
 import { getMajority, type Member } from "./member.ts";
 import type { ConsensusMessage } from "./message.ts";
 import { createProgress, type Progress } from "./progress.ts";
@@ -13,9 +13,15 @@
 /** Entries by which a non-voter may be behind when it is promoted. */
 const maximumPromotionLagEntries = 256;
 
+/** Size of unacknowledged appends per member, unless a single entry exceeds it. */
+const maximumInFlightBytes = 1024 * 1024;
+
 /** Time without progress after which a leader sends entries again. */
 const resendTimeoutMilliseconds = 1000;
 
+/** Throughput below which entries in flight are taken for lost. */
+const minimumBytesPerMillisecond = 128;
+
 /** State of the core that replication depends on. */
 export interface ReplicationState {
   readonly now: number;
@@ -153,13 +159,22 @@
         this.#setMode(progress, "replicate", progress.matchIndex);
       }
     } else if (
-      progress.mode !== "snapshot" && response.index + 1 < progress.nextIndex
+      progress.mode !== "snapshot" &&
+      response.index + 1 < progress.nextIndex &&
+      !isAwaitingEntries(progress, response.index)
     ) {
       const last = Math.max(progress.matchIndex, response.index);
       this.#setMode(progress, "probe", last);
     }
   }
 
+  /** Sends the entries after the acknowledged ones again with the next heartbeat. */
+  onDeliveryFailed(progress: Progress): void {
+    if (progress.mode === "replicate" && progress.inFlight.length > 0) {
+      this.#setMode(progress, "probe", progress.matchIndex);
+    }
+  }
+
   /** Continues with appends after a member has installed the snapshot. */
   onSnapshotInstalled(progress: Progress, index: number): void {
     progress.mode = "probe";
@@ -216,13 +231,17 @@
       progress.resendTimerStartedAtMilliseconds = this.#options.getState().now;
     }
     progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
-    progress.inFlight = progress.inFlight.filter((last) => last > index);
+    progress.inFlight = progress.inFlight.filter((each) =>
+      each.lastIndex > index
+    );
   }
 
   #sendHeartbeat(member: Member, progress: Progress): void {
+    const { log } = this.#options;
     const { now } = this.#options.getState();
     const isStalled = now - progress.resendTimerStartedAtMilliseconds >
-      resendTimeoutMilliseconds;
+      resendTimeoutMilliseconds +
+        getInFlightBytes(progress) / minimumBytesPerMillisecond;
     if (
       isStalled && progress.mode === "replicate" && progress.inFlight.length > 0
     ) {
@@ -242,7 +261,10 @@
       this.#replicateTo(member);
       return;
     }
-    this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
+    // Entries in flight may arrive later than this message, so it follows the
+    // entries that the member is known to hold.
+    const previousIndex = Math.max(progress.matchIndex, log.baseIndex);
+    this.#sendAppend(member, { from: previousIndex + 1, entries: [] });
   }
 
   #replicateTo(member: Member): void {
@@ -266,12 +288,13 @@
       // release does not support the kind of an entry.
       if (progress.inFlight.length === 0) {
         this.#sendAppend(member, { from: progress.nextIndex, entries: [] });
-        progress.inFlight.push(progress.nextIndex - 1);
+        progress.inFlight.push({ lastIndex: progress.nextIndex - 1, bytes: 0 });
       }
       return;
     }
     while (
       progress.inFlight.length < maximumInFlight &&
+      getInFlightBytes(progress) < maximumInFlightBytes &&
       progress.nextIndex <= durableIndex
     ) {
       // Only durable entries are sent. Followers record the position that the
@@ -286,7 +309,10 @@
         progress.resendTimerStartedAtMilliseconds = now;
       }
       progress.nextIndex += entries.length;
-      progress.inFlight.push(progress.nextIndex - 1);
+      progress.inFlight.push({
+        lastIndex: progress.nextIndex - 1,
+        bytes: entries.reduce((sum, each) => sum + getEntrySize(each), 0),
+      });
     }
   }
 
@@ -329,3 +355,17 @@
     });
   }
 }
+
+function getInFlightBytes({ inFlight }: Progress): number {
+  return inFlight.reduce((sum, { bytes }) => sum + bytes, 0);
+}
+
+/**
+ * Reports whether a rejection is explained by appends that have not arrived yet.
+ * @param progress Progress of the member.
+ * @param lastIndex Last index that the member holds, from its response.
+ */
+function isAwaitingEntries(progress: Progress, lastIndex: number): boolean {
+  return progress.mode === "replicate" && progress.inFlight.length > 0 &&
+    lastIndex >= progress.matchIndex;
+}
--- a/src/consensus/transport.ts
+++ b/src/consensus/transport.ts
@@ -21,6 +21,8 @@
 /** Receives the messages that arrive over a transport. */
 export interface TransportReceiver {
   receive(envelope: Envelope): void;
+  /** Called for a message that was probably not delivered. */
+  onDeliveryFailed(envelope: Envelope): void;
   /** Gets the identity with which the transport answers `identify` calls. */
   getIdentity(): PeerIdentity;
 }
