Keep nodes away from a control instance that lacks committed changes

Requests were handled by a manifest that was three versions old, seconds after the newest one was acknowledged, by nodes that were in contact with control.

Cause: an instance that hears the leader's heartbeats was available, whatever it had applied. It stated its own old revision as the newest one, and a node took any revision up to its own for a confirmation. Having few sessions, it was also offered to the nodes of other instances, and got them from a redirect for uneven sessions. An instance that had just started was available for 1.5 s with what it had read from its disk.

Change: an instance is outdated until it knows that it has applied what a leader of its own term had committed, and again when it lacks committed entries for 0.75 s although it is in contact. It then states no revision, redirects its nodes and refuses others, like an isolated one; as does an instance whose document is older than that of the node that asks. A node takes only its own revision for a confirmation, and looks for another instance when an older one is stated. A leader announces its first commit at once, so that the others are current without waiting for the next heartbeat.

A missing entry does not count while there is no leader, so that an election sends no node away.

Ruled out: refusing calls at a node whose document may be old. A late weight is better for callers than no response, and with a current instance in reach the node has the new document within a second or so.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -68,6 +68,8 @@
   #lastMajorityContactAt: number;
   /** Latest time at which all that was committed is known to be applied here. */
   #currentAt = -Infinity;
+  /** Time since when that could not be confirmed, despite contact. */
+  #unconfirmedSince: number | undefined;
   #electionTimeoutAt = 0;
   #nextHeartbeatAt = 0;
   #votes = new Set<string>();
@@ -216,10 +218,14 @@
    * @param nowMilliseconds Monotonic time.
    */
   isIsolated(nowMilliseconds: number): boolean {
-    const lastContactAt = this.#role === "leader"
+    return nowMilliseconds - this.#getMajorityContactAt() >
+      this.#timing.isolationMilliseconds;
+  }
+
+  #getMajorityContactAt(): number {
+    return this.#role === "leader"
       ? Math.max(this.#replication.getMajorityContactAt(), this.#leaderSince)
       : this.#lastMajorityContactAt;
-    return nowMilliseconds - lastContactAt > this.#timing.isolationMilliseconds;
   }
 
   /**
@@ -232,6 +238,18 @@
     return nowMilliseconds - this.#currentAt;
   }
 
+  /**
+   * Reports whether the applied state lacks entries that are committed, or may do
+   * so because this instance has just started.
+   */
+  get isOutdated(): boolean {
+    const since = this.#unconfirmedSince;
+    return this.#currentAt === -Infinity ||
+      (since !== undefined &&
+        this.#getMajorityContactAt() - since >
+          this.#timing.outdatedMilliseconds);
+  }
+
   /** On the leader, gets the index up to which each member holds the log. */
   getMatchIndexes(): ReadonlyMap<string, number> {
     const indexes = new Map<string, number>();
@@ -887,10 +905,7 @@
     }
     this.#nextHeartbeatAt = this.#monotonicNow +
       this.#timing.heartbeatMilliseconds;
-    this.#recordCommitIndex(
-      this.#commitIndex,
-      this.#replication.getMajorityContactAt(),
-    );
+    this.#recordCommitIndex(this.#commitIndex, this.#getMajorityContactAt());
     this.#peerStates.requireWrite();
     this.#replication.sendHeartbeats();
   }
@@ -956,8 +971,13 @@
     if (
       index > this.#commitIndex && this.#log.getTerm(index) === this.term
     ) {
+      if (this.#commitIndex < this.#firstIndexOfTerm) {
+        // From now on, the other instances can know that they are current.
+        this.#nextHeartbeatAt = this.#monotonicNow;
+      }
       this.#commitIndex = index;
       this.#deliverCommitted();
+      this.#recordCommitIndex(index, this.#getMajorityContactAt());
       this.#completeReads();
       const isStillVoter = this.members.some((each) =>
         each.id === this.identity.id && each.isVoter
@@ -997,6 +1017,9 @@
     const isTrusted = this.#log.getTerm(commitIndex) === this.term;
     if (isTrusted && commitIndex <= this.#deliveredIndex) {
       this.#currentAt = Math.max(this.#currentAt, atMilliseconds);
+      this.#unconfirmedSince = undefined;
+    } else {
+      this.#unconfirmedSince ??= atMilliseconds;
     }
   }
 
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -20,6 +20,7 @@
   heartbeatMilliseconds: 50,
   electionMilliseconds: 200,
   isolationMilliseconds: 500,
+  outdatedMilliseconds: 150,
   confirmationMilliseconds: 200,
 };
 
@@ -847,3 +848,91 @@
   const start = { boot: 2, startTerm: 6, startLastIndex: 1 };
   assert.equal(requestConfirmation(core, start), "denied");
 });
+
+/** A message of the leader of term 2, whose first entry has index 2. */
+interface LeaderMessage {
+  readonly atMilliseconds: number;
+  /** Index of the last entry that the message adds; none by default. */
+  readonly entriesTo?: number;
+  readonly commitIndex: number;
+}
+
+const outdatedCases: {
+  name: string;
+  messages: LeaderMessage[];
+  isOutdated: boolean;
+}[] = [
+  { name: "just after the start", messages: [], isOutdated: true },
+  {
+    name: "once it has applied what the leader committed",
+    messages: [{ atMilliseconds: 10, entriesTo: 2, commitIndex: 2 }],
+    isOutdated: false,
+  },
+  {
+    name: "while the leader may not know all that is committed",
+    messages: [{ atMilliseconds: 10, entriesTo: 2, commitIndex: 1 }],
+    isOutdated: true,
+  },
+  {
+    name: "when a committed entry has been missing for a short time",
+    messages: [
+      { atMilliseconds: 10, entriesTo: 2, commitIndex: 2 },
+      { atMilliseconds: 60, commitIndex: 3 },
+      { atMilliseconds: 200, commitIndex: 3 },
+    ],
+    isOutdated: false,
+  },
+  {
+    name: "when a committed entry has been missing for long",
+    messages: [
+      { atMilliseconds: 10, entriesTo: 2, commitIndex: 2 },
+      { atMilliseconds: 60, commitIndex: 3 },
+      { atMilliseconds: 220, commitIndex: 3 },
+    ],
+    isOutdated: true,
+  },
+  {
+    name: "once the missing entry has arrived",
+    messages: [
+      { atMilliseconds: 10, entriesTo: 2, commitIndex: 2 },
+      { atMilliseconds: 60, commitIndex: 3 },
+      { atMilliseconds: 220, commitIndex: 3 },
+      { atMilliseconds: 230, entriesTo: 3, commitIndex: 3 },
+    ],
+    isOutdated: false,
+  },
+];
+
+// Guards against an instance that passes for current while it lacks entries.
+for (const { name, messages, isOutdated } of outdatedCases) {
+  test(`the state of an instance is ${isOutdated ? "" : "not "}outdated ${name}`, () => {
+    const core = createConfirmedCore(1, "");
+    let lastIndex = 1;
+    for (const { atMilliseconds, entriesTo, commitIndex } of messages) {
+      core.setTime({
+        monotonicMilliseconds: atMilliseconds,
+        wallMilliseconds: atMilliseconds,
+      });
+      const entries: LogEntry[] = [];
+      for (let index = lastIndex + 1; index <= (entriesTo ?? 0); index++) {
+        entries.push({
+          index,
+          term: 2,
+          timeMilliseconds: 0,
+          content: { kind: "empty" },
+        });
+      }
+      deliver(core, { from: "b", term: 2 }, {
+        kind: "append",
+        previousIndex: lastIndex,
+        previousTerm: lastIndex === 1 ? 1 : 2,
+        entries,
+        commitIndex,
+        round: 0,
+        majorityAgeMilliseconds: 0,
+      });
+      lastIndex += entries.length;
+    }
+    assert.equal(core.isOutdated, isOutdated);
+  });
+}
--- a/src/consensus/core_types.ts
+++ b/src/consensus/core_types.ts
@@ -8,6 +8,11 @@
   readonly electionMilliseconds: number;
   /** Time without contact with a majority that makes an instance isolated. */
   readonly isolationMilliseconds: number;
+  /**
+   * Time for which an instance, while it has contact with the leader, may lack
+   * entries that are committed before its state counts as outdated.
+   */
+  readonly outdatedMilliseconds: number;
   /**
    * Time that a started instance waits for confirmations of all voters before a
    * majority of them is enough.
@@ -20,6 +25,7 @@
   heartbeatMilliseconds: 250,
   electionMilliseconds: 1000,
   isolationMilliseconds: 1500,
+  outdatedMilliseconds: 750,
   confirmationMilliseconds: 1000,
 };
 
--- a/src/consensus/log_instance.ts
+++ b/src/consensus/log_instance.ts
@@ -168,6 +168,7 @@
       term: core.term,
       ...(core.leader === undefined ? {} : { leader: core.leader }),
       isolated: this.#isIsolated(),
+      outdated: core.isOutdated,
       stateAgeMilliseconds: core.getStateAgeMilliseconds(
         this.#clock.monotonicMilliseconds(),
       ),
--- a/src/consensus/replicated_log_types.ts
+++ b/src/consensus/replicated_log_types.ts
@@ -31,6 +31,11 @@
    * may be outdated, or when the storage failed.
    */
   readonly isolated: boolean;
+  /**
+   * True when the state lacks committed entries for 0.75 s despite contact with
+   * the leader, or when it is not known since the start to include all of them.
+   */
+  readonly outdated: boolean;
   /**
    * Time since the applied state was last known to include everything that the
    * group had committed; `Infinity` if that was not known since the start.
--- a/src/control/node_session_manager.ts
+++ b/src/control/node_session_manager.ts
@@ -103,7 +103,10 @@
     const availability = this.#getAvailability();
     if (availability !== this.#availability) {
       this.#availability = availability;
-      this.#options.eventLog.warn("availability changed", { availability });
+      this.#options.eventLog.warn("availability changed", {
+        availability,
+        sessions: this.sessionHost.sessionCount,
+      });
       this.sessionHost.onAvailabilityChanged();
     }
   }
@@ -149,11 +152,14 @@
   }
 
   #getAvailability(): Availability {
-    const { isolated, failure } = this.#options.log.getStatus();
+    const { isolated, outdated, failure } = this.#options.log.getStatus();
     if (this.#isStopping) {
       return "stopping";
     }
-    return isolated || failure !== undefined ? "isolated" : "available";
+    if (isolated || failure !== undefined) {
+      return "isolated";
+    }
+    return outdated ? "outdated" : "available";
   }
 
   #getQuarantined(environment: string): string[] {
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -151,8 +151,13 @@
 const connectionAttemptDelayMilliseconds = 700;
 // A renewal timer that fires this late means that the process was paused.
 const processPauseMilliseconds = 250;
-// An isolated instance sends no new document, so its nodes move sooner.
-const isolatedJitterFraction = 0.5;
+// An instance that is isolated or outdated sends no new document, so its nodes
+// move sooner.
+const outdatedJitterFraction = 0.5;
+const outdatedReasons: readonly (string | undefined)[] = [
+  "isolated",
+  "outdated",
+];
 const maximumBackoffMilliseconds = 2000;
 const emptyReport: NodeReport = {
   admissionLevel: 0,
@@ -356,12 +361,28 @@
     return this.#clock.monotonicMilliseconds() - this.#documentConfirmedAt;
   }
 
-  /** Logs a revision of control that differs from the one in force, once. */
-  #logStatedRevision(statedRevision: number): void {
-    if (statedRevision === this.#loggedStatedRevision) {
+  /**
+   * Handles the newest revision that the instance knows.
+   * @param statedRevision The revision; 0 if it cannot confirm any.
+   */
+  #onStatedRevision(statedRevision: number): void {
+    if (statedRevision === this.#revision && statedRevision > 0) {
+      this.#documentConfirmedAt = this.#clock.monotonicMilliseconds();
+      this.#loggedStatedRevision = statedRevision;
       return;
     }
-    this.#loggedStatedRevision = statedRevision;
+    if (statedRevision !== this.#loggedStatedRevision) {
+      this.#loggedStatedRevision = statedRevision;
+      this.#logStatedRevision(statedRevision);
+    }
+    if (statedRevision > 0 && statedRevision < this.#revision) {
+      // The instance is behind. It may be of a release that does not know it.
+      this.#scheduleMove(this.#getMoveDelay(true));
+    }
+  }
+
+  /** Logs a revision of control that differs from the one in force. */
+  #logStatedRevision(statedRevision: number): void {
     const { documentAgeMilliseconds } = this.getStatus();
     this.#options.log?.info("revision stated by control", {
       address: this.#currentConnection?.address,
@@ -372,13 +393,16 @@
   }
 
   /** Schedules a search for another instance, unless one is scheduled. */
-  #scheduleMove(delayMilliseconds: number): void {
+  #scheduleMove(
+    delayMilliseconds: number,
+    preferred: readonly string[] = [],
+  ): void {
     if (this.#isStopped || this.#moveTimer !== undefined) {
       return;
     }
     this.#moveTimer = setTimeout(() => {
       this.#moveTimer = undefined;
-      this.#startConnectionCycle([]);
+      this.#startConnectionCycle(preferred);
     }, delayMilliseconds);
   }
 
@@ -656,12 +680,7 @@
     } else if (this.#unansweredSince !== undefined) {
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
-    if (answer.revision !== this.#revision) {
-      this.#logStatedRevision(answer.revision);
-    }
-    if (answer.revision > 0 && answer.revision <= this.#revision) {
-      this.#documentConfirmedAt = this.#clock.monotonicMilliseconds();
-    }
+    this.#onStatedRevision(answer.revision);
     this.#answeredSequence = answer.sequence;
     this.#announcedTargets.confirm(answer.sequence);
     this.#unconfirmedMessages.confirm(answer.sequence);
@@ -748,15 +767,17 @@
       // The instance ends the stream next, which starts a new connection cycle.
       return;
     }
-    const { jitterMilliseconds } = this.#options;
-    const jitterFraction = refusal?.reason === "isolated"
-      ? isolatedJitterFraction
-      : 1;
     clearTimeout(this.#moveTimer);
-    this.#moveTimer = setTimeout(() => {
-      this.#moveTimer = undefined;
-      this.#startConnectionCycle(refusal?.controlAddresses ?? []);
-    }, this.#random() * jitterMilliseconds * jitterFraction);
+    this.#moveTimer = undefined;
+    this.#scheduleMove(
+      this.#getMoveDelay(outdatedReasons.includes(refusal?.reason)),
+      refusal?.controlAddresses,
+    );
+  }
+
+  #getMoveDelay(isOutdated: boolean): number {
+    return this.#random() * this.#options.jitterMilliseconds *
+      (isOutdated ? outdatedJitterFraction : 1);
   }
 
   #onStaleAnnouncement(known: TargetRecord): void {
--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import { after, test } from "node:test";
 import {
   InterceptingCall,
@@ -8,6 +9,7 @@
   type ServerInterceptor,
   status,
 } from "@grpc/grpc-js";
+import { parseDocument } from "../document/mod.ts";
 import type { SessionHostOptions } from "../session_server/mod.ts";
 import {
   FakeControlInstance,
@@ -447,3 +449,79 @@
   );
   assert.equal(unauthenticatedNode.session.getStatus().connected, false);
 });
+
+const acceptedDocument = parseDocument(
+  readFileSync("examples/benefits-office.toml", "utf8"),
+  "benefits-office.toml",
+);
+assert.ok(acceptedDocument.kind === "ok");
+
+function acceptRevision(instance: FakeControlInstance, revision: number): void {
+  instance.acceptDocument("trial", {
+    revision,
+    digest: `d${revision}`,
+    document: acceptedDocument.kind === "ok"
+      ? acceptedDocument.value
+      : assert.fail(),
+  });
+}
+
+const quickTiming = {
+  renewalIntervalMilliseconds: 200,
+  renewalTimeoutMilliseconds: 200,
+  isolatedRetryMilliseconds: 100,
+  jitterMilliseconds: 50,
+};
+
+// Guards against a node that is sent to an instance which lacks its document.
+test("a node moves to another instance only once that one has its document", async () => {
+  const instances = await startControl(2);
+  const [first, second] = instances;
+  assert.ok(first !== undefined && second !== undefined);
+  acceptRevision(first, 2);
+  acceptRevision(second, 1);
+  const node = startNode(getAddresses(instances), "n1", quickTiming);
+  await waitUntil(() => node.revisions.includes(2), "revision 2 arrives");
+  first.setAvailability("outdated");
+  await new Promise((resolve) => setTimeout(resolve, 1000));
+  assert.equal(node.session.getStatus().controlAddress, first.address);
+  assert.equal(node.session.isDocumentConfirmed, false);
+  acceptRevision(second, 2);
+  await waitUntil(
+    () => node.session.getStatus().controlAddress === second.address,
+    "the node moved",
+  );
+  await waitUntil(
+    () => node.session.isDocumentConfirmed,
+    "the document is confirmed",
+  );
+});
+
+// Guards against an older document of control that confirms the one of a node.
+test("an instance that lacks the document of a node does not confirm it", async () => {
+  const [before] = await startControl(1);
+  assert.ok(before !== undefined);
+  acceptRevision(before, 2);
+  const node = startNode([before.address], "n1", quickTiming);
+  await waitUntil(
+    () => node.session.isDocumentConfirmed,
+    "the document is confirmed",
+  );
+  const { port } = before;
+  before.kill();
+  const restarted = new FakeControlInstance({ instanceId: "control-0" });
+  cleanUps.push(() => restarted.kill());
+  acceptRevision(restarted, 1);
+  await restarted.listen(port);
+  await waitUntil(
+    () => restarted.sessionHost.sessionCount === 1,
+    "the node has a session again",
+  );
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  assert.equal(node.session.isDocumentConfirmed, false);
+  acceptRevision(restarted, 2);
+  await waitUntil(
+    () => node.session.isDocumentConfirmed,
+    "the document is confirmed once the instance has it",
+  );
+});
--- a/src/session_server/control_state.ts
+++ b/src/session_server/control_state.ts
@@ -9,8 +9,12 @@
   readonly document: EnvironmentDocument;
 }
 
-/** Whether nodes should hold their sessions with this instance. */
-export type Availability = "available" | "isolated" | "stopping";
+/**
+ * Whether nodes should hold their sessions with this instance. An instance that is
+ * isolated cannot know whether its documents are the newest ones; the documents of
+ * one that is outdated may not be.
+ */
+export type Availability = "available" | "isolated" | "outdated" | "stopping";
 
 /** Another control instance. */
 export interface PeerInstance {
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -29,7 +29,7 @@
   Renew,
   SuspectUpdate,
 } from "../protocol/generated/session.ts";
-import type { ControlState } from "./control_state.ts";
+import type { Availability, ControlState } from "./control_state.ts";
 import { DocumentParts } from "./document_parts.ts";
 import { InstanceExchange } from "./instance_exchange.ts";
 import {
@@ -370,6 +370,18 @@
     return this.#options.state.getAvailability() === "available";
   }
 
+  /**
+   * Gets the availability for a node. An instance that lacks the document of a node
+   * is outdated, even if it does not know that yet.
+   */
+  #getAvailabilityFor(environment: string, nodeRevision: number): Availability {
+    const availability = this.#options.state.getAvailability();
+    const revision = this.#getParts(environment)?.accepted.revision ?? 0;
+    return availability === "available" && revision < nodeRevision
+      ? "outdated"
+      : availability;
+  }
+
   #onOpen(stream: SessionStream): void {
     stream.on("error", () => {});
     stream.on(
@@ -448,10 +460,13 @@
   }
 
   #onHello(stream: SessionStream, hello: Hello): void {
-    const availability = this.#options.state.getAvailability();
+    const availability = this.#getAvailabilityFor(
+      hello.environment,
+      hello.revision,
+    );
     if (
       availability === "stopping" ||
-      (availability === "isolated" && !hello.acceptsIsolated)
+      (availability !== "available" && !hello.acceptsIsolated)
     ) {
       stream.write({
         formatVersion,
--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -5,16 +5,23 @@
 import { join } from "node:path";
 import { after, test } from "node:test";
 import { ControlGroup, type ControlProcess } from "./support/control_group.ts";
+import { getFreePorts } from "./support/free_ports.ts";
+import { ProcessGroup } from "./support/process_group.ts";
+import { waitUntil } from "./support/wait_until.ts";
 
 const folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-"));
 const groups: ControlGroup[] = [];
+const nodeProcesses = new ProcessGroup();
 after(async () => {
+  await nodeProcesses.stopAll();
   await Promise.all(groups.map((each) => each.stop()));
   rmSync(folder, { recursive: true });
 });
 
 /** Time in which a change must be acknowledged. */
 const acknowledgementMilliseconds = 5000;
+/** Time after its acknowledgement in which a change must be in force. */
+const inForceMilliseconds = 2500;
 /** Time in which an instance must have caught up after a fault. */
 const catchUpMilliseconds = 6000;
 
@@ -96,3 +103,77 @@
     }
   },
 );
+
+/**
+ * Starts a node that knows only one control instance at first.
+ * @returns A function that gets the revision in force at the node.
+ */
+async function startNode(
+  name: string,
+  { address }: ControlProcess,
+): Promise<() => number> {
+  const [outside, node, loopback] = await getFreePorts(3);
+  const file = join(folder, `${name}.toml`);
+  writeFileSync(
+    file,
+    `node_id = "${name}"
+environment = "trial"
+service = "treasury"
+region = "Muntenia"
+availability_zone = "muntenia-a"
+outside = "127.0.0.1:${outside}"
+node = "127.0.0.1:${node}"
+loopback = "127.0.0.1:${loopback}"
+control_addresses = ["${address}"]
+`,
+  );
+  const { outputLines } = nodeProcesses.start(
+    name,
+    "src/bin/dogwoodwalk_node.js",
+    { arguments: [file] },
+  );
+  return () => {
+    const line = outputLines.findLast((each) =>
+      each.includes("document in force")
+    );
+    return Number(/ revision=(\d+)/.exec(line ?? "")?.[1] ?? 0);
+  };
+}
+
+// Guards against an instance that passes for current while it lacks changes.
+test("changes are in force in time at nodes whose control instance is behind", async () => {
+  const group = await ControlGroup.start(3, {
+    link: { delayMilliseconds: 12 },
+  });
+  groups.push(group);
+  const leader = await group.waitForLeader();
+  const changes = new Changes(group, leader);
+  await changes.apply();
+  const index = group.instances.findIndex((each) => each !== leader);
+  const behind = group.instances[index];
+  const link = group.links[index];
+  assert.ok(behind !== undefined && link !== undefined);
+  const getRevisions = await Promise.all(
+    ["n0", "n1", "n2", "n3"].map((name) => startNode(name, behind)),
+  );
+  await waitUntil(
+    () => getRevisions.every((each) => each() === 1),
+    "all nodes have the first document",
+  );
+  link.bytesPerSecond = 150_000;
+  const checks: Promise<void>[] = [];
+  for (let count = 0; count < 15; count++) {
+    await changes.apply();
+    const { revision } = changes;
+    const check = new Promise((resolve) =>
+      setTimeout(resolve, inForceMilliseconds)
+    ).then(() => {
+      const late = getRevisions.map((each) => each())
+        .filter((each) => each < revision);
+      assert.deepEqual(late, [], `revisions in place of ${revision}`);
+    });
+    check.catch(() => {});
+    checks.push(check);
+  }
+  await Promise.all(checks);
+});
--- a/tests/support/control_group.ts
+++ b/tests/support/control_group.ts
@@ -123,7 +123,8 @@
 export class ControlGroup {
   readonly instances: ControlProcess[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-control-"));
-  readonly #links: SlowLink[] = [];
+  /** Links in front of the instances, if the group was started with them. */
+  readonly links: SlowLink[] = [];
   #members: string[] = [];
 
   /**
@@ -146,7 +147,7 @@
       if (link !== undefined) {
         const slowLink = new SlowLink({ ...link, target });
         await slowLink.listen(address);
-        group.#links.push(slowLink);
+        group.links.push(slowLink);
       }
       group.#startInstance(address, group.#members, target);
     }
@@ -209,7 +210,7 @@
   /** Kills all processes and removes their files. */
   async stop(): Promise<void> {
     await Promise.all(this.instances.map((each) => each.stop("SIGKILL")));
-    this.#links.forEach((each) => each.close());
+    this.links.forEach((each) => each.close());
     rmSync(this.#folder, { recursive: true });
   }
 
--- a/tests/support/in_memory_replicated_log.ts
+++ b/tests/support/in_memory_replicated_log.ts
@@ -58,6 +58,7 @@
       term: 1,
       leader: { id, address: this.#address },
       isolated: false,
+      outdated: false,
       stateAgeMilliseconds: 0,
       members: [{ id, address: this.#address, isVoter: true }],
       lastContactAgesMilliseconds: new Map(),
--- a/tests/support/slow_link.ts
+++ b/tests/support/slow_link.ts
@@ -11,12 +11,12 @@
   readonly target: string;
   /** Time that each byte takes in either direction. */
   readonly delayMilliseconds: number;
-  /** Throughput of each direction of a connection; unlimited by default. */
-  readonly bytesPerSecond?: number;
 }
 
 /** Forwards TCP connections with the delay and the throughput of a long link. */
 export class SlowLink {
+  /** Throughput of each direction of a connection. */
+  bytesPerSecond = Infinity;
   readonly #options: SlowLinkOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
@@ -45,12 +45,12 @@
   }
 
   #forward(from: Socket, to: Socket): void {
-    const { delayMilliseconds, bytesPerSecond = Infinity } = this.#options;
+    const { delayMilliseconds } = this.#options;
     let isFreeAt = 0;
     this.#sockets.add(from);
     const runLater = (run: () => void, bytes: number) => {
       isFreeAt = Math.max(isFreeAt, performance.now()) +
-        bytes / bytesPerSecond * 1000;
+        bytes / this.bytesPerSecond * 1000;
       // Timers of equal times fire in order, so no bytes overtake others.
       const time = Math.round(isFreeAt + delayMilliseconds - performance.now());
       setTimeout(run, time).unref();
