Keep only the newest document waiting for a node that reads slowly

A node that reads slowly, or a link that is nearly full, got every document of a series one after the other: each change waited in its stream behind all earlier ones, and in the memory of the control instance.

Ended sessions release what waited, so the delay was bounded by the renewal timeout.

A session now has one document on its way; while it has, only the newest one waits.

--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -21,6 +21,12 @@
 /** The stream of a node's session. */
 export type SessionStream = ServerDuplexStream<NodeMessage, ControlMessage>;
 
+/** Encodes the update of a document for the nodes of a service. */
+export type DocumentEncoder = (
+  parts: DocumentParts,
+  options: { service: string; isPartKnown: boolean },
+) => EncodedMessage;
+
 /** Session of a node: its stream, and the state that was sent to the node. */
 export class NodeSession {
   readonly stream: SessionStream;
@@ -37,6 +43,8 @@
   #partHash: string;
   #isRedirected = false;
   #controlAddresses = "";
+  #isSendingDocument = false;
+  #sendWaitingDocument: (() => void) | undefined;
 
   /**
    * @param stream The stream.
@@ -55,14 +63,11 @@
   }
 
   send(message: ControlMessage["message"] | EncodedMessage): void {
-    if (!this.stream.writable) {
-      return;
+    if (this.stream.writable) {
+      this.#write(
+        Buffer.isBuffer(message) ? message : encodeControlMessage(message),
+      );
     }
-    const encoded = Buffer.isBuffer(message)
-      ? message
-      : encodeControlMessage(message);
-    // The service definition also accepts encoded messages.
-    this.stream.write(encoded as unknown as ControlMessage);
   }
 
   /**
@@ -80,28 +85,34 @@
   }
 
   /**
-   * Sends a document unless the node has that revision or a higher one.
+   * Sends a document unless the node has that revision or a higher one. While an
+   * earlier document is on its way, only the newest one waits to be sent.
    * @param parts The document.
    * @param encode Encodes an update; may share the result between nodes.
-   * @returns Whether the document was sent.
+   * @returns Whether the document was sent or waits to be sent.
    */
-  sendDocument(
-    parts: DocumentParts,
-    encode: (parts: DocumentParts, options: {
-      service: string;
-      isPartKnown: boolean;
-    }) => EncodedMessage,
-  ): boolean {
-    if (parts.accepted.revision <= this.#sentRevision) {
+  sendDocument(parts: DocumentParts, encode: DocumentEncoder): boolean {
+    const { revision } = parts.accepted;
+    if (revision <= this.#sentRevision || !this.stream.writable) {
       return false;
     }
+    if (this.#isSendingDocument) {
+      this.#sendWaitingDocument = () => this.sendDocument(parts, encode);
+      return true;
+    }
     const { service } = this.hello;
     const { hash } = parts.getPart(service);
-    this.send(encode(parts, {
-      service,
-      isPartKnown: hash === this.#partHash,
-    }));
-    this.#sentRevision = parts.accepted.revision;
+    this.#isSendingDocument = true;
+    this.#write(
+      encode(parts, { service, isPartKnown: hash === this.#partHash }),
+      () => {
+        this.#isSendingDocument = false;
+        const sendWaiting = this.#sendWaitingDocument;
+        this.#sendWaitingDocument = undefined;
+        sendWaiting?.();
+      },
+    );
+    this.#sentRevision = revision;
     this.#partHash = hash;
     return true;
   }
@@ -210,6 +221,14 @@
   end(): void {
     this.stream.end();
   }
+
+  /**
+   * Writes an encoded message, which the service definition also accepts.
+   * @param onWritten Called when the connection has taken it, or has ended.
+   */
+  #write(encoded: EncodedMessage, onWritten?: () => void): void {
+    this.stream.write(encoded as unknown as ControlMessage, onWritten);
+  }
 }
 
 /** Creates the message that asks a node to move to another instance. */
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -40,6 +40,7 @@
 } from "./messages.ts";
 import {
   createRedirect,
+  type DocumentEncoder,
   NodeSession,
   type SessionStream,
 } from "./node_session.ts";
@@ -689,10 +690,7 @@
 }
 
 /** Creates an encoder that encodes each variant of an update once. */
-function createDocumentEncoder(): (
-  parts: DocumentParts,
-  options: { service: string; isPartKnown: boolean },
-) => EncodedMessage {
+function createDocumentEncoder(): DocumentEncoder {
   const encoded = new Map<string, EncodedMessage>();
   return (parts, { service, isPartKnown }) => {
     const part = parts.getPart(service);
