--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -480,8 +480,10 @@
   assert.ok(first !== undefined && second !== undefined);
   acceptRevision(first, 2);
   acceptRevision(second, 1);
+  second.setAvailability("isolated");
   const node = startNode(getAddresses(instances), "n1", quickTiming);
   await waitUntil(() => node.revisions.includes(2), "revision 2 arrives");
+  second.setAvailability("available");
   first.setAvailability("outdated");
   await new Promise((resolve) => setTimeout(resolve, 1000));
   assert.equal(node.session.getStatus().controlAddress, first.address);
