Give a forwarded document a deadline that grows with its size

Operators got an unknown outcome for a large manifest that they sent to a follower, and had to send it again: the follower passes it on to the leader, and gave that 1 s for the transfer, the replication and the result, whatever the size. Over 24 ms of round trip, 1 MiB takes 0.4 s for the first of these alone (64 KiB for each round trip).

A forwarded command now has 1 s and 2 ms for each KiB. proposer_test failed before (outcome-unknown for a document of 1 MiB after 1.5 s); a small command has 1 s as before.

--- a/src/control/proposer.ts
+++ b/src/control/proposer.ts
@@ -11,8 +11,10 @@
 import { createProposeRefusal, createRefusal } from "./refusal.ts";
 import type { ReplicatedLog } from "../consensus/mod.ts";
 
-/** Timeout of a forwarded command; equal to that of every RPC in the group. */
+/** Timeout of a small forwarded command; equal to that of other calls. */
 const forwardTimeoutMilliseconds = 1000;
+/** Throughput below which a large command is not forwarded in time. */
+const minimumBytesPerMillisecond = 512;
 
 /**
  * Options for the channels to other instances. The short backoff reconnects to a
@@ -28,7 +30,7 @@
 
 /** Options of {@link Proposer}. */
 export interface ProposerOptions {
-  readonly log: ReplicatedLog;
+  readonly log: Pick<ReplicatedLog, "propose">;
   /** Address of this instance; commands are never forwarded to it. */
   readonly address: string;
   readonly interceptors: readonly Interceptor[];
@@ -165,7 +167,9 @@
     command: Uint8Array,
   ): Promise<Result<ControlResult["result"], Refusal>> {
     const request = { formatVersion, command: Buffer.from(command) };
-    const options = { deadline: Date.now() + forwardTimeoutMilliseconds };
+    const timeoutMilliseconds = forwardTimeoutMilliseconds +
+      command.length / minimumBytesPerMillisecond;
+    const options = { deadline: Date.now() + timeoutMilliseconds };
     return new Promise((resolve) => {
       const client = this.#getClient(address);
       client.propose(request, new Metadata(), options, (error, answer) => {
