Refuse a read at an instance that lacks what the read must include

Operators waited for as long as an instance was behind: a read, and a manifest that it had to compare with the current one, were confirmed by the leader and then waited for entries without a limit. One resent elsewhere got its response from another instance, one that was not got none.

A confirmed read now waits 1 s for the entries, and is refused with "outdated" then (503 on the platform), which the command line takes as a reason to ask another instance.

--- a/src/command_line/control_connection.ts
+++ b/src/command_line/control_connection.ts
@@ -21,6 +21,7 @@
 export const retryableReasons: ReadonlySet<string> = new Set([
   "not-leader",
   "isolated",
+  "outdated",
   "stopping",
   "storage-failed",
   "session-elsewhere",
--- a/src/command_line/control_connection_test.ts
+++ b/src/command_line/control_connection_test.ts
@@ -29,7 +29,7 @@
   return `127.0.0.1:${port}`;
 }
 
-for (const reason of ["storage-failed", "isolated", "stopping"]) {
+for (const reason of ["storage-failed", "isolated", "outdated", "stopping"]) {
   // Guards against a command that fails because of the state of one instance.
   test(`a call that one instance refuses with ${reason} goes to another`, async (context) => {
     const refusal = { reason, message: "", controlAddresses: [] };
--- a/src/command_line/exit_code_test.ts
+++ b/src/command_line/exit_code_test.ts
@@ -6,6 +6,7 @@
   { reason: "invalid-document", code: exitCodes.invalidInput },
   { reason: "unknown-target", code: exitCodes.invalidInput },
   { reason: "isolated", code: exitCodes.unreachable },
+  { reason: "outdated", code: exitCodes.unreachable },
   { reason: "storage-failed", code: exitCodes.unreachable },
   // The operator has to resend with the same change id.
   { reason: "outcome-unknown", code: exitCodes.unreachable },
--- a/src/consensus/log_instance.ts
+++ b/src/consensus/log_instance.ts
@@ -48,6 +48,9 @@
  */
 const maximumIdentifyAttempts = 3;
 
+/** Time that a confirmed read waits for the entries that it must include. */
+const applyTimeoutMilliseconds = 1000;
+
 /** Time that a replacement waits for the new instance to catch up. */
 const catchUpTimeoutMilliseconds = 60_000;
 
@@ -146,16 +149,37 @@
       },
     );
     if (result.kind === "ok" && result.value.index > this.#appliedIndex) {
-      await new Promise<void>((resolve) =>
-        this.#appliedWaiters.push({ index: result.value.index, resolve })
-      );
+      await this.#waitUntilApplied(result.value.index);
       if (this.#isStopped || this.#failure !== undefined) {
         return failed(this.#getStoppedError());
       }
+      if (result.value.index > this.#appliedIndex) {
+        return failed({ kind: "outdated" });
+      }
     }
     return result;
   }
 
+  /** Waits until an entry is applied, for a limited time. */
+  async #waitUntilApplied(index: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const waiter = {
+        index,
+        resolve: () => {
+          clearTimeout(timer);
+          resolve();
+        },
+      };
+      const timer = setTimeout(() => {
+        this.#appliedWaiters = this.#appliedWaiters.filter((each) =>
+          each !== waiter
+        );
+        resolve();
+      }, applyTimeoutMilliseconds);
+      this.#appliedWaiters.push(waiter);
+    });
+  }
+
   getStatus(): ConsensusStatus {
     const core = this.#core;
     const { stateMachine } = this.#options;
--- a/src/consensus/replicated_log_types.ts
+++ b/src/consensus/replicated_log_types.ts
@@ -10,6 +10,8 @@
 export type ProposeError =
   | { readonly kind: "not-leader"; readonly leaderAddress?: string }
   | { readonly kind: "isolated" }
+  /** The read is confirmed, but entries that it must include are missing. */
+  | { readonly kind: "outdated" }
   /** Proposed, but it is unknown whether it will be committed. */
   | { readonly kind: "outcome-unknown" }
   | { readonly kind: "storage-failed"; readonly message: string }
@@ -65,7 +67,8 @@
   propose(command: Uint8Array): Promise<Result<Uint8Array, ProposeError>>;
   /**
    * Confirms with a majority that a read is current; resolves once the local
-   * state includes all commands that were committed before the call.
+   * state includes all commands that were committed before the call. Fails when
+   * that takes more than 1 s longer than the confirmation.
    */
   confirmRead(): Promise<Result<{ index: number }, ProposeError>>;
   getStatus(): ConsensusStatus;
--- a/src/control/control_process_test.ts
+++ b/src/control/control_process_test.ts
@@ -108,6 +108,11 @@
     error: () => ({ kind: "isolated" }),
     reason: "isolated",
   },
+  {
+    name: "an instance that lacks committed entries refuses",
+    error: () => ({ kind: "outdated" }),
+    reason: "outdated",
+  },
   {
     name: "a lost proposal leaves the outcome unknown",
     error: () => ({ kind: "outcome-unknown" }),
--- a/src/control/refusal.ts
+++ b/src/control/refusal.ts
@@ -5,6 +5,7 @@
 export const controlRefusalReasons = [
   "not-leader",
   "isolated",
+  "outdated",
   "outcome-unknown",
   "storage-failed",
   "member-change-refused",
@@ -55,6 +56,11 @@
         "isolated",
         "This instance cannot reach a majority of the group",
       );
+    case "outdated":
+      return createRefusal(
+        "outdated",
+        "This instance lacks changes that the group has accepted",
+      );
     case "outcome-unknown":
       return createRefusal(
         "outcome-unknown",
--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -12,6 +12,7 @@
 const folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-"));
 const groups: ControlGroup[] = [];
 const nodeProcesses = new ProcessGroup();
+let nodeCount = 0;
 after(async () => {
   await nodeProcesses.stopAll();
   await Promise.all(groups.map((each) => each.stop()));
@@ -22,6 +23,8 @@
 const acknowledgementMilliseconds = 5000;
 /** Time after its acknowledgement in which a change must be in force. */
 const inForceMilliseconds = 2500;
+/** Less than the time after which the command line gives up an attempt. */
+const readMilliseconds = 2500;
 /** Time in which an instance must have caught up after a fault. */
 const catchUpMilliseconds = 6000;
 
@@ -109,9 +112,9 @@
  * @returns A function that gets the revision in force at the node.
  */
 async function startNode(
-  name: string,
   { address }: ControlProcess,
 ): Promise<() => number> {
+  const name = `n${nodeCount++}`;
   const [outside, node, loopback] = await getFreePorts(3);
   const file = join(folder, `${name}.toml`);
   writeFileSync(
@@ -140,8 +143,8 @@
   };
 }
 
-// Guards against an instance that passes for current while it lacks changes.
-test("changes are in force in time at nodes whose control instance is behind", async () => {
+/** Starts a group with nodes at a follower, then makes its link slow. */
+async function startWithSlowInstance() {
   const group = await ControlGroup.start(3, {
     link: { delayMilliseconds: 12 },
   });
@@ -154,13 +157,19 @@
   const link = group.links[index];
   assert.ok(behind !== undefined && link !== undefined);
   const getRevisions = await Promise.all(
-    ["n0", "n1", "n2", "n3"].map((name) => startNode(name, behind)),
+    Array.from({ length: 4 }, () => startNode(behind)),
   );
   await waitUntil(
     () => getRevisions.every((each) => each() === 1),
     "all nodes have the first document",
   );
   link.bytesPerSecond = 150_000;
+  return { group, leader, changes, behind, getRevisions };
+}
+
+// Guards against an instance that passes for current while it lacks changes.
+test("changes are in force in time at nodes whose control instance is behind", async () => {
+  const { changes, getRevisions } = await startWithSlowInstance();
   const checks: Promise<void>[] = [];
   for (let count = 0; count < 15; count++) {
     await changes.apply();
@@ -177,3 +186,21 @@
   }
   await Promise.all(checks);
 });
+
+// Guards against a read that waits as long as its instance is behind.
+test("a read at an instance that is behind is refused in time", async () => {
+  const { group, leader, changes, behind } = await startWithSlowInstance();
+  for (let count = 0; count < 5; count++) {
+    await changes.apply();
+  }
+  const start = performance.now();
+  const { text } = await group.runCommand("history trial --json", {
+    addresses: [behind.listenAddress, leader.listenAddress],
+  });
+  const milliseconds = performance.now() - start;
+  const { revisions } = JSON.parse(text) as {
+    revisions: { revision: number }[];
+  };
+  assert.equal(revisions[0]?.revision, changes.revision);
+  assert.ok(milliseconds <= readMilliseconds, `it took ${milliseconds} ms`);
+});
