--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -474,7 +474,8 @@
     const progress = this.#replication.get(toId);
     if (
       this.#role === "leader" && term === this.term &&
-      progress !== undefined && message.kind === "append"
+      progress !== undefined &&
+      (message.kind === "append" || message.kind === "snapshotChunk")
     ) {
       this.#replication.onDeliveryFailed(progress);
     }
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -364,6 +364,8 @@
       } else if (message.info.index === instance.disk.state.snapshot.index) {
         const chunk = readChunk(instance.disk.snapshotData, message.offset);
         this.#inFlight.push({ ...envelope, message: { ...message, ...chunk } });
+      } else {
+        core.onDeliveryFailed(envelope);
       }
     }
     for (const event of core.takeEvents()) {
--- a/src/consensus/grpc_transport.ts
+++ b/src/consensus/grpc_transport.ts
@@ -64,7 +64,7 @@
 const largeDeliveryBytes = 64 * 1024;
 
 /**
- * Size above which a delivery is compressed and has a connection of its own. The
+ * Size from which on a delivery is compressed and has a connection of its own. The
  * window of HTTP/2 limits a connection to 64 KiB for each round trip.
  */
 const bulkDeliveryBytes = 512 * 1024;
@@ -410,7 +410,7 @@
   }
 
   #getClient(deliveryBytes: number): ConsensusClient {
-    if (deliveryBytes <= bulkDeliveryBytes) {
+    if (deliveryBytes < bulkDeliveryBytes) {
       return this.#client;
     }
     this.#bulkClient ??= this.#createClient(bulkChannelOptions);
--- a/src/consensus/log_instance.ts
+++ b/src/consensus/log_instance.ts
@@ -17,6 +17,7 @@
 import type { MemberChange } from "./member.ts";
 import type { Envelope } from "./message.ts";
 import type { StorageRequest } from "./persisted_state.ts";
+import { snapshotChunkBytes } from "./replication.ts";
 import type {
   ConsensusStatus,
   ProposeError,
@@ -40,7 +41,6 @@
 const defaultSnapshotEntries = 4096;
 const defaultSnapshotBytes = 32 * 1024 * 1024;
 const tickIntervalMilliseconds = 25;
-const snapshotChunkBytes = 512 * 1024;
 
 /**
  * Each attempt takes up to 1 s. The first one may fail because the gRPC channel
@@ -436,7 +436,7 @@
     }
   }
 
-  /** Adds content to a snapshot chunk; empty if the snapshot was replaced. */
+  /** Adds content to a snapshot chunk; empty if the snapshot is not on disk. */
   #fillSnapshotChunk(envelope: Envelope): Envelope[] {
     const { message } = envelope;
     if (message.kind !== "snapshotChunk") {
@@ -446,9 +446,11 @@
       offset: message.offset,
       length: snapshotChunkBytes,
     });
-    return chunk === undefined
-      ? []
-      : [{ ...envelope, message: { ...message, ...chunk } }];
+    if (chunk === undefined) {
+      this.#core.onDeliveryFailed(envelope);
+      return [];
+    }
+    return [{ ...envelope, message: { ...message, ...chunk } }];
   }
 
   #handleEvents(): void {
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -19,7 +19,10 @@
 /** Time without progress after which a leader sends entries again. */
 const resendTimeoutMilliseconds = 1000;
 
-/** Throughput below which entries in flight are taken for lost. */
+/** Size of a part of a snapshot; only the last part is smaller. */
+export const snapshotChunkBytes = 512 * 1024;
+
+/** Throughput below which what is in flight is taken for lost. */
 const minimumBytesPerMillisecond = 128;
 
 /** State of the core that replication depends on. */
@@ -168,9 +171,13 @@
     }
   }
 
-  /** Sends the entries after the acknowledged ones again with the next heartbeat. */
+  /** Sends entries again with the next heartbeats, or a part of a snapshot later. */
   onDeliveryFailed(progress: Progress): void {
-    if (progress.mode === "replicate" && progress.inFlight.length > 0) {
+    if (progress.mode === "snapshot") {
+      // The member may be down, and each attempt reads and encodes the part.
+      progress.resendTimerStartedAtMilliseconds = this.#options.getState().now -
+        getTransferMilliseconds(progress);
+    } else if (progress.mode === "replicate" && progress.inFlight.length > 0) {
       this.#setMode(progress, "probe", progress.matchIndex);
     }
   }
@@ -240,8 +247,7 @@
     const { log } = this.#options;
     const { now } = this.#options.getState();
     const isStalled = now - progress.resendTimerStartedAtMilliseconds >
-      resendTimeoutMilliseconds +
-        getInFlightBytes(progress) / minimumBytesPerMillisecond;
+      resendTimeoutMilliseconds + getTransferMilliseconds(progress);
     if (
       isStalled && progress.mode === "replicate" && progress.inFlight.length > 0
     ) {
@@ -356,8 +362,15 @@
   }
 }
 
-function getInFlightBytes({ inFlight }: Progress): number {
-  return inFlight.reduce((sum, { bytes }) => sum + bytes, 0);
+function getInFlightBytes({ mode, inFlight }: Progress): number {
+  return mode === "snapshot"
+    ? snapshotChunkBytes
+    : inFlight.reduce((sum, { bytes }) => sum + bytes, 0);
+}
+
+/** Gets the time that what is in flight takes at the least throughput. */
+function getTransferMilliseconds(progress: Progress): number {
+  return getInFlightBytes(progress) / minimumBytesPerMillisecond;
 }
 
 /**
--- a/src/consensus/replication_test.ts
+++ b/src/consensus/replication_test.ts
@@ -17,6 +17,41 @@
   };
 }
 
+// Guards against parts of a snapshot that are sent again while they are on their way.
+test("a part of a snapshot is sent again only once it cannot arrive any more", () => {
+  let now = 0;
+  let sentCount = 0;
+  const snapshot = { ...emptySnapshotInfo, index: 10, term: 1 };
+  const replication = new Replication({
+    ownId: leader.id,
+    log: new EntryLog(snapshot),
+    getState: () => ({
+      now,
+      members: [leader, follower],
+      snapshot,
+      durableIndex: 10,
+      commitIndex: 10,
+      readRound: 0,
+      leaderSince: 0,
+    }),
+    send: (_to, { kind }) => sentCount += kind === "snapshotChunk" ? 1 : 0,
+    onResend: () => {},
+  });
+  replication.updateMembers();
+  const progress = replication.get(follower.id);
+  assert.ok(progress);
+  replication.onAppendResponse(progress, { isSuccess: false, index: 0 });
+  replication.replicate();
+  const advance = (milliseconds: number) => {
+    now += milliseconds;
+    replication.sendHeartbeats();
+    return sentCount;
+  };
+  assert.deepEqual([advance(0), advance(3000), advance(3000)], [1, 1, 2]);
+  replication.onDeliveryFailed(progress);
+  assert.deepEqual([advance(250), advance(1000)], [2, 3]);
+});
+
 /** Creates the replication of a log whose member holds the first entry only. */
 function start(entryCount: number) {
   let now = 0;
--- a/tests/support/simulated_control_group.ts
+++ b/tests/support/simulated_control_group.ts
@@ -361,7 +361,7 @@
     }
   }
 
-  #send({ storage }: Process, envelope: Envelope): void {
+  #send({ core, storage }: Process, envelope: Envelope): void {
     const { message, fromAddress, toAddress } = envelope;
     const sendableAt = this.machines
       .filter(({ address }) => address === fromAddress || address === toAddress)
@@ -375,10 +375,12 @@
       offset: message.offset,
       length: snapshotChunkBytes,
     });
-    if (chunk !== undefined) {
-      const filled = { ...envelope, message: { ...message, ...chunk } };
-      this.#inFlight.push({ envelope: filled, arrivesAt });
+    if (chunk === undefined) {
+      core.onDeliveryFailed(envelope);
+      return;
     }
+    const filled = { ...envelope, message: { ...message, ...chunk } };
+    this.#inFlight.push({ envelope: filled, arrivesAt });
   }
 
   #handleEvent(process: Process, event: CoreEvent): void {
