Send nodes away from an instance that cannot read the newest document

An instance that cannot parse an accepted document, because another release accepted it, went on with the one before, and stated that one as the newest to its nodes. They kept it for good, and took it for confirmed.

Such an instance is now outdated for the nodes of that environment: it states no revision and redirects them. A document is parsed once and not with each renewal. The test of a node that leaves such an instance fails without the check ("Condition not met: revision 2 arrives"). Where no instance can read the document, nodes go on with what they have, unconfirmed.

--- a/src/control/node_session_manager.ts
+++ b/src/control/node_session_manager.ts
@@ -134,6 +134,8 @@
     const { stateMachine, log } = this.#options;
     return {
       getAcceptedDocument: (environment) => this.#documents.get(environment),
+      isDocumentReadable: (environment) =>
+        this.#documents.isReadable(environment),
       getAvailability: () => this.#getAvailability(),
       getQuarantined: (environment) => this.#getQuarantined(environment),
       getSuspects: (environment) =>
--- a/src/control/parsed_document_cache.ts
+++ b/src/control/parsed_document_cache.ts
@@ -37,6 +37,12 @@
     this.#options = options;
   }
 
+  /** Reports whether this release can parse the current document. */
+  isReadable(environment: string): boolean {
+    const revision = this.#options.history.getCurrent(environment)?.revision;
+    return this.get(environment)?.revision === revision;
+  }
+
   /**
    * Gets the current document of an environment; parses it when its revision
    * is new.
--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -527,3 +527,20 @@
     "the document is confirmed once the instance has it",
   );
 });
+
+// Guards against nodes that keep a document because their instance cannot read
+// the one after it.
+test("a node leaves an instance that cannot read the newest document", async () => {
+  const instances = await startControl(2);
+  const [first, second] = instances;
+  assert.ok(first !== undefined && second !== undefined);
+  second.setAvailability("isolated");
+  instances.forEach((each) => acceptRevision(each, 1));
+  const node = startNode(getAddresses(instances), "n1", quickTiming);
+  await waitUntil(() => node.revisions.includes(1), "revision 1 arrives");
+  second.setAvailability("available");
+  first.isDocumentReadable = false;
+  acceptRevision(second, 2);
+  await waitUntil(() => node.revisions.includes(2), "revision 2 arrives");
+  assert.equal(node.session.getStatus().controlAddress, second.address);
+});
--- a/src/session_server/control_state.ts
+++ b/src/session_server/control_state.ts
@@ -29,6 +29,11 @@
    * Gets the highest confirmed revision, also while the instance is isolated.
    */
   getAcceptedDocument(environment: string): AcceptedDocument | undefined;
+  /**
+   * Reports whether the highest confirmed revision can be read, so that it is the
+   * accepted document.
+   */
+  isDocumentReadable(environment: string): boolean;
   getAvailability(): Availability;
   /** Gets all quarantined fingerprints. */
   getQuarantined(environment: string): readonly string[];
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -373,12 +373,16 @@
 
   /**
    * Gets the availability for a node. An instance that lacks the document of a node
-   * is outdated, even if it does not know that yet.
+   * is outdated, even if it does not know that yet, as is one that cannot read the
+   * newest document.
    */
   #getAvailabilityFor(environment: string, nodeRevision: number): Availability {
-    const availability = this.#options.state.getAvailability();
+    const { state } = this.#options;
+    const availability = state.getAvailability();
     const revision = this.#getParts(environment)?.accepted.revision ?? 0;
-    return availability === "available" && revision < nodeRevision
+    const isNewest = revision >= nodeRevision &&
+      state.isDocumentReadable(environment);
+    return availability === "available" && !isNewest
       ? "outdated"
       : availability;
   }
@@ -504,7 +508,7 @@
     }, this.#now());
     const { environment } = hello;
     this.#linkShares.addNode(session.nodeKey, hello);
-    this.#sendRenewAnswer(session, 0);
+    this.#sendRenewAnswer(session, { sequence: 0, availability });
     const parts = this.#getParts(environment);
     const isSent = parts !== undefined && this.#isAvailable() &&
       session.sendDocument(parts, createDocumentEncoder());
@@ -543,11 +547,22 @@
       hasLastShares: renew.answeredSequence >= session.linkSharesSequence,
       now: this.#now(),
     });
-    this.#sendRenewAnswer(session, renew.sequence);
+    const availability = this.#getAvailabilityFor(
+      session.hello.environment,
+      renew.revision,
+    );
+    this.#sendRenewAnswer(session, { sequence: renew.sequence, availability });
+    if (availability === "outdated") {
+      session.redirect(availability, this.#getReachableAddresses());
+    }
   }
 
-  #sendRenewAnswer(session: NodeSession, sequence: number): void {
-    const isAvailable = this.#isAvailable();
+  #sendRenewAnswer(
+    session: NodeSession,
+    options: { sequence: number; availability: Availability },
+  ): void {
+    const { sequence } = options;
+    const isAvailable = options.availability === "available";
     const parts = this.#getParts(session.hello.environment);
     const shares = this.#linkShares.updateShares(session.nodeKey, {
       isForced: sequence === 0,
--- a/tests/support/fake_control_instance.ts
+++ b/tests/support/fake_control_instance.ts
@@ -22,6 +22,7 @@
   readonly clearedSuspects: string[] = [];
   readonly #hostOptions: SessionHostOptions;
   availability: Availability = "available";
+  isDocumentReadable = true;
   peers: readonly PeerInstance[] = [];
   quarantined: readonly string[] = [];
   suspects: readonly string[] = [];
@@ -34,6 +35,7 @@
   ) {
     const state: ControlState = {
       getAcceptedDocument: (environment) => this.documents.get(environment),
+      isDocumentReadable: () => this.isDocumentReadable,
       getAvailability: () => this.availability,
       getQuarantined: () => this.quarantined,
       getSuspects: () => this.suspects,
