--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -280,8 +280,10 @@
   stateMachine: ControlStateMachine,
   log: ReplicatedLog,
 ): void {
-  const { isolated, role, failure, stateAgeMilliseconds } = log.getStatus();
+  const { isolated, outdated, role, failure, stateAgeMilliseconds } = log
+    .getStatus();
   metrics.gauge("control.isolated", isolated ? 1 : 0, {});
+  metrics.gauge("control.outdated", outdated ? 1 : 0, {});
   metrics.gauge("control.leader", role === "leader" ? 1 : 0, {});
   metrics.gauge("control.failed", failure === undefined ? 0 : 1, {});
   metrics.gauge("control.applied_index", stateMachine.index, {});
