--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -204,3 +204,21 @@
   assert.equal(revisions[0]?.revision, changes.revision);
   assert.ok(milliseconds <= readMilliseconds, `it took ${milliseconds} ms`);
 });
+
+// Guards against an instance that serves what its disk had before it restarted.
+test("a node gets no older document from an instance that has just started", async () => {
+  const { changes, behind } = await startWithSlowInstance();
+  await behind.stop("SIGKILL");
+  while (changes.revision < 4) {
+    await changes.apply();
+  }
+  behind.start();
+  await behind.waitUntilListening();
+  const getRevision = await startNode(behind);
+  const seen = new Set<number>();
+  await waitUntil(() => {
+    seen.add(getRevision());
+    return getRevision() > 0;
+  }, "the node has a document");
+  assert.deepEqual([...seen], [0, changes.revision]);
+});
