Send entries again at once to a member that has restarted

It now notices the new start of the member in its first response. A delivery that fails after its entries were acknowledged or sent anew starts nothing any more.

replication_test has both cases.

--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -473,11 +473,9 @@
   onDeliveryFailed({ toId, term, message }: Envelope): void {
     const progress = this.#replication.get(toId);
     if (
-      this.#role === "leader" && term === this.term &&
-      progress !== undefined &&
-      (message.kind === "append" || message.kind === "snapshotChunk")
+      this.#role === "leader" && term === this.term && progress !== undefined
     ) {
-      this.#replication.onDeliveryFailed(progress);
+      this.#replication.onDeliveryFailed(progress, message);
     }
   }
 
@@ -944,6 +942,12 @@
     if (this.#role !== "leader" || progress === undefined) {
       return undefined;
     }
+    if (progress.bootId !== envelope.fromBootId) {
+      if (progress.bootId !== "") {
+        this.#replication.onRestarted(progress);
+      }
+      progress.bootId = envelope.fromBootId;
+    }
     progress.lastContactAtMilliseconds = this.#monotonicNow;
     progress.isStartConfirmed = canVote &&
       this.#peerStates.hasConfirmedStart(envelope);
--- a/src/consensus/progress.ts
+++ b/src/consensus/progress.ts
@@ -24,6 +24,8 @@
    * `matchIndex` grew, or that a transfer was started or repeated.
    */
   resendTimerStartedAtMilliseconds: number;
+  /** Start of the member that sent the last response; empty before the first. */
+  bootId: string;
   /** Latest read round that the member echoed in a response. */
   readRound: number;
   /**
@@ -53,6 +55,7 @@
     inFlight: [],
     lastContactAtMilliseconds: -Infinity,
     resendTimerStartedAtMilliseconds: nowMilliseconds,
+    bootId: "",
     readRound: 0,
     isStartConfirmed: false,
     snapshotIndex: 0,
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -171,15 +171,34 @@
     }
   }
 
-  /** Sends entries again with the next heartbeats, or a part of a snapshot later. */
-  onDeliveryFailed(progress: Progress): void {
-    if (progress.mode === "snapshot") {
+  /**
+   * Sends entries again with the next heartbeats, or a part of a snapshot later.
+   * @param progress Progress of the member.
+   * @param message What was not delivered; ignored unless it is in flight.
+   */
+  onDeliveryFailed(progress: Progress, message: ConsensusMessage): void {
+    if (message.kind === "snapshotChunk" && progress.mode === "snapshot") {
       // The member may be down, and each attempt reads and encodes the part.
       progress.resendTimerStartedAtMilliseconds = this.#options.getState().now -
         getTransferMilliseconds(progress);
-    } else if (progress.mode === "replicate" && progress.inFlight.length > 0) {
+    }
+    if (message.kind === "append") {
+      const lastIndex = message.previousIndex + message.entries.length;
+      const isInFlight = progress.inFlight.some((each) =>
+        each.lastIndex === lastIndex
+      );
+      if (progress.mode === "replicate" && isInFlight) {
+        this.#setMode(progress, "probe", progress.matchIndex);
+      }
+    }
+  }
+
+  /** Sends again what a member may have lost when it restarted. */
+  onRestarted(progress: Progress): void {
+    if (progress.mode === "replicate") {
       this.#setMode(progress, "probe", progress.matchIndex);
     }
+    progress.resendTimerStartedAtMilliseconds = -Infinity;
   }
 
   /** Continues with appends after a member has installed the snapshot. */
--- a/src/consensus/replication_test.ts
+++ b/src/consensus/replication_test.ts
@@ -48,10 +48,29 @@
     return sentCount;
   };
   assert.deepEqual([advance(0), advance(3000), advance(3000)], [1, 1, 2]);
-  replication.onDeliveryFailed(progress);
+  replication.onDeliveryFailed(progress, {
+    kind: "snapshotChunk",
+    info: snapshot,
+    offset: 0,
+    data: new Uint8Array(),
+    isLast: false,
+  });
   assert.deepEqual([advance(250), advance(1000)], [2, 3]);
 });
 
+/** Creates an append of entries with consecutive indexes. */
+function createAppend(indexes: readonly number[]): ConsensusMessage {
+  return {
+    kind: "append",
+    previousIndex: (indexes[0] ?? 1) - 1,
+    previousTerm: 1,
+    entries: indexes.map(createEntry),
+    commitIndex: 1,
+    round: 0,
+    majorityAgeMilliseconds: 0,
+  };
+}
+
 /** Creates the replication of a log whose member holds the first entry only. */
 function start(entryCount: number) {
   let now = 0;
@@ -138,10 +157,30 @@
     },
     resent: [],
   },
+  {
+    name: "not because an earlier delivery failed",
+    run: ({ replication, progress, advance }) => {
+      replication.onDeliveryFailed(progress, createAppend([1]));
+      advance(250);
+      replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
+      replication.replicate();
+    },
+    resent: [],
+  },
+  {
+    name: "after the member restarted",
+    run: ({ replication, progress, advance }) => {
+      replication.onRestarted(progress);
+      advance(250);
+      replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
+      replication.replicate();
+    },
+    resent: [2, 3, 4],
+  },
   {
     name: "after their delivery failed",
     run: ({ replication, progress, advance }) => {
-      replication.onDeliveryFailed(progress);
+      replication.onDeliveryFailed(progress, createAppend([2]));
       advance(250);
       replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
       replication.replicate();
--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -80,32 +80,38 @@
   return environment?.revision ?? 0;
 }
 
+/** Starts a group with 12 ms to each instance, and applies a document. */
+async function startGroup() {
+  const group = await ControlGroup.start(3, {
+    link: { delayMilliseconds: 12 },
+  });
+  groups.push(group);
+  const leader = await group.waitForLeader();
+  const changes = new Changes(group, leader);
+  await changes.apply();
+  const index = group.instances.findIndex((each) => each !== leader);
+  const follower = group.instances[index];
+  const link = group.links[index];
+  assert.ok(follower !== undefined && link !== undefined);
+  return { group, leader, changes, follower, link };
+}
+
 // Guards against large entries that are sent again before they can arrive.
-test(
-  "large documents are acknowledged over long links, and an instance that was frozen catches up",
-  async () => {
-    const group = await ControlGroup.start(3, {
-      link: { delayMilliseconds: 12 },
-    });
-    groups.push(group);
-    const leader = await group.waitForLeader();
-    const changes = new Changes(group, leader);
+test("large documents are acknowledged over long links, and an instance that was frozen catches up", async () => {
+  const { group, changes, follower } = await startGroup();
+  assert.ok(follower.pid);
+  process.kill(follower.pid, "SIGSTOP");
+  while (changes.revision < 25) {
     await changes.apply();
-    const frozen = group.instances.find((each) => each !== leader);
-    assert.ok(frozen?.pid);
-    process.kill(frozen.pid, "SIGSTOP");
-    while (changes.revision < 25) {
-      await changes.apply();
-    }
-    const { revision } = changes;
-    process.kill(frozen.pid, "SIGCONT");
-    const end = performance.now() + catchUpMilliseconds;
-    while (await getRevision(group, frozen) < revision) {
-      assert.ok(performance.now() < end, `revision ${revision} is missing`);
-      await changes.apply();
-    }
-  },
-);
+  }
+  const { revision } = changes;
+  process.kill(follower.pid, "SIGCONT");
+  const end = performance.now() + catchUpMilliseconds;
+  while (await getRevision(group, follower) < revision) {
+    assert.ok(performance.now() < end, `revision ${revision} is missing`);
+    await changes.apply();
+  }
+});
 
 /**
  * Starts a node that knows only one control instance at first.
@@ -145,26 +151,16 @@
 
 /** Starts a group with nodes at a follower, then makes its link slow. */
 async function startWithSlowInstance() {
-  const group = await ControlGroup.start(3, {
-    link: { delayMilliseconds: 12 },
-  });
-  groups.push(group);
-  const leader = await group.waitForLeader();
-  const changes = new Changes(group, leader);
-  await changes.apply();
-  const index = group.instances.findIndex((each) => each !== leader);
-  const behind = group.instances[index];
-  const link = group.links[index];
-  assert.ok(behind !== undefined && link !== undefined);
+  const { group, leader, changes, follower, link } = await startGroup();
   const getRevisions = await Promise.all(
-    Array.from({ length: 4 }, () => startNode(behind)),
+    Array.from({ length: 4 }, () => startNode(follower)),
   );
   await waitUntil(
     () => getRevisions.every((each) => each() === 1),
     "all nodes have the first document",
   );
   link.bytesPerSecond = 150_000;
-  return { group, leader, changes, behind, getRevisions };
+  return { group, leader, changes, behind: follower, getRevisions };
 }
 
 // Guards against an instance that passes for current while it lacks changes.
