--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -376,7 +376,7 @@
       this.#logStatedRevision(statedRevision);
     }
     if (statedRevision > 0 && statedRevision < this.#revision) {
-      // The instance is behind. It may be of a release that does not know it.
+      // An instance of an earlier release does not redirect nodes when it is behind.
       this.#scheduleMove(this.#getMoveDelay(true));
     }
   }
