Use one least throughput for deliveries and for what is in flight

The deadline of a delivery and the time after which entries are sent again had each their own copy of the same throughput; changing one alone would send copies of what is still on its way, or wait for what has failed. Both use getTransferMilliseconds now.

Messages without entries counted as 128 bytes each, so that more than 512 of them in one delivery held back the entries behind them. They count as nothing now.

--- a/src/consensus/grpc_transport.ts
+++ b/src/consensus/grpc_transport.ts
@@ -22,6 +22,7 @@
 import { fromEnvelopeRecord, toEnvelopeRecord } from "./codec.ts";
 import { getEntrySize } from "./log_entry.ts";
 import type { Envelope } from "./message.ts";
+import { getTransferMilliseconds } from "./transfer_time.ts";
 import type {
   PeerIdentity,
   Transport,
@@ -69,12 +70,6 @@
  */
 const bulkDeliveryBytes = 512 * 1024;
 
-/** Throughput below which a delivery fails. */
-const minimumBytesPerMillisecond = 128;
-
-/** Approximate size of a message without entries or a part of a snapshot. */
-const signalBytes = 128;
-
 /** Bounds the memory for messages to an instance that does not respond. */
 const maximumQueueBytes = 16 * 1024 * 1024;
 const maximumQueuedSignals = 1024;
@@ -321,7 +316,7 @@
   }
 }
 
-/** A message with its approximate encoded size. */
+/** A message with the approximate size of its entries or part of a snapshot. */
 interface QueuedEnvelope {
   readonly envelope: Envelope;
   readonly bytes: number;
@@ -356,7 +351,7 @@
   enqueue(envelope: Envelope): void {
     const bytes = getPayloadSize(envelope);
     if (bytes === 0) {
-      this.#signals.push({ envelope, bytes: signalBytes });
+      this.#signals.push({ envelope, bytes });
       if (this.#signals.length > maximumQueuedSignals) {
         // The protocol repeats lost messages, so the oldest one can be dropped.
         this.#signals.shift();
@@ -451,7 +446,10 @@
         envelopes: batch.map(({ envelope }) => toEnvelopeRecord(envelope)),
       },
       this.#metadata,
-      { deadline: Date.now() + getDeliveryTimeoutMilliseconds(bytes) },
+      {
+        deadline: Date.now() + callTimeoutMilliseconds +
+          getTransferMilliseconds(bytes),
+      },
       (error, answer) => {
         this.#inFlight--;
         if (isLarge) {
@@ -472,9 +470,7 @@
 
   /** Reports lost payloads. Those behind them would not be accepted either. */
   #onFailed(batch: readonly QueuedEnvelope[]): void {
-    const payloads = batch.filter(({ envelope }) =>
-      getPayloadSize(envelope) > 0
-    );
+    const payloads = batch.filter(({ bytes }) => bytes > 0);
     if (payloads.length > 0) {
       payloads.forEach((each) =>
         this.#options.receiver.onDeliveryFailed(each.envelope)
@@ -528,8 +524,3 @@
 function getTotalBytes(batch: readonly QueuedEnvelope[]): number {
   return batch.reduce((total, { bytes }) => total + bytes, 0);
 }
-
-/** Gets the time in which a delivery must arrive, also over a slow link. */
-function getDeliveryTimeoutMilliseconds(bytes: number): number {
-  return callTimeoutMilliseconds + bytes / minimumBytesPerMillisecond;
-}
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -3,6 +3,7 @@
 import { getMajority, type Member } from "./member.ts";
 import type { ConsensusMessage } from "./message.ts";
 import { createProgress, type Progress } from "./progress.ts";
+import { getTransferMilliseconds } from "./transfer_time.ts";
 
 /** Maximum number of unacknowledged appends per member. */
 const maximumInFlight = 16;
@@ -13,7 +14,7 @@
 /** Entries by which a non-voter may be behind when it is promoted. */
 const maximumPromotionLagEntries = 256;
 
-/** Size of unacknowledged appends per member, unless a single entry exceeds it. */
+/** Size of unacknowledged appends at which a member gets no further one. */
 const maximumInFlightBytes = 1024 * 1024;
 
 /** Time without progress after which a leader sends entries again. */
@@ -22,9 +23,6 @@
 /** Size of a part of a snapshot; only the last part is smaller. */
 export const snapshotChunkBytes = 512 * 1024;
 
-/** Throughput below which what is in flight is taken for lost. */
-const minimumBytesPerMillisecond = 128;
-
 /** State of the core that replication depends on. */
 export interface ReplicationState {
   readonly now: number;
@@ -180,7 +178,7 @@
     if (message.kind === "snapshotChunk" && progress.mode === "snapshot") {
       // The member may be down, and each attempt reads and encodes the part.
       progress.resendTimerStartedAtMilliseconds = this.#options.getState().now -
-        getTransferMilliseconds(progress);
+        getTransferMilliseconds(getInFlightBytes(progress));
     }
     if (message.kind === "append") {
       const lastIndex = message.previousIndex + message.entries.length;
@@ -266,7 +264,8 @@
     const { log } = this.#options;
     const { now } = this.#options.getState();
     const isStalled = now - progress.resendTimerStartedAtMilliseconds >
-      resendTimeoutMilliseconds + getTransferMilliseconds(progress);
+      resendTimeoutMilliseconds +
+        getTransferMilliseconds(getInFlightBytes(progress));
     if (
       isStalled && progress.mode === "replicate" && progress.inFlight.length > 0
     ) {
@@ -387,11 +386,6 @@
     : inFlight.reduce((sum, { bytes }) => sum + bytes, 0);
 }
 
-/** Gets the time that what is in flight takes at the least throughput. */
-function getTransferMilliseconds(progress: Progress): number {
-  return getInFlightBytes(progress) / minimumBytesPerMillisecond;
-}
-
 /**
  * Reports whether a rejection is explained by appends that have not arrived yet.
  * @param progress Progress of the member.
