Count refused and redirected sessions, and show outdated instances

Nodes that an instance did not accept or sent away had a counter nowhere, and `dogwoodwalk status` showed an outdated instance like any other. Adds sessions.refused and sessions.redirected by reason, and OUTDATED to the status. Each has a test.

--- a/src/command_line/fleet_commands.ts
+++ b/src/command_line/fleet_commands.ts
@@ -190,7 +190,9 @@
   return [
     `instance ${address}: ${role}, term ${term}, leader ${
       leaderAddress || "none"
-    }, index ${appliedIndex}${instance.isolated ? ", ISOLATED" : ""}`,
+    }, index ${appliedIndex}${instance.isolated ? ", ISOLATED" : ""}${
+      instance.outdated ? ", OUTDATED" : ""
+    }`,
     ...formatMembers(instance.members),
   ];
 }
--- a/src/control/node_session_manager.ts
+++ b/src/control/node_session_manager.ts
@@ -89,6 +89,7 @@
       state: this.#createState(),
       clock: systemClock,
       log: eventLog,
+      metrics: options.metrics,
       interceptors,
     });
     this.#availability = this.#getAvailability();
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -350,6 +350,7 @@
         term: status.term,
         leaderAddress: status.leader?.address ?? "",
         isolated: status.isolated,
+        outdated: status.outdated,
         members: [...status.members],
         appliedIndex: stateMachine.index,
         digest: stateMachine.getDigest(),
--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -205,12 +205,17 @@
     return [...this.#views.keys()];
   }
 
-  /** Asks the node once to move to another instance. */
-  redirect(reason: string, controlAddresses: readonly string[]): void {
-    if (!this.#isRedirected) {
-      this.#isRedirected = true;
-      this.send(createRedirect(reason, controlAddresses));
+  /**
+   * Asks the node once to move to another instance.
+   * @returns Whether it was asked now.
+   */
+  redirect(reason: string, controlAddresses: readonly string[]): boolean {
+    if (this.#isRedirected) {
+      return false;
     }
+    this.#isRedirected = true;
+    this.send(createRedirect(reason, controlAddresses));
+    return true;
   }
 
   /** Allows another redirect to be sent. */
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -6,7 +6,13 @@
   status,
 } from "@grpc/grpc-js";
 import { match } from "ts-pattern";
-import type { Clock, Log, LogFields } from "../common/mod.ts";
+import {
+  type Clock,
+  disabledMetrics,
+  type Log,
+  type LogFields,
+  type Metrics,
+} from "../common/mod.ts";
 import {
   Directory,
   getNodeKey,
@@ -60,6 +66,7 @@
   readonly state: ControlState;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics?: Metrics;
   /** Interceptors that add the token to each call to another instance. */
   readonly interceptors?: readonly Interceptor[];
   readonly leaseMilliseconds?: number;
@@ -108,6 +115,7 @@
  */
 export class SessionHost {
   readonly #options: SessionHostOptions;
+  readonly #metrics: Metrics;
   readonly #directory: Directory;
   readonly #exchange: InstanceExchange;
   readonly #linkRounds: LinkBudgetRounds;
@@ -123,6 +131,7 @@
 
   constructor(options: SessionHostOptions) {
     this.#options = options;
+    this.#metrics = options.metrics ?? disabledMetrics;
     this.#directory = new Directory({
       instanceId: options.instanceId,
       boot: options.boot,
@@ -243,7 +252,7 @@
     }
     const addresses = this.#getReachableAddresses();
     for (const session of this.#sessions.values()) {
-      session.redirect(availability, addresses);
+      this.#redirect(session, availability, addresses);
     }
   }
 
@@ -336,6 +345,16 @@
     return this.#exchange.getReachablePeers().map(({ address }) => address);
   }
 
+  #redirect(
+    session: NodeSession,
+    reason: string,
+    addresses: readonly string[],
+  ): void {
+    if (session.redirect(reason, addresses)) {
+      this.#metrics.increment("sessions.redirected", { reason });
+    }
+  }
+
   /**
    * Asks some nodes to move when this instance has many more sessions than the
    * others, for example after another instance restarted.
@@ -363,7 +382,7 @@
     );
     for (const session of [...this.#sessions.values()].slice(0, moveCount)) {
       session.resetRedirect();
-      session.redirect("uneven", addresses);
+      this.#redirect(session, "uneven", addresses);
     }
   }
 
@@ -473,6 +492,7 @@
       availability === "stopping" ||
       (availability !== "available" && !hello.acceptsIsolated)
     ) {
+      this.#metrics.increment("sessions.refused", { reason: availability });
       stream.write({
         formatVersion,
         message: createRedirect(
@@ -553,7 +573,7 @@
     );
     this.#sendRenewAnswer(session, { sequence: renew.sequence, availability });
     if (availability === "outdated") {
-      session.redirect(availability, this.#getReachableAddresses());
+      this.#redirect(session, availability, this.#getReachableAddresses());
     }
   }
 
--- a/src/session_server/session_host_test.ts
+++ b/src/session_server/session_host_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { after, test } from "node:test";
+import { disabledMetrics } from "../common/mod.ts";
 import { parseDocument } from "../document/mod.ts";
 import {
   type FakeControlInstance,
@@ -184,3 +185,31 @@
   const request = { environment: "trial", targetId: "n1-target" };
   assert.equal(control.sessionHost.drain(request).kind, "unknown-target");
 });
+
+test("refused and redirected sessions are counted by reason", async () => {
+  const counts = new Map<string, number>();
+  const [control] = await startFakeControlInstances(1, {
+    metrics: {
+      ...disabledMetrics,
+      increment: (name, { reason }) => {
+        const key = `${name} ${reason}`;
+        counts.set(key, (counts.get(key) ?? 0) + 1);
+      },
+    },
+  });
+  assert.ok(control !== undefined);
+  after(() => control.kill());
+  control.setAvailability("outdated");
+  const node = startNode(control, { nodeId: "n1" });
+  await waitUntil(
+    () => node.session.getStatus().connected,
+    "the node accepts an outdated instance when there is no other",
+  );
+  control.setAvailability("available");
+  control.setAvailability("isolated");
+  control.sessionHost.onAvailabilityChanged();
+  assert.deepEqual([...counts], [
+    ["sessions.refused outdated", 1],
+    ["sessions.redirected isolated", 1],
+  ]);
+});
--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -23,10 +23,7 @@
 
 /** Time between two changes. */
 const changeIntervalMilliseconds = 313;
-/**
- * Changes that may be acknowledged, at least 2.5 s long, before one that was
- * acknowledged is in force at every node.
- */
+/** Changes after which an acknowledged one must be in force; they take 2.5 s. */
 const maximumChangesBehind = 8;
 /** Changes that an instance misses, and in which it has to catch up again. */
 const missedChanges = 24;
@@ -152,7 +149,7 @@
 
 /** Starts a group with nodes at a follower, then makes its link slow. */
 async function startWithSlowInstance() {
-  const { changes, follower, link } = await startGroup();
+  const { group, changes, follower, link } = await startGroup();
   const getRevisions = await Promise.all(
     Array.from({ length: 4 }, () => startNode(follower)),
   );
@@ -161,7 +158,7 @@
     "all nodes have the first document",
   );
   link.bytesPerSecond = 150_000;
-  return { changes, behind: follower, getRevisions };
+  return { group, changes, behind: follower, getRevisions };
 }
 
 // Guards against an instance that passes for current while it lacks changes.
@@ -181,7 +178,7 @@
 
 // Guards against a read that waits as long as its instance is behind.
 test("a read at an instance that is behind is refused in time", async () => {
-  const { changes, behind } = await startWithSlowInstance();
+  const { group, changes, behind } = await startWithSlowInstance();
   for (let count = 0; count < 10; count++) {
     await changes.apply();
   }
@@ -199,6 +196,10 @@
     )
   );
   assert.equal(reason, "outdated");
+  const { text } = await group.runCommand("status", {
+    addresses: [behind.listenAddress],
+  });
+  assert.match(text, /OUTDATED/);
 });
 
 // Guards against an instance that serves what its disk had before it restarted.
