Name the repeated steps of two tables of tests

The cases of an outdated state and of entries that are sent again repeated the same messages and steps.

--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -859,6 +859,14 @@
   readonly commitIndex: number;
 }
 
+const current: LeaderMessage = {
+  atMilliseconds: 10,
+  entriesTo: 2,
+  commitIndex: 2,
+};
+const missing: LeaderMessage = { atMilliseconds: 60, commitIndex: 3 };
+const outdated: LeaderMessage = { atMilliseconds: 220, commitIndex: 3 };
+
 const outdatedCases: {
   name: string;
   messages: LeaderMessage[];
@@ -867,40 +875,31 @@
   { name: "just after the start", messages: [], isOutdated: true },
   {
     name: "once it has applied what the leader committed",
-    messages: [{ atMilliseconds: 10, entriesTo: 2, commitIndex: 2 }],
+    messages: [current],
     isOutdated: false,
   },
   {
     name: "while the leader may not know all that is committed",
-    messages: [{ atMilliseconds: 10, entriesTo: 2, commitIndex: 1 }],
+    messages: [{ ...current, commitIndex: 1 }],
     isOutdated: true,
   },
   {
     name: "when a committed entry has been missing for a short time",
-    messages: [
-      { atMilliseconds: 10, entriesTo: 2, commitIndex: 2 },
-      { atMilliseconds: 60, commitIndex: 3 },
-      { atMilliseconds: 200, commitIndex: 3 },
-    ],
+    messages: [current, missing, { ...outdated, atMilliseconds: 200 }],
     isOutdated: false,
   },
   {
     name: "when a committed entry has been missing for long",
-    messages: [
-      { atMilliseconds: 10, entriesTo: 2, commitIndex: 2 },
-      { atMilliseconds: 60, commitIndex: 3 },
-      { atMilliseconds: 220, commitIndex: 3 },
-    ],
+    messages: [current, missing, outdated],
     isOutdated: true,
   },
   {
     name: "once the missing entry has arrived",
-    messages: [
-      { atMilliseconds: 10, entriesTo: 2, commitIndex: 2 },
-      { atMilliseconds: 60, commitIndex: 3 },
-      { atMilliseconds: 220, commitIndex: 3 },
-      { atMilliseconds: 230, entriesTo: 3, commitIndex: 3 },
-    ],
+    messages: [current, missing, outdated, {
+      atMilliseconds: 230,
+      entriesTo: 3,
+      commitIndex: 3,
+    }],
     isOutdated: false,
   },
 ];
--- a/src/consensus/replication_test.ts
+++ b/src/consensus/replication_test.ts
@@ -106,17 +106,24 @@
   const takeEntryIndexes = () =>
     sent.splice(0).flatMap(({ entries }) => entries.map(({ index }) => index));
   const firstIndexes = takeEntryIndexes();
+  /** Advances the time, then sends heartbeats and what is due. */
+  const advance = (milliseconds: number) => {
+    now += milliseconds;
+    replication.sendHeartbeats();
+    replication.replicate();
+    return sent;
+  };
   return {
     replication,
     progress,
     firstIndexes,
     takeEntryIndexes,
-    /** Advances the time, then sends heartbeats and what is due. */
-    advance: (milliseconds: number) => {
-      now += milliseconds;
-      replication.sendHeartbeats();
+    advance,
+    /** Advances the time; the member then states that it holds the first entry. */
+    answerProbe: (milliseconds: number) => {
+      advance(milliseconds);
+      replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
       replication.replicate();
-      return sent;
     },
   };
 }
@@ -159,40 +166,32 @@
   },
   {
     name: "not because an earlier delivery failed",
-    run: ({ replication, progress, advance }) => {
+    run: ({ replication, progress, answerProbe }) => {
       replication.onDeliveryFailed(progress, createAppend([1]));
-      advance(250);
-      replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
-      replication.replicate();
+      answerProbe(250);
     },
     resent: [],
   },
   {
     name: "after the member restarted",
-    run: ({ replication, progress, advance }) => {
+    run: ({ replication, progress, answerProbe }) => {
       replication.onRestarted(progress);
-      advance(250);
-      replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
-      replication.replicate();
+      answerProbe(250);
     },
     resent: [2, 3, 4],
   },
   {
     name: "after their delivery failed",
-    run: ({ replication, progress, advance }) => {
+    run: ({ replication, progress, answerProbe }) => {
       replication.onDeliveryFailed(progress, createAppend([2]));
-      advance(250);
-      replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
-      replication.replicate();
+      answerProbe(250);
     },
     resent: [2, 3, 4],
   },
   {
     name: "after no progress for longer than a slow link takes",
-    run: ({ replication, progress, advance }) => {
-      advance(12_000);
-      replication.onAppendResponse(progress, { isSuccess: true, index: 1 });
-      replication.replicate();
+    run: ({ answerProbe }) => {
+      answerProbe(12_000);
     },
     resent: [2, 3, 4],
   },
