Log withheld documents, nodes that lack one, and failed connection attempts

An instance that sent no document left no line, nor did a failed connection attempt of a node, and no line gave the time without a session.

Change: 'document withheld' and documents.withheld by reason; 'node behind' and sessions.node_behind, with the cause not-sent, waiting or not-applied (a renewal that crossed the document is left out: the node says which answer it has); 'control attempt failed' with the reason; lostMilliseconds and acceptsIsolated in 'control-connected', and a histogram of the time without a session. No decision changes.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -187,6 +187,8 @@
   readonly #controlAddresses: ControlAddresses;
   /** Address of the session that was lost last. */
   #lastLostAddress: string | undefined;
+  /** Monotonic time at which the session was lost or, before the first one, started. */
+  #lostAt: number | undefined;
   #candidates: string[] = [];
   #acceptsIsolated = false;
   #connectionAttemptTimer: NodeJS.Timeout | undefined;
@@ -218,6 +220,7 @@
     this.#random = options.random ?? Math.random;
     this.#announcedTargets = new AnnouncedTargets(this.#clock);
     this.#controlAddresses = new ControlAddresses(options.controlAddresses);
+    this.#lostAt = this.#clock.monotonicMilliseconds();
     this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds / 4);
   }
 
@@ -447,7 +450,7 @@
     });
     this.#connectionAttempts.add(connection);
     setTimeout(
-      () => this.#onConnectionAttemptFailed(connection),
+      () => this.#onConnectionAttemptFailed(connection, "no answer"),
       this.#options.connectTimeoutMilliseconds,
     ).unref();
     this.#connectionAttemptTimer = setTimeout(
@@ -456,9 +459,16 @@
     );
   }
 
-  #onConnectionAttemptFailed(connection: SessionConnection): void {
+  #onConnectionAttemptFailed(
+    connection: SessionConnection,
+    reason: string,
+  ): void {
     if (this.#connectionAttempts.delete(connection)) {
       connection.close();
+      this.#options.log?.info("control attempt failed", {
+        address: connection.address,
+        reason,
+      });
       this.#tryNextCandidate();
     }
   }
@@ -521,9 +531,7 @@
     this.#currentConnection = connection;
     this.#failedConnectionCycles = 0;
     previous?.close();
-    this.#options.log?.info("control-connected", {
-      address: connection.address,
-    });
+    this.#logConnected(connection);
     if (connection.sessionSequence !== this.#sessionSequence) {
       // Another instance received a later hello, which control would treat as
       // the newer session.
@@ -546,6 +554,26 @@
     this.#options.onConnected?.();
   }
 
+  #logConnected({ address }: SessionConnection): void {
+    const lostAt = this.#lostAt;
+    this.#lostAt = undefined;
+    const lostMilliseconds = lostAt === undefined
+      ? undefined
+      : this.#clock.monotonicMilliseconds() - lostAt;
+    this.#options.log?.info("control-connected", {
+      address,
+      lostMilliseconds: lostMilliseconds && Math.round(lostMilliseconds),
+      acceptsIsolated: this.#acceptsIsolated,
+    });
+    if (lostMilliseconds !== undefined) {
+      this.#options.metrics?.observe(
+        "control.session_lost_milliseconds",
+        lostMilliseconds,
+        {},
+      );
+    }
+  }
+
   #onConnectionEnded(connection: SessionConnection, reason: string): void {
     if (connection === this.#currentConnection) {
       if (this.#isStopped) {
@@ -554,7 +582,7 @@
       }
       this.#onSessionLost(reason);
     } else {
-      this.#onConnectionAttemptFailed(connection);
+      this.#onConnectionAttemptFailed(connection, reason);
     }
   }
 
@@ -572,6 +600,7 @@
     });
     this.#currentConnection?.close();
     this.#currentConnection = undefined;
+    this.#lostAt = this.#clock.monotonicMilliseconds();
     clearTimeout(this.#renewTimer);
     this.#confirmation.stop();
     this.#linkByteCounter.onSessionLost();
@@ -640,7 +669,10 @@
         this.#activateConnection(connection);
       } else {
         // The instance did not accept the hello, for example with a redirect.
-        this.#onConnectionAttemptFailed(connection);
+        const reason = message?.$case === "redirect"
+          ? message.redirect.refusal?.reason
+          : message?.$case;
+        this.#onConnectionAttemptFailed(connection, reason ?? "unknown");
         return;
       }
     }
--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -27,6 +27,15 @@
   options: { service: string; isPartKnown: boolean },
 ) => EncodedMessage;
 
+/** Why a node lacks a document that its instance has. */
+export type MissingDocumentCause =
+  /** It was not sent to the node. */
+  | "not-sent"
+  /** An earlier document is still being written to the stream. */
+  | "waiting"
+  /** The node has received it, and does not report it as in force. */
+  | "not-applied";
+
 /** Session of a node: its stream, and the state that was sent to the node. */
 export class NodeSession {
   readonly stream: SessionStream;
@@ -39,7 +48,11 @@
   readonly #helloDigests: Map<string, string>;
   /** Sequence of the renewal whose answer last contained link shares. */
   linkSharesSequence = 0;
+  /** Sequence of the renewal that was answered last. */
+  answeredSequence = 0;
   #sentRevision: number;
+  /** Value of `answeredSequence` when the last document was sent. */
+  #documentSequence = 0;
   #partHash: string;
   #isRedirected = false;
   #controlAddresses = "";
@@ -113,10 +126,30 @@
       },
     );
     this.#sentRevision = revision;
+    this.#documentSequence = this.answeredSequence;
     this.#partHash = hash;
     return true;
   }
 
+  /**
+   * Gets why the node lacks a document.
+   * @param document Its revision, and the sequence of the last answer that the
+   * node has received.
+   * @returns The cause; `undefined` while the document may be on its way.
+   */
+  getMissingCause(
+    document: { revision: number; receivedSequence: number },
+  ): MissingDocumentCause | undefined {
+    if (this.#sentRevision < document.revision) {
+      return this.#isSendingDocument ? "waiting" : "not-sent";
+    }
+    // The stream keeps the order of messages, so the node has received what was
+    // sent before an answer that it has.
+    return document.receivedSequence > this.#documentSequence
+      ? "not-applied"
+      : undefined;
+  }
+
   /**
    * Sends the changes of a view since it was last sent.
    * @param service The service.
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -191,7 +191,18 @@
    */
   onDocumentAccepted(environment: string): void {
     const parts = this.#getParts(environment);
-    if (parts === undefined || !this.#isAvailable()) {
+    if (parts === undefined) {
+      return;
+    }
+    const availability = this.#options.state.getAvailability();
+    if (availability !== "available") {
+      this.#options.log.info("document withheld", {
+        environment,
+        ...describeDocument(parts.accepted),
+        availability,
+        sessions: this.#sessions.size,
+      });
+      this.#metrics.increment("documents.withheld", { reason: availability });
       return;
     }
     const encode = createDocumentEncoder();
@@ -571,12 +582,35 @@
       session.hello.environment,
       renew.revision,
     );
+    this.#checkNodeRevision(session, renew);
     this.#sendRenewAnswer(session, { sequence: renew.sequence, availability });
     if (availability === "outdated") {
       this.#redirect(session, availability, this.#getReachableAddresses());
     }
   }
 
+  /** Logs that a node lacks a document, unless it may still be on its way. */
+  #checkNodeRevision(session: NodeSession, renew: Renew): void {
+    const parts = this.#getParts(session.hello.environment);
+    if (parts === undefined || renew.revision >= parts.accepted.revision) {
+      return;
+    }
+    const cause = session.getMissingCause({
+      revision: parts.accepted.revision,
+      receivedSequence: renew.answeredSequence,
+    });
+    if (cause !== undefined) {
+      this.#options.log.warn("node behind", {
+        node: session.hello.nodeId,
+        nodeRevision: renew.revision,
+        ...describeDocument(parts.accepted),
+        cause,
+        availability: this.#options.state.getAvailability(),
+      });
+      this.#metrics.increment("sessions.node_behind", { cause });
+    }
+  }
+
   #sendRenewAnswer(
     session: NodeSession,
     options: { sequence: number; availability: Availability },
@@ -590,6 +624,7 @@
     if (shares !== undefined) {
       session.linkSharesSequence = sequence;
     }
+    session.answeredSequence = sequence;
     session.send({
       $case: "renewAnswer",
       renewAnswer: {
