Show four ways in which a node keeps an old document

Callers were handled by a route that had been replaced seconds before. These tests fail on this code, 3 of 3 plays each, and are listed in KNOWN-RED.txt until their causes are fixed:

- late_document_test, on real processes: a control instance that receives nothing from the others accepts a node that finds no other one.
In 2 plays the node had no document after 30 s, because nothing asks it to leave; in 1 it got revision 1 after 2 had been acknowledged, because the instance passed for current as soon as one message reached it.
- isolated_control_test: the same without processes, for a node in a session.
- cut_off_node_test, with a real control process: after a cut, the node was back after 3.3 to 3.6 s, beyond the contact time of 3 s.
- session_host_test: a document that was withheld for a moment is never sent.

Ruled out: that the first one needs a frozen process. With the others frozen for some seconds the test passed in 2 of 2 plays, since the isolated instance was available for 1.3 s and redirected the node as it became isolated again.

--- a/src/session_server/session_host_test.ts
+++ b/src/session_server/session_host_test.ts
@@ -64,6 +64,27 @@
   );
 });
 
+// Guards against a document that is withheld because the instance is unavailable for a
+// moment, and that nothing sends later.
+test(
+  "nodes get a document that was accepted while its instance was unavailable between two checks",
+  { todo: "see KNOWN-RED.txt" },
+  async () => {
+    assert.ok(document !== undefined);
+    const [control] = await startFakeControlInstances(1);
+    assert.ok(control !== undefined);
+    after(() => control.kill());
+    control.acceptDocument("trial", { revision: 1, digest: "d1", document });
+    const node = startNode(control, { nodeId: "brief" });
+    await waitUntil(() => node.revisions.includes(1), "revision 1 arrives");
+    // Without `onAvailabilityChanged`, as no check has seen the change.
+    control.availability = "outdated";
+    control.acceptDocument("trial", { revision: 2, digest: "d2", document });
+    control.availability = "available";
+    await waitUntil(() => node.revisions.includes(2), "revision 2 arrives");
+  },
+);
+
 // Nodes connect to an instance that has no document yet. If the instance reads
 // the document before `onDocumentAccepted` takes effect, for a renewal or while
 // it is isolated, nodes must still get the views of the services that they may
--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -7,16 +7,14 @@
 import { credentials, Metadata } from "@grpc/grpc-js";
 import { OperatorClient } from "../src/protocol/generated/operator.ts";
 import { ControlGroup, type ControlProcess } from "./support/control_group.ts";
-import { getFreePorts } from "./support/free_ports.ts";
-import { ProcessGroup } from "./support/process_group.ts";
+import { NodeProcesses } from "./support/node_processes.ts";
 import { waitUntil } from "./support/wait_until.ts";
 
 const folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-"));
 const groups: ControlGroup[] = [];
-const nodeProcesses = new ProcessGroup();
-let nodeCount = 0;
+const nodes = new NodeProcesses();
 after(async () => {
-  await nodeProcesses.stopAll();
+  await nodes.stop();
   await Promise.all(groups.map((each) => each.stop()));
   rmSync(folder, { recursive: true });
 });
@@ -111,63 +109,27 @@
   }
 });
 
-/**
- * Starts a node that knows only one control instance at first.
- * @returns A function that gets the revision in force at the node.
- */
-async function startNode(
-  { address }: ControlProcess,
-): Promise<() => number> {
-  const name = `n${nodeCount++}`;
-  const [outside, node, loopback] = await getFreePorts(3);
-  const file = join(folder, `${name}.toml`);
-  writeFileSync(
-    file,
-    `node_id = "${name}"
-environment = "trial"
-service = "treasury"
-region = "Muntenia"
-availability_zone = "muntenia-a"
-outside = "127.0.0.1:${outside}"
-node = "127.0.0.1:${node}"
-loopback = "127.0.0.1:${loopback}"
-control_addresses = ["${address}"]
-`,
-  );
-  const { outputLines } = nodeProcesses.start(
-    name,
-    "src/bin/dogwoodwalk_node.js",
-    { arguments: [file] },
-  );
-  return () => {
-    const line = outputLines.findLast((each) =>
-      each.includes("document in force")
-    );
-    return Number(/ revision=(\d+)/.exec(line ?? "")?.[1] ?? 0);
-  };
-}
-
 /** Starts a group with nodes at a follower, then makes its link slow. */
 async function startWithSlowInstance() {
   const { group, changes, follower, link } = await startGroup();
-  const getRevisions = await Promise.all(
-    Array.from({ length: 4 }, () => startNode(follower)),
+  const nodesBehind = await Promise.all(
+    Array.from({ length: 4 }, () => nodes.start([follower.address])),
   );
   await waitUntil(
-    () => getRevisions.every((each) => each() === 1),
+    () => nodesBehind.every((each) => each.getRevision() === 1),
     "all nodes have the first document",
   );
   link.bytesPerSecond = 150_000;
-  return { group, changes, behind: follower, getRevisions };
+  return { group, changes, behind: follower, nodesBehind };
 }
 
 // Guards against an instance that passes for current while it lacks changes.
 test("changes are in force in time at nodes whose control instance is behind", async () => {
-  const { changes, getRevisions } = await startWithSlowInstance();
+  const { changes, nodesBehind } = await startWithSlowInstance();
   for (let count = 0; count < 25; count++) {
     await changes.apply();
     const { revision } = changes;
-    const late = getRevisions.map((each) => each())
+    const late = nodesBehind.map((each) => each.getRevision())
       .filter((each) => each < revision - maximumChangesBehind);
     assert.deepEqual(late, [], `revisions in force at ${revision}`);
     await new Promise((resolve) =>
@@ -211,11 +173,11 @@
   }
   behind.start();
   await behind.waitUntilListening();
-  const getRevision = await startNode(behind);
+  const node = await nodes.start([behind.address]);
   const seen = new Set<number>();
   await waitUntil(() => {
-    seen.add(getRevision());
-    return getRevision() > 0;
+    seen.add(node.getRevision());
+    return node.getRevision() > 0;
   }, "the node has a document");
   assert.deepEqual([...seen], [0, changes.revision]);
 });
--- a/tests/support/slow_link.ts
+++ b/tests/support/slow_link.ts
@@ -13,10 +13,23 @@
   readonly delayMilliseconds: number;
 }
 
+/**
+ * Times from a connection request that is lost to those by which TCP repeats it, in
+ * milliseconds.
+ */
+const repeatedRequestDelays = [1000, 3000, 7000];
+
 /** Forwards TCP connections with the delay and the throughput of a long link. */
 export class SlowLink {
   /** Throughput of each direction of a connection. */
   bytesPerSecond = Infinity;
+  /**
+   * Whether everything is lost. A connection that loses bytes is not used again; one
+   * that is opened meanwhile is forwarded when TCP would repeat its request.
+   */
+  isCut = false;
+  /** Number of connections that were opened. */
+  connectionCount = 0;
   readonly #options: SlowLinkOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
@@ -25,9 +38,18 @@
     this.#options = options;
     const [host, port] = options.target.split(":");
     this.#server = createServer((incoming) => {
-      const outgoing = createConnection({ host, port: Number(port) });
-      this.#forward(incoming, outgoing);
-      this.#forward(outgoing, incoming);
+      this.connectionCount++;
+      this.#sockets.add(incoming);
+      const connect = () => {
+        const outgoing = createConnection({ host, port: Number(port) });
+        this.#forward(incoming, outgoing);
+        this.#forward(outgoing, incoming);
+      };
+      if (this.isCut) {
+        this.#repeatRequest(connect);
+      } else {
+        connect();
+      }
     });
   }
 
@@ -44,9 +66,22 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
+  #repeatRequest(connect: () => void): void {
+    let isConnected = false;
+    for (const delay of repeatedRequestDelays) {
+      setTimeout(() => {
+        if (!isConnected && !this.isCut) {
+          isConnected = true;
+          connect();
+        }
+      }, delay).unref();
+    }
+  }
+
   #forward(from: Socket, to: Socket): void {
     const { delayMilliseconds } = this.#options;
     let isFreeAt = 0;
+    let hasLostBytes = false;
     this.#sockets.add(from);
     const runLater = (run: () => void, bytes: number) => {
       isFreeAt = Math.max(isFreeAt, performance.now()) +
@@ -57,6 +92,10 @@
       return time;
     };
     from.on("data", (data) => {
+      hasLostBytes ||= this.isCut;
+      if (hasLostBytes) {
+        return;
+      }
       const time = runLater(() => to.write(data), data.length);
       if (time > 2 * delayMilliseconds) {
         from.pause();
@@ -66,7 +105,9 @@
     from.on("error", () => {});
     from.on("close", () => {
       this.#sockets.delete(from);
-      runLater(() => to.destroy(), 0);
+      if (!this.isCut) {
+        runLater(() => to.destroy(), 0);
+      }
     });
   }
 }
