Report a document as in force only once it is applied

A node that failed to apply a document reported it as in force. It handled calls by the one before, and control never sent it again.

Cause: the session recorded the revision and the part before it passed them on, so an error behind that left the node's report ahead of its state, and nothing compares the two.

Evidence: the new case of damaged_document_test failed before (nothing within 30 s) and passes now.

Change: the revision is recorded after the document is applied. An error ends the session, so that the next hello asks for the document, as for a damaged one; it has a log line and documents.not_applied.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -773,13 +773,24 @@
       this.#onSessionLost("the document is damaged");
       return;
     }
+    try {
+      this.#options.onDocument({
+        revision: update.revision,
+        part: part.bytes,
+        sourceVersion: update.sourceVersion,
+      });
+    } catch (error) {
+      this.#options.log?.error("document not applied", {
+        revision: update.revision,
+        sourceVersion: update.sourceVersion || undefined,
+        message: error instanceof Error ? error.message : String(error),
+      });
+      this.#options.metrics?.increment("documents.not_applied", {});
+      this.#onSessionLost("the document could not be applied");
+      return;
+    }
     this.#documentPart = part;
     this.#revision = update.revision;
-    this.#options.onDocument({
-      revision: update.revision,
-      part: part.bytes,
-      sourceVersion: update.sourceVersion,
-    });
     this.#renew();
   }
 
--- a/src/control_client/damaged_document_test.ts
+++ b/src/control_client/damaged_document_test.ts
@@ -1,33 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { deflateRawSync } from "node:zlib";
-import {
-  Server,
-  ServerCredentials,
-  type ServerDuplexStream,
-} from "@grpc/grpc-js";
+import { ScriptedSessionServer } from "../../tests/support/scripted_session_server.ts";
 import { SessionNode } from "../../tests/support/session_node.ts";
 import { waitUntil } from "../../tests/support/wait_until.ts";
 import { getBytesHash } from "../common/mod.ts";
-import { formatVersion } from "../protocol/format_version.ts";
-import {
-  type ControlMessage,
-  type DocumentUpdate,
-  type NodeMessage,
-  type RenewAnswer,
-  SessionService,
-} from "../protocol/generated/session.ts";
+import type { DocumentUpdate } from "../protocol/generated/session.ts";
 
 const part = Buffer.from("a part of a document");
-const renewAnswer: RenewAnswer = {
-  sequence: 0,
-  leaseMilliseconds: 10_000,
-  ledgerIndex: 0,
-  linkShares: [],
-  revision: 2,
-  controlAddresses: [],
-  hasAllRecords: false,
-};
 const intact: DocumentUpdate = {
   revision: 2,
   digest: "",
@@ -36,74 +16,61 @@
   partHash: getBytesHash(part),
 };
 
-const damages: { name: string; update: Partial<DocumentUpdate> }[] = [
+const attempts: {
+  readonly name: string;
+  /** Document of the first session. */
+  readonly first: DocumentUpdate;
+  /** Whether the node fails when it applies the first document. */
+  readonly failsToApply?: boolean;
+}[] = [
   {
     name: "refers to a part that the node lacks",
-    update: { part: Buffer.alloc(0) },
+    first: { ...intact, part: Buffer.alloc(0) },
   },
   {
     name: "has other bytes than its hash",
-    update: { part: deflateRawSync(Buffer.from("other")) },
+    first: { ...intact, part: deflateRawSync(Buffer.from("other")) },
   },
   {
     name: "has bytes that are not compressed",
-    update: { part: Buffer.from([255, 255, 255]) },
+    first: { ...intact, part: Buffer.from([255, 255, 255]) },
+  },
+  {
+    name: "the node failed to apply",
+    first: intact,
+    failsToApply: true,
   },
 ];
 
-for (const { name, update } of damages) {
-  // Guards against a node that keeps an old document because it believes that the new one comes.
+for (const { name, first, failsToApply } of attempts) {
+  // Guards against a node that keeps an old document because it believes that it has the new one.
   test(`a node gets a document again that ${name}`, async (context) => {
-    const server = new Server();
-    let sessions = 0;
-    server.addService(SessionService, {
-      open: (stream: ServerDuplexStream<NodeMessage, ControlMessage>) => {
-        stream.on("data", ({ message }: NodeMessage) => {
-          if (message?.$case === "renew") {
-            const { sequence } = message.renew;
-            stream.write({
-              formatVersion,
-              message: {
-                $case: "renewAnswer",
-                renewAnswer: { ...renewAnswer, sequence },
-              },
-            });
-          }
-          if (message?.$case !== "hello") {
-            return;
-          }
-          sessions++;
-          const document = sessions === 1 ? { ...intact, ...update } : intact;
-          const messages: ControlMessage["message"][] = [
-            { $case: "renewAnswer", renewAnswer },
-            { $case: "document", document },
-          ];
-          for (const message of messages) {
-            stream.write({ formatVersion, message });
-          }
-        });
-        stream.on("error", () => {});
-      },
+    const server = new ScriptedSessionServer({
+      statedRevision: intact.revision,
+      getDocument: (session) => session === 1 ? first : intact,
     });
-    const port = await new Promise<number>((resolve, reject) =>
-      server.bindAsync(
-        "127.0.0.1:0",
-        ServerCredentials.createInsecure(),
-        (error, bound) => error === null ? resolve(bound) : reject(error),
-      )
-    );
+    const address = await server.listen();
     const node = new SessionNode({
-      controlAddresses: [`127.0.0.1:${port}`],
+      controlAddresses: [address],
       identity: { nodeId: "n1" },
       jitterMilliseconds: 10,
+      ...(failsToApply && {
+        onDocument: ({ revision, part }) => {
+          if (server.sessionCount === 1) {
+            throw new Error("a fault of the node");
+          }
+          node.revisions.push(revision);
+          node.documentPart = part;
+        },
+      }),
     });
     context.after(async () => {
-      server.forceShutdown();
+      server.stop();
       await node.session.stop();
     });
     await waitUntil(() => node.revisions.length > 0, "the document arrives");
     assert.deepEqual(node.revisions, [2]);
     assert.deepEqual(Buffer.from(node.documentPart ?? []), part);
-    assert.equal(sessions, 2);
+    assert.equal(server.sessionCount, 2);
   });
 }
