Redirect the nodes that an isolated instance has accepted

A node kept its old document, or had none, for as long as its control instance was cut off from the others, although the others were available.

Cause: an isolated instance accepts a node that finds no other one. It redirects its sessions when its availability changes, which was before that session began, and a renewal redirected outdated nodes only. The node did not search by itself, as it had a session.

While no other instance is available, the node stays and searches again, as one whose instance becomes isolated does.

Ruled out: refusing the session. The instance keeps its lease and knows targets.

--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -582,7 +582,8 @@
     );
     this.#checkNodeRevision(session, renew);
     this.#sendRenewAnswer(session, { sequence: renew.sequence, availability });
-    if (availability === "outdated") {
+    // Includes sessions that were accepted while no other instance was found.
+    if (availability !== "available") {
       this.#redirect(session, availability, this.#getReachableAddresses());
     }
   }
