Move the search for a control instance into a class of its own

ConnectionSearch has the attempts; the session decides what to do once they are exhausted. Each attempt keeps whether it accepts an isolated instance, which was a field of the session before. No other behavior changes.

--- /dev/null
+++ b/src/control_client/connection_search.ts
@@ -0,0 +1,130 @@
+import type { Interceptor } from "@grpc/grpc-js";
+import type { Log } from "../common/mod.ts";
+import type { ControlMessage, Hello } from "../protocol/generated/session.ts";
+import { SessionConnection } from "./session_connection.ts";
+
+/** Settings and events of a {@link ConnectionSearch}; times in milliseconds. */
+export interface ConnectionSearchOptions {
+  readonly interceptors: readonly Interceptor[];
+  /** Time after which a connection attempt without an answer is closed. */
+  readonly connectTimeoutMilliseconds: number;
+  readonly log?: Log | undefined;
+  /** Creates the hello of an attempt. */
+  createHello(options: { acceptsIsolated: boolean }): Hello;
+  /** Called when an instance has accepted the node; the other attempts are closed. */
+  onAccepted(connection: SessionConnection): void;
+  /** Called with each message of an accepted connection, the first one included. */
+  onMessage(connection: SessionConnection, message: ControlMessage): void;
+  /** Called when an accepted connection has ended. */
+  onEnded(connection: SessionConnection, reason: string): void;
+  /** Called when no instance has accepted the node. */
+  onExhausted(): void;
+}
+
+// Time before the next instance is tried in parallel with one that has not
+// answered. With 300 ms, 300 nodes that started at once opened 502 sessions on
+// busy instances.
+const attemptDelayMilliseconds = 700;
+
+/** Tries control instances one after the other until one accepts the node. */
+export class ConnectionSearch {
+  readonly #options: ConnectionSearchOptions;
+  readonly #pending = new Set<SessionConnection>();
+  #candidates: string[] = [];
+  #acceptsIsolated = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param options The settings, and what is called with the result. */
+  constructor(options: ConnectionSearchOptions) {
+    this.#options = options;
+  }
+
+  /** Whether an instance may still accept the node. */
+  get isActive(): boolean {
+    return this.#pending.size > 0;
+  }
+
+  /**
+   * Starts to try instances.
+   * @param addresses The instances, the preferred ones first.
+   * @param options Whether an instance that is isolated may accept the node.
+   */
+  start(
+    addresses: readonly string[],
+    options: { acceptsIsolated: boolean },
+  ): void {
+    this.#candidates = [...addresses];
+    this.#acceptsIsolated = options.acceptsIsolated;
+    this.#tryNext();
+  }
+
+  /** Closes all attempts. */
+  stop(): void {
+    clearTimeout(this.#timer);
+    this.#candidates = [];
+    this.#pending.forEach((each) => each.close());
+    this.#pending.clear();
+  }
+
+  #tryNext(): void {
+    clearTimeout(this.#timer);
+    const address = this.#candidates.shift();
+    if (address === undefined) {
+      if (this.#pending.size === 0) {
+        this.#options.onExhausted();
+      }
+      return;
+    }
+    const acceptsIsolated = this.#acceptsIsolated;
+    const connection = new SessionConnection({
+      address,
+      interceptors: this.#options.interceptors,
+      hello: this.#options.createHello({ acceptsIsolated }),
+      onMessage: (from, message) => this.#onMessage(from, message),
+      onConnectionEnded: (from, reason) => this.#onEnded(from, reason),
+    });
+    this.#pending.add(connection);
+    setTimeout(
+      () => this.#onAttemptFailed(connection, "no answer"),
+      this.#options.connectTimeoutMilliseconds,
+    ).unref();
+    this.#timer = setTimeout(() => this.#tryNext(), attemptDelayMilliseconds);
+  }
+
+  #onMessage(connection: SessionConnection, message: ControlMessage): void {
+    const content = message.message;
+    if (this.#pending.has(connection)) {
+      if (content?.$case !== "renewAnswer") {
+        // The instance did not accept the hello, for example with a redirect.
+        const reason = content?.$case === "redirect"
+          ? content.redirect.refusal?.reason
+          : content?.$case;
+        this.#onAttemptFailed(connection, reason ?? "unknown");
+        return;
+      }
+      this.#pending.delete(connection);
+      this.stop();
+      this.#options.onAccepted(connection);
+    }
+    this.#options.onMessage(connection, message);
+  }
+
+  #onEnded(connection: SessionConnection, reason: string): void {
+    if (this.#pending.has(connection)) {
+      this.#onAttemptFailed(connection, reason);
+    } else {
+      this.#options.onEnded(connection, reason);
+    }
+  }
+
+  #onAttemptFailed(connection: SessionConnection, reason: string): void {
+    if (this.#pending.delete(connection)) {
+      connection.close();
+      this.#options.log?.info("control attempt failed", {
+        address: connection.address,
+        reason,
+      });
+      this.#tryNext();
+    }
+  }
+}
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -28,10 +28,11 @@
   AnnouncementConfirmation,
   type ConfirmationListener,
 } from "./announcement_confirmation.ts";
+import { ConnectionSearch } from "./connection_search.ts";
 import { ControlAddresses } from "./control_addresses.ts";
 import { LinkByteCounter } from "./link_byte_counter.ts";
 import { ReceivedViews } from "./received_views.ts";
-import { SessionConnection } from "./session_connection.ts";
+import type { SessionConnection } from "./session_connection.ts";
 import { UnconfirmedMessages } from "./unconfirmed_messages.ts";
 
 /** Identity of a node, as its hello messages state it. */
@@ -145,10 +146,6 @@
 // Control starts the lease when it receives a renewal, the node when it receives
 // the answer, which is later. The node therefore ends its lease earlier.
 const leaseMarginMilliseconds = 500;
-// Time before the next instance is tried in parallel with one that has not
-// answered. With 300 ms, 300 nodes that started at once opened 502 sessions on
-// busy instances.
-const connectionAttemptDelayMilliseconds = 700;
 // A renewal timer that fires this late means that the process was paused.
 const processPauseMilliseconds = 250;
 // An instance that is isolated or outdated sends no new document, so its nodes
@@ -182,16 +179,15 @@
   readonly #confirmation = new AnnouncementConfirmation({
     renew: () => this.#renew(),
   });
-  readonly #connectionAttempts = new Set<SessionConnection>();
+  readonly #search: ConnectionSearch;
   #currentConnection: SessionConnection | undefined;
   readonly #controlAddresses: ControlAddresses;
   /** Address of the session that was lost last. */
   #lastLostAddress: string | undefined;
   /** Monotonic time at which the session was lost or, before the first one, started. */
   #lostAt: number | undefined;
-  #candidates: string[] = [];
+  /** Whether the search accepts isolated instances. */
   #acceptsIsolated = false;
-  #connectionAttemptTimer: NodeJS.Timeout | undefined;
   #renewTimer: NodeJS.Timeout | undefined;
   #moveTimer: NodeJS.Timeout | undefined;
   #leaseTimer: NodeJS.Timeout | undefined;
@@ -200,7 +196,7 @@
   #answeredSequence = 0;
   #renewDueAt = 0;
   #unansweredSince: number | undefined;
-  #failedConnectionCycles = 0;
+  #failedSearches = 0;
   #revision = 0;
   /** Time at which control last confirmed that no newer document exists. */
   #documentConfirmedAt = -Infinity;
@@ -221,6 +217,17 @@
     this.#announcedTargets = new AnnouncedTargets(this.#clock);
     this.#controlAddresses = new ControlAddresses(options.controlAddresses);
     this.#lostAt = this.#clock.monotonicMilliseconds();
+    this.#search = new ConnectionSearch({
+      interceptors: options.interceptors ?? [],
+      connectTimeoutMilliseconds: this.#options.connectTimeoutMilliseconds,
+      log: options.log,
+      createHello: (state) => this.#createHello(state),
+      onAccepted: (connection) => this.#activateConnection(connection),
+      onMessage: (connection, message) => this.#onMessage(connection, message),
+      onEnded: (connection, reason) =>
+        this.#onConnectionEnded(connection, reason),
+      onExhausted: () => this.#onSearchExhausted(),
+    });
     this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds / 4);
   }
 
@@ -335,12 +342,11 @@
       });
     }
     this.#isStopped = true;
-    clearTimeout(this.#connectionAttemptTimer);
     clearTimeout(this.#moveTimer);
     clearTimeout(this.#renewTimer);
     clearTimeout(this.#leaseTimer);
     this.#confirmation.setListener(undefined);
-    this.#closeConnectionAttempts();
+    this.#search.stop();
     const current = this.#currentConnection;
     if (current === undefined) {
       return;
@@ -405,7 +411,7 @@
     }
     this.#moveTimer = setTimeout(() => {
       this.#moveTimer = undefined;
-      this.#startConnectionCycle(preferred);
+      this.#startSearch(preferred);
     }, delayMilliseconds);
   }
 
@@ -413,8 +419,8 @@
    * Tries to connect to all other instances. Preferred addresses come first,
    * and the instance whose session was lost most recently comes last.
    */
-  #startConnectionCycle(preferred: readonly string[]): void {
-    this.#closeConnectionAttempts();
+  #startSearch(preferred: readonly string[]): void {
+    this.#search.stop();
     const others = this.#controlAddresses.getShuffled(this.#random)
       .filter((address) => address !== this.#currentConnection?.address);
     const getRank = (address: string): number =>
@@ -423,57 +429,17 @@
         : preferred.includes(address)
         ? 0
         : 1;
-    this.#candidates = others.toSorted((a, b) => getRank(a) - getRank(b));
     this.#acceptsIsolated = false;
-    this.#tryNextCandidate();
+    this.#search.start(
+      others.toSorted((a, b) => getRank(a) - getRank(b)),
+      { acceptsIsolated: false },
+    );
   }
 
-  #tryNextCandidate(): void {
-    clearTimeout(this.#connectionAttemptTimer);
+  #onSearchExhausted(): void {
     if (this.#isStopped) {
       return;
     }
-    const address = this.#candidates.shift();
-    if (address === undefined) {
-      if (this.#connectionAttempts.size === 0) {
-        this.#onConnectionCycleFailed();
-      }
-      return;
-    }
-    const connection = new SessionConnection({
-      address,
-      interceptors: this.#options.interceptors ?? [],
-      hello: this.#createHello(),
-      onMessage: (from, message) => this.#onMessage(from, message),
-      onConnectionEnded: (from, reason) =>
-        this.#onConnectionEnded(from, reason),
-    });
-    this.#connectionAttempts.add(connection);
-    setTimeout(
-      () => this.#onConnectionAttemptFailed(connection, "no answer"),
-      this.#options.connectTimeoutMilliseconds,
-    ).unref();
-    this.#connectionAttemptTimer = setTimeout(
-      () => this.#tryNextCandidate(),
-      connectionAttemptDelayMilliseconds,
-    );
-  }
-
-  #onConnectionAttemptFailed(
-    connection: SessionConnection,
-    reason: string,
-  ): void {
-    if (this.#connectionAttempts.delete(connection)) {
-      connection.close();
-      this.#options.log?.info("control attempt failed", {
-        address: connection.address,
-        reason,
-      });
-      this.#tryNextCandidate();
-    }
-  }
-
-  #onConnectionCycleFailed(): void {
     if (this.#currentConnection !== undefined) {
       // An isolated instance still keeps leases and knows the targets on its
       // side of a partition. The session therefore stays there, and searches
@@ -485,28 +451,20 @@
     }
     if (!this.#acceptsIsolated) {
       this.#acceptsIsolated = true;
-      this.#candidates = this.#controlAddresses.getShuffled(this.#random);
-      this.#tryNextCandidate();
+      this.#search.start(this.#controlAddresses.getShuffled(this.#random), {
+        acceptsIsolated: true,
+      });
       return;
     }
-    this.#failedConnectionCycles++;
+    this.#failedSearches++;
     const backoffMilliseconds = Math.min(
-      this.#options.jitterMilliseconds * 2 ** this.#failedConnectionCycles,
+      this.#options.jitterMilliseconds * 2 ** this.#failedSearches,
       maximumBackoffMilliseconds,
     );
     this.#scheduleMove(backoffMilliseconds * (0.5 + this.#random() / 2));
   }
 
-  #closeConnectionAttempts(): void {
-    clearTimeout(this.#connectionAttemptTimer);
-    this.#candidates = [];
-    for (const connection of this.#connectionAttempts) {
-      connection.close();
-    }
-    this.#connectionAttempts.clear();
-  }
-
-  #createHello(): Hello {
+  #createHello({ acceptsIsolated }: { acceptsIsolated: boolean }): Hello {
     this.#sessionSequence = Math.max(
       this.#sessionSequence + 1,
       this.#clock.now().getTime(),
@@ -517,25 +475,23 @@
       revision: this.#revision,
       viewDigests: this.#views.getDigests(),
       partHash: this.#documentPart?.hash ?? "",
-      acceptsIsolated: this.#acceptsIsolated,
+      acceptsIsolated,
     };
   }
 
   /** Makes a connection the session, after its instance accepted the hello. */
   #activateConnection(connection: SessionConnection): void {
-    this.#connectionAttempts.delete(connection);
-    this.#closeConnectionAttempts();
     clearTimeout(this.#moveTimer);
     this.#moveTimer = undefined;
     const previous = this.#currentConnection;
     this.#currentConnection = connection;
-    this.#failedConnectionCycles = 0;
+    this.#failedSearches = 0;
     previous?.close();
     this.#logConnected(connection);
     if (connection.sessionSequence !== this.#sessionSequence) {
       // Another instance received a later hello, which control would treat as
       // the newer session.
-      const hello = this.#createHello();
+      const hello = this.#createHello(connection);
       connection.sessionSequence = hello.sessionSequence;
       connection.send({ $case: "hello", hello });
     }
@@ -554,7 +510,7 @@
     this.#options.onConnected?.();
   }
 
-  #logConnected({ address }: SessionConnection): void {
+  #logConnected({ address, acceptsIsolated }: SessionConnection): void {
     const lostAt = this.#lostAt;
     this.#lostAt = undefined;
     const lostMilliseconds = lostAt === undefined
@@ -563,7 +519,7 @@
     this.#options.log?.info("control-connected", {
       address,
       lostMilliseconds: lostMilliseconds && Math.round(lostMilliseconds),
-      acceptsIsolated: this.#acceptsIsolated,
+      acceptsIsolated,
     });
     if (lostMilliseconds !== undefined) {
       this.#options.metrics?.observe(
@@ -575,14 +531,13 @@
   }
 
   #onConnectionEnded(connection: SessionConnection, reason: string): void {
-    if (connection === this.#currentConnection) {
-      if (this.#isStopped) {
-        this.#onStreamEnded?.();
-        return;
-      }
-      this.#onSessionLost(reason);
+    if (connection !== this.#currentConnection) {
+      return;
+    }
+    if (this.#isStopped) {
+      this.#onStreamEnded?.();
     } else {
-      this.#onConnectionAttemptFailed(connection, reason);
+      this.#onSessionLost(reason);
     }
   }
 
@@ -606,7 +561,7 @@
     this.#linkByteCounter.onSessionLost();
     clearTimeout(this.#moveTimer);
     this.#moveTimer = undefined;
-    if (this.#connectionAttempts.size === 0) {
+    if (!this.#search.isActive) {
       this.#scheduleMove(
         this.#random() * this.#options.jitterMilliseconds * jitterFraction,
       );
@@ -665,16 +620,7 @@
 
   #onMessage(connection: SessionConnection, { message }: ControlMessage): void {
     if (connection !== this.#currentConnection) {
-      if (message?.$case === "renewAnswer") {
-        this.#activateConnection(connection);
-      } else {
-        // The instance did not accept the hello, for example with a redirect.
-        const reason = message?.$case === "redirect"
-          ? message.redirect.refusal?.reason
-          : message?.$case;
-        this.#onConnectionAttemptFailed(connection, reason ?? "unknown");
-        return;
-      }
+      return;
     }
     match(message)
       .with(
@@ -807,7 +753,7 @@
   #onRedirect({ refusal }: Redirect): void {
     this.#options.log?.info("control-redirect", { reason: refusal?.reason });
     if (refusal?.reason === "lease-lost") {
-      // The instance ends the stream next, which starts a new connection cycle.
+      // The instance ends the stream next, which starts a new search.
       return;
     }
     clearTimeout(this.#moveTimer);
--- a/src/control_client/session_connection.ts
+++ b/src/control_client/session_connection.ts
@@ -24,6 +24,8 @@
 /** A session stream to one control instance, on a TCP connection of its own. */
 export class SessionConnection {
   readonly address: string;
+  /** Whether the node accepts the instance although it is isolated. */
+  readonly acceptsIsolated: boolean;
   readonly #client: SessionClient;
   readonly #stream: ClientDuplexStream<NodeMessage, ControlMessage>;
   #isClosed = false;
@@ -32,6 +34,7 @@
 
   constructor(options: SessionConnectionOptions) {
     this.address = options.address;
+    this.acceptsIsolated = options.hello.acceptsIsolated;
     this.sessionSequence = options.hello.sessionSequence;
     // Uses a channel pool of its own, so that closing the client also closes the
     // TCP connection. A shared pool would reuse a connection that a network
