Look for control without long pauses, and add up the times of a move

A node that had been cut off handled calls by its old document for up to 3.9 s after it could reach control again, while the platform counts it as in contact after 3 s.

Cause: each time of the session was chosen by itself. A search tried each instance once, waited until the last attempt had had its 3 s, did so again for isolated ones, and then paused for up to 2 s. An instance that could be reached again found no attempt under way, as TCP repeats a lost request only after 1, 3 and 7 s. The sum after the silence of two instances was 3.1 s.

Change: a search starts over one renewal timeout after its last attempt, and keeps those that are still pending; it pauses only if all instances refused it, for at most a renewal timeout.

Ruled out: closing an attempt sooner. Instances that are slow, but answer, would then never be reached.

--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -8,4 +8,8 @@
 export type { StateMachine } from "./state_machine.ts";
 export type { Member, MemberChange } from "./member.ts";
 export { StorageError, type StorageErrorKind } from "./storage_error.ts";
-export type { ConsensusTiming, Role } from "./core_types.ts";
+export {
+  type ConsensusTiming,
+  defaultTiming,
+  type Role,
+} from "./core_types.ts";
--- a/src/control/control_process.ts
+++ b/src/control/control_process.ts
@@ -40,7 +40,7 @@
  * Interval at which the availability of this instance is checked. It is a
  * small part of the 2 s within which nodes must learn that it is isolated.
  */
-const availabilityCheckIntervalMilliseconds = 100;
+export const availabilityCheckIntervalMilliseconds = 100;
 /** Interval at which expired quarantine entries are detected. */
 const quarantineCheckIntervalMilliseconds = 1000;
 const gaugeIntervalMilliseconds = 5000;
--- a/src/control/mod.ts
+++ b/src/control/mod.ts
@@ -1,4 +1,5 @@
 export {
+  availabilityCheckIntervalMilliseconds,
   type ControlOptions,
   createInterceptors,
   type OpenLog,
--- a/src/control_client/connection_search.ts
+++ b/src/control_client/connection_search.ts
@@ -2,6 +2,7 @@
 import type { Log } from "../common/mod.ts";
 import type { ControlMessage, Hello } from "../protocol/generated/session.ts";
 import { SessionConnection } from "./session_connection.ts";
+import type { SearchTiming } from "./session_timing.ts";
 
 /** Settings and events of a {@link ConnectionSearch}; times in milliseconds. */
 export interface ConnectionSearchOptions {
@@ -21,17 +22,21 @@
   onExhausted(): void;
 }
 
-// Time before the next instance is tried in parallel with one that has not
-// answered. With 300 ms, 300 nodes that started at once opened 502 sessions on
-// busy instances.
-const attemptDelayMilliseconds = 700;
+/** How the instances of a list are tried. */
+export interface SearchPass extends SearchTiming {
+  /** Whether an instance that is isolated may accept the node. */
+  readonly acceptsIsolated: boolean;
+}
 
-/** Tries control instances one after the other until one accepts the node. */
+/**
+ * Tries control instances one after the other until one accepts the node. Attempts
+ * that are not answered go on while others are made.
+ */
 export class ConnectionSearch {
   readonly #options: ConnectionSearchOptions;
   readonly #pending = new Set<SessionConnection>();
   #candidates: string[] = [];
-  #acceptsIsolated = false;
+  #pass: SearchPass | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   /** @param options The settings, and what is called with the result. */
@@ -39,43 +44,45 @@
     this.#options = options;
   }
 
-  /** Whether an instance may still accept the node. */
+  /** Whether {@link ConnectionSearchOptions.onExhausted} is still to be called. */
   get isActive(): boolean {
+    return this.#timer !== undefined;
+  }
+
+  /** Whether an instance may still accept the node. */
+  get hasPendingAttempts(): boolean {
     return this.#pending.size > 0;
   }
 
   /**
    * Starts to try instances.
    * @param addresses The instances, the preferred ones first.
-   * @param options Whether an instance that is isolated may accept the node.
+   * @param pass How they are tried.
    */
-  start(
-    addresses: readonly string[],
-    options: { acceptsIsolated: boolean },
-  ): void {
+  start(addresses: readonly string[], pass: SearchPass): void {
     this.#candidates = [...addresses];
-    this.#acceptsIsolated = options.acceptsIsolated;
-    this.#tryNext();
+    this.#pass = pass;
+    this.#tryNext(pass);
   }
 
   /** Closes all attempts. */
   stop(): void {
     clearTimeout(this.#timer);
+    this.#timer = undefined;
     this.#candidates = [];
     this.#pending.forEach((each) => each.close());
     this.#pending.clear();
   }
 
-  #tryNext(): void {
+  #tryNext(pass: SearchPass): void {
     clearTimeout(this.#timer);
+    this.#timer = undefined;
     const address = this.#candidates.shift();
     if (address === undefined) {
-      if (this.#pending.size === 0) {
-        this.#options.onExhausted();
-      }
+      this.#options.onExhausted();
       return;
     }
-    const acceptsIsolated = this.#acceptsIsolated;
+    const { acceptsIsolated } = pass;
     const connection = new SessionConnection({
       address,
       interceptors: this.#options.interceptors,
@@ -88,7 +95,12 @@
       () => this.#onAttemptFailed(connection, "no answer"),
       this.#options.connectTimeoutMilliseconds,
     ).unref();
-    this.#timer = setTimeout(() => this.#tryNext(), attemptDelayMilliseconds);
+    this.#timer = setTimeout(
+      () => this.#tryNext(pass),
+      this.#candidates.length > 0
+        ? pass.attemptDelayMilliseconds
+        : pass.passDelayMilliseconds,
+    );
   }
 
   #onMessage(connection: SessionConnection, message: ControlMessage): void {
@@ -124,7 +136,10 @@
         address: connection.address,
         reason,
       });
-      this.#tryNext();
+      const hasFailed = this.#candidates.length > 0 || this.#pending.size === 0;
+      if (this.#pass !== undefined && this.isActive && hasFailed) {
+        this.#tryNext(this.#pass);
+      }
     }
   }
 }
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -33,6 +33,12 @@
 import { LinkByteCounter } from "./link_byte_counter.ts";
 import { ReceivedViews } from "./received_views.ts";
 import type { SessionConnection } from "./session_connection.ts";
+import {
+  getMoveDelays,
+  getSearchTiming,
+  type SearchTiming,
+  type SessionTiming,
+} from "./session_timing.ts";
 import { UnconfirmedMessages } from "./unconfirmed_messages.ts";
 
 /** Identity of a node, as its hello messages state it. */
@@ -77,19 +83,6 @@
   readonly sourceVersion: number;
 }
 
-/** Times by which a session leaves a control instance that is lost or isolated. */
-export interface SessionTiming {
-  /** Time between two renewals. */
-  readonly renewalIntervalMilliseconds: number;
-  /** Time after which an unanswered renewal ends the session. */
-  readonly renewalTimeoutMilliseconds: number;
-  /**
-   * Mean time between searches for another instance while no other one accepts
-   * the node, for example because all are isolated.
-   */
-  readonly isolatedRetryMilliseconds: number;
-}
-
 /** The part of a document that the node has. */
 interface DocumentPart {
   readonly bytes: Uint8Array;
@@ -133,12 +126,15 @@
   readonly connectTimeoutMilliseconds?: number;
 }
 
+/** Maximum jitter of a session, unless its options say otherwise. */
+export const defaultJitterMilliseconds = 1000;
+
 const defaults = {
   renewalIntervalMilliseconds: 2000,
   renewalTimeoutMilliseconds: 2000,
   // Spreads the reconnects of all nodes of a lost instance. The renewal interval,
   // the renewal timeout and the jitter together stay below the lease of 6 s.
-  jitterMilliseconds: 1000,
+  jitterMilliseconds: defaultJitterMilliseconds,
   connectTimeoutMilliseconds: 3000,
   isolatedRetryMilliseconds: 10_000,
 };
@@ -148,14 +144,13 @@
 const leaseMarginMilliseconds = 500;
 // A renewal timer that fires this late means that the process was paused.
 const processPauseMilliseconds = 250;
-// An instance that is isolated or outdated sends no new document, so its nodes
-// move sooner.
-const outdatedJitterFraction = 0.5;
 const outdatedReasons: readonly (string | undefined)[] = [
   "isolated",
   "outdated",
 ];
-const maximumBackoffMilliseconds = 2000;
+// Nodes that start at once and try other instances sooner open sessions at several
+// busy ones: with 300 ms, 300 nodes opened 502.
+const startAttemptDelayMilliseconds = 700;
 const emptyReport: NodeReport = {
   admissionLevel: 0,
   ledgerIndex: 0,
@@ -420,7 +415,6 @@
    * and the instance whose session was lost most recently comes last.
    */
   #startSearch(preferred: readonly string[]): void {
-    this.#search.stop();
     const others = this.#controlAddresses.getShuffled(this.#random)
       .filter((address) => address !== this.#currentConnection?.address);
     const getRank = (address: string): number =>
@@ -432,7 +426,7 @@
     this.#acceptsIsolated = false;
     this.#search.start(
       others.toSorted((a, b) => getRank(a) - getRank(b)),
-      { acceptsIsolated: false },
+      { ...this.#getSearchTiming(), acceptsIsolated: false },
     );
   }
 
@@ -452,18 +446,33 @@
     if (!this.#acceptsIsolated) {
       this.#acceptsIsolated = true;
       this.#search.start(this.#controlAddresses.getShuffled(this.#random), {
+        ...this.#getSearchTiming(),
         acceptsIsolated: true,
       });
       return;
     }
+    if (this.#search.hasPendingAttempts) {
+      // Instances that do not answer slow the search down by themselves.
+      this.#scheduleMove(0);
+      return;
+    }
     this.#failedSearches++;
     const backoffMilliseconds = Math.min(
       this.#options.jitterMilliseconds * 2 ** this.#failedSearches,
-      maximumBackoffMilliseconds,
+      this.#options.renewalTimeoutMilliseconds,
     );
     this.#scheduleMove(backoffMilliseconds * (0.5 + this.#random() / 2));
   }
 
+  #getSearchTiming(): SearchTiming {
+    const timing = getSearchTiming(this.#options);
+    const isFirst = this.#currentConnection === undefined &&
+      this.#lastLostAddress === undefined;
+    return isFirst
+      ? { ...timing, attemptDelayMilliseconds: startAttemptDelayMilliseconds }
+      : timing;
+  }
+
   #createHello({ acceptsIsolated }: { acceptsIsolated: boolean }): Hello {
     this.#sessionSequence = Math.max(
       this.#sessionSequence + 1,
@@ -544,10 +553,12 @@
   /**
    * Closes the session and schedules a move to another instance.
    * @param reason Why the session was lost, for the log.
-   * @param jitterFraction Fraction of the maximum jitter to delay the move by at
-   * most.
+   * @param maximumDelayMilliseconds Maximum random delay of the move.
    */
-  #onSessionLost(reason: string, jitterFraction = 1): void {
+  #onSessionLost(
+    reason: string,
+    maximumDelayMilliseconds = this.#options.jitterMilliseconds,
+  ): void {
     this.#lastLostAddress = this.#currentConnection?.address;
     this.#options.log?.warn("control-lost", {
       address: this.#lastLostAddress,
@@ -562,9 +573,7 @@
     clearTimeout(this.#moveTimer);
     this.#moveTimer = undefined;
     if (!this.#search.isActive) {
-      this.#scheduleMove(
-        this.#random() * this.#options.jitterMilliseconds * jitterFraction,
-      );
+      this.#scheduleMove(this.#random() * maximumDelayMilliseconds);
     }
   }
 
@@ -587,10 +596,13 @@
         // This process was paused, so the answer may be unread in the socket.
         this.#scheduleRenew(processPauseMilliseconds);
       } else {
-        // Little jitter is needed, because the renewals of the nodes are spread
-        // over time already. More would risk the lease, which is about to end
-        // at an instance that is alive but cannot be reached.
-        this.#onSessionLost("no answer within the renewal timeout", 0.2);
+        const { lostMilliseconds } = getMoveDelays(
+          this.#options.jitterMilliseconds,
+        );
+        this.#onSessionLost(
+          "no answer within the renewal timeout",
+          lostMilliseconds,
+        );
       }
       return undefined;
     }
@@ -765,8 +777,11 @@
   }
 
   #getMoveDelay(isOutdated: boolean): number {
-    return this.#random() * this.#options.jitterMilliseconds *
-      (isOutdated ? outdatedJitterFraction : 1);
+    const { jitterMilliseconds } = this.#options;
+    return this.#random() *
+      (isOutdated
+        ? getMoveDelays(jitterMilliseconds).outdatedMilliseconds
+        : jitterMilliseconds);
   }
 
   #onStaleAnnouncement(known: TargetRecord): void {
--- a/src/control_client/mod.ts
+++ b/src/control_client/mod.ts
@@ -3,11 +3,15 @@
   ControlSession,
   type ControlSessionOptions,
   type ControlSessionStatus,
+  defaultJitterMilliseconds,
   type NodeIdentity,
   type NodeReport,
   type ReceivedDocument,
-  type SessionTiming,
 } from "./control_session.ts";
+export {
+  getReplacementMilliseconds,
+  type SessionTiming,
+} from "./session_timing.ts";
 export {
   type ClaimOutcome,
   type FenceOutcome,
