Leave an instance that states a newer document and does not send it

A node that an instance told of a newer document went on with its own for as long as the instance did not send it.

Cause: a stated revision above the node's own was logged, and nothing else. The node trusted that the document comes.

Change: once an instance has stated a newer revision for a renewal interval and sent no document meanwhile, the node looks for another one. An answer follows the documents that were sent before it, so a slow link does not count.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -197,6 +197,8 @@
   #documentConfirmedAt = -Infinity;
   #documentPart: DocumentPart | undefined;
   #loggedStatedRevision: number | undefined;
+  /** Time since which the instance states a newer document without sending one. */
+  #documentMissingSince: number | undefined;
   readonly #linkByteCounter = new LinkByteCounter();
   #linkShares: readonly LinkShare[] = [];
   #onStreamEnded: (() => void) | undefined;
@@ -370,6 +372,7 @@
    * @param statedRevision The revision; 0 if it cannot confirm any.
    */
   #onStatedRevision(statedRevision: number): void {
+    const isOverdue = this.#isDocumentOverdue(statedRevision);
     if (statedRevision === this.#revision && statedRevision > 0) {
       this.#documentConfirmedAt = this.#clock.monotonicMilliseconds();
       this.#loggedStatedRevision = statedRevision;
@@ -379,12 +382,28 @@
       this.#loggedStatedRevision = statedRevision;
       this.#logStatedRevision(statedRevision);
     }
-    if (statedRevision > 0 && statedRevision < this.#revision) {
-      // An instance of an earlier release does not redirect nodes when it is behind.
+    // An instance of an earlier release does not redirect nodes when it is behind.
+    const isBehind = statedRevision > 0 && statedRevision < this.#revision;
+    if (isBehind || isOverdue) {
       this.#scheduleMove(this.#getMoveDelay(true));
     }
   }
 
+  /**
+   * Reports whether the instance has stated a newer document for a renewal interval
+   * without sending any. What it sends before an answer arrives before it.
+   */
+  #isDocumentOverdue(statedRevision: number): boolean {
+    if (statedRevision <= this.#revision) {
+      this.#documentMissingSince = undefined;
+      return false;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    this.#documentMissingSince ??= now;
+    return now - this.#documentMissingSince >=
+      this.#options.renewalIntervalMilliseconds;
+  }
+
   /** Logs a revision of control that differs from the one in force. */
   #logStatedRevision(statedRevision: number): void {
     const { documentAgeMilliseconds } = this.getStatus();
@@ -505,6 +524,7 @@
       connection.send({ $case: "hello", hello });
     }
     this.#unansweredSince = undefined;
+    this.#documentMissingSince = undefined;
     this.#confirmation.setCollecting(false);
     this.#announcedTargets.assignNewSequences().forEach((each) =>
       this.#sendAnnouncement(each)
@@ -749,6 +769,7 @@
     }
     this.#documentPart = part;
     this.#revision = update.revision;
+    this.#documentMissingSince = undefined;
     this.#renew();
   }
 
--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -7,14 +7,16 @@
 import { credentials, Metadata } from "@grpc/grpc-js";
 import { OperatorClient } from "../src/protocol/generated/operator.ts";
 import { ControlGroup, type ControlProcess } from "./support/control_group.ts";
-import { NodeProcesses } from "./support/node_processes.ts";
+import { getFreePorts } from "./support/free_ports.ts";
+import { ProcessGroup } from "./support/process_group.ts";
 import { waitUntil } from "./support/wait_until.ts";
 
 const folder = mkdtempSync(join(tmpdir(), "dogwoodwalk-"));
 const groups: ControlGroup[] = [];
-const nodes = new NodeProcesses();
+const nodeProcesses = new ProcessGroup();
+let nodeCount = 0;
 after(async () => {
-  await nodes.stop();
+  await nodeProcesses.stopAll();
   await Promise.all(groups.map((each) => each.stop()));
   rmSync(folder, { recursive: true });
 });
@@ -109,27 +111,63 @@
   }
 });
 
+/**
+ * Starts a node that knows only one control instance at first.
+ * @returns A function that gets the revision in force at the node.
+ */
+async function startNode(
+  { address }: ControlProcess,
+): Promise<() => number> {
+  const name = `n${nodeCount++}`;
+  const [outside, node, loopback] = await getFreePorts(3);
+  const file = join(folder, `${name}.toml`);
+  writeFileSync(
+    file,
+    `node_id = "${name}"
+environment = "trial"
+service = "treasury"
+region = "Muntenia"
+availability_zone = "muntenia-a"
+outside = "127.0.0.1:${outside}"
+node = "127.0.0.1:${node}"
+loopback = "127.0.0.1:${loopback}"
+control_addresses = ["${address}"]
+`,
+  );
+  const { outputLines } = nodeProcesses.start(
+    name,
+    "src/bin/dogwoodwalk_node.js",
+    { arguments: [file] },
+  );
+  return () => {
+    const line = outputLines.findLast((each) =>
+      each.includes("document in force")
+    );
+    return Number(/ revision=(\d+)/.exec(line ?? "")?.[1] ?? 0);
+  };
+}
+
 /** Starts a group with nodes at a follower, then makes its link slow. */
 async function startWithSlowInstance() {
   const { group, changes, follower, link } = await startGroup();
-  const nodesBehind = await Promise.all(
-    Array.from({ length: 4 }, () => nodes.start([follower.address])),
+  const getRevisions = await Promise.all(
+    Array.from({ length: 4 }, () => startNode(follower)),
   );
   await waitUntil(
-    () => nodesBehind.every((each) => each.getRevision() === 1),
+    () => getRevisions.every((each) => each() === 1),
     "all nodes have the first document",
   );
   link.bytesPerSecond = 150_000;
-  return { group, changes, behind: follower, nodesBehind };
+  return { group, changes, behind: follower, getRevisions };
 }
 
 // Guards against an instance that passes for current while it lacks changes.
 test("changes are in force in time at nodes whose control instance is behind", async () => {
-  const { changes, nodesBehind } = await startWithSlowInstance();
+  const { changes, getRevisions } = await startWithSlowInstance();
   for (let count = 0; count < 25; count++) {
     await changes.apply();
     const { revision } = changes;
-    const late = nodesBehind.map((each) => each.getRevision())
+    const late = getRevisions.map((each) => each())
       .filter((each) => each < revision - maximumChangesBehind);
     assert.deepEqual(late, [], `revisions in force at ${revision}`);
     await new Promise((resolve) =>
@@ -173,11 +211,11 @@
   }
   behind.start();
   await behind.waitUntilListening();
-  const node = await nodes.start([behind.address]);
+  const getRevision = await startNode(behind);
   const seen = new Set<number>();
   await waitUntil(() => {
-    seen.add(node.getRevision());
-    return node.getRevision() > 0;
+    seen.add(getRevision());
+    return getRevision() > 0;
   }, "the node has a document");
   assert.deepEqual([...seen], [0, changes.revision]);
 });
