Keep the quarantine of a node that an isolated instance accepts

A request that crashes targets could run again at a node although it was quarantined.

Cause: the list of quarantined fingerprints was sent to each new session, also by an isolated or outdated instance, and replaced what the node knew from another one. Like a document, it was sent as an event: nothing compared it with the session.

Evidence: the new case of control_session_moves_test failed before (an empty list in place of one entry) and passes now.

Change: an instance that is not available sends its list only to sessions that have had one from it, so that what it learns itself still reaches them at once.

Ruled out: never sending it while isolated. A request may crash targets on one side of a partition.

--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -544,3 +544,33 @@
   await waitUntil(() => node.revisions.includes(2), "revision 2 arrives");
   assert.equal(node.session.getStatus().controlAddress, second.address);
 });
+
+// Guards against a request that runs again although it is quarantined, because an
+// instance that may lack the newest state replaced what the node knows.
+test("a node keeps the quarantine that it knows when an isolated instance accepts it", async () => {
+  const [first, isolated] = await startControl(2);
+  assert.ok(first !== undefined && isolated !== undefined);
+  first.quarantined = ["f1"];
+  isolated.setAvailability("isolated");
+  const node = startNode(getAddresses([first, isolated]), "n1", {
+    jitterMilliseconds: 10,
+  });
+  const getQuarantined = () =>
+    node.suspects.findLast((each) => each.hasQuarantined)?.quarantined;
+  await waitUntil(() => getQuarantined() !== undefined, "the list arrives");
+  const count = node.suspects.length;
+  first.kill();
+  await waitUntil(
+    () => node.suspects.length > count,
+    "the isolated instance accepts the node",
+  );
+  assert.deepEqual(getQuarantined(), ["f1"]);
+  isolated.quarantined = ["f1", "f2"];
+  // Without `onQuarantineChanged`: the node has to get it once the instance is
+  // available.
+  isolated.setAvailability("available");
+  await waitUntil(
+    () => getQuarantined()?.includes("f2") === true,
+    "the newest list arrives",
+  );
+});
--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -27,6 +27,13 @@
   options: { service: string; isPartKnown: boolean },
 ) => EncodedMessage;
 
+/** The quarantined fingerprints of an environment, as nodes get them. */
+export interface QuarantineUpdate {
+  /** Text that differs between lists. */
+  readonly key: string;
+  readonly message: EncodedMessage;
+}
+
 /** Why a node lacks a document that its instance has. */
 export type MissingDocumentCause =
   /** It was not sent to the node. */
@@ -56,6 +63,8 @@
   /** Value of `answeredSequence` when the last document was sent. */
   #documentSequence = 0;
   #partHash: string;
+  /** Key of the list that was sent last; `undefined` if none was. */
+  #quarantineKey: string | undefined;
   #isRedirected = false;
   #controlAddresses = "";
   #isSendingDocument = false;
@@ -100,6 +109,22 @@
     return [...addresses];
   }
 
+  /** Reports whether the node has got a list of quarantined fingerprints. */
+  get hasQuarantine(): boolean {
+    return this.#quarantineKey !== undefined;
+  }
+
+  /**
+   * Sends the quarantined fingerprints unless they were sent before.
+   * @param list The whole list.
+   */
+  sendQuarantine(list: QuarantineUpdate): void {
+    if (list.key !== this.#quarantineKey) {
+      this.#quarantineKey = list.key;
+      this.send(list.message);
+    }
+  }
+
   /** Reports whether a revision has to be sent to the node. */
   needsDocument(revision: number): boolean {
     return revision > this.#offeredRevision && this.stream.writable;
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -48,6 +48,7 @@
   createRedirect,
   type DocumentEncoder,
   NodeSession,
+  type QuarantineUpdate,
   type SessionStream,
 } from "./node_session.ts";
 import { SessionRegistry } from "./session_registry.ts";
@@ -221,15 +222,18 @@
     this.#views.updateCallGraph(environment, parts);
   }
 
-  /** Sends the list of quarantined fingerprints after a change. */
+  /**
+   * Sends the quarantined fingerprints after a change. While this instance is not
+   * available, it may lack newer ones, so only sessions that have its list get it.
+   */
   onQuarantineChanged(environment: string): void {
-    const quarantined = [...this.#options.state.getQuarantined(environment)];
-    this.#broadcast(environment, {
-      suspects: [],
-      cleared: [],
-      quarantined,
-      hasQuarantined: true,
-    });
+    const update = this.#createQuarantineUpdate(environment);
+    const isAvailable = this.#isAvailable();
+    for (const session of this.#sessions.getByEnvironment(environment)) {
+      if (isAvailable || session.hasQuarantine) {
+        session.sendQuarantine(update);
+      }
+    }
   }
 
   /**
@@ -256,7 +260,7 @@
       for (const session of this.#sessions.values()) {
         session.resetRedirect();
       }
-      this.#sendMissingDocuments();
+      this.#sendWithheldState();
       return;
     }
     const addresses = this.#getReachableAddresses();
@@ -553,10 +557,13 @@
       suspects: {
         suspects: [...this.#options.state.getSuspects(environment)],
         cleared: [],
-        quarantined: [...this.#options.state.getQuarantined(environment)],
-        hasQuarantined: true,
+        quarantined: [],
+        hasQuarantined: false,
       },
     });
+    if (availability === "available") {
+      session.sendQuarantine(this.#createQuarantineUpdate(environment));
+    }
     this.#views.open(session);
   }
 
@@ -673,14 +680,16 @@
   }
 
   /**
-   * Sends documents and views that were withheld while this instance was not
-   * available, also when that was too short for {@link onAvailabilityChanged}.
+   * Sends documents, views and quarantines that were withheld while this instance
+   * was not available, also when that was too short for
+   * {@link onAvailabilityChanged}.
    */
-  #sendMissingDocuments(): void {
+  #sendWithheldState(): void {
     if (!this.#isAvailable()) {
       return;
     }
     for (const environment of this.#sessions.getEnvironments()) {
+      this.onQuarantineChanged(environment);
       const parts = this.#getParts(environment);
       if (parts === undefined) {
         continue;
@@ -697,7 +706,7 @@
 
   #runPeriodicTasks(): void {
     const now = this.#now();
-    this.#sendMissingDocuments();
+    this.#sendWithheldState();
     for (const nodeKey of this.#directory.expire(now)) {
       this.#linkShares.removeNode(nodeKey);
     }
@@ -751,6 +760,23 @@
     callback(null, answer);
   }
 
+  #createQuarantineUpdate(environment: string): QuarantineUpdate {
+    const quarantined = this.#options.state.getQuarantined(environment)
+      .toSorted();
+    return {
+      key: quarantined.join("\n"),
+      message: encodeControlMessage({
+        $case: "suspects",
+        suspects: {
+          suspects: [],
+          cleared: [],
+          quarantined,
+          hasQuarantined: true,
+        },
+      }),
+    };
+  }
+
   #broadcast(environment: string, suspects: SuspectUpdate): void {
     const message = encodeControlMessage({ $case: "suspects", suspects });
     for (const session of this.#sessions.getByEnvironment(environment)) {
