Request a view again that still differs from control's

A node could keep calling targets that control no longer lists, or miss new ones, until the next change of the service.

Cause: a view whose digest differed was requested again, unless it had been less than 1 s before; then nothing was done, as nothing compared the views between two updates.

Evidence: in received_views_test the second of two updates that differ within 1 s asks for no request, on the code before as well; only the new takeDueRequests gives it.

Change: a view that differs is remembered, and requested with a later answer to a renewal, at most once a second.

--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -691,6 +691,8 @@
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
     this.#onStatedRevision(answer.revision);
+    this.#views.takeDueRequests(this.#clock.monotonicMilliseconds())
+      .forEach((service) => this.#sendViewRequest(service));
     this.#answeredSequence = answer.sequence;
     this.#announcedTargets.confirm(answer.sequence);
     this.#unconfirmedMessages.confirm(answer.sequence);
--- a/src/control_client/received_views.ts
+++ b/src/control_client/received_views.ts
@@ -21,6 +21,8 @@
 export class ReceivedViews {
   readonly #views = new Map<string, ViewCopy>();
   readonly #requestedAt = new Map<string, number>();
+  /** Services whose view differs from control's. */
+  readonly #differing = new Set<string>();
 
   /** Gets the digest of each view, for a hello message. */
   getDigests(): Hello["viewDigests"] {
@@ -46,6 +48,11 @@
         .filter((record) => record !== undefined)
         .map((record) => toKnownTarget(record, nowMilliseconds)),
     });
+    if (matchesDigest) {
+      this.#differing.delete(service);
+    } else {
+      this.#differing.add(service);
+    }
     return {
       targets: copy.targets.map((target) =>
         toTargetRecord(target, nowMilliseconds)
@@ -55,6 +62,17 @@
     };
   }
 
+  /**
+   * Gets the services whose view still differs from control's and has to be
+   * requested again; to be called periodically.
+   * @param nowMilliseconds Monotonic time.
+   */
+  takeDueRequests(nowMilliseconds: number): string[] {
+    return [...this.#differing].filter((service) =>
+      this.#recordRequestIfDue(service, nowMilliseconds)
+    );
+  }
+
   /**
    * Records a request for a view, unless one was made shortly before. After a
    * move, control instances may disagree about a view; without this limit each
