--- a/soak/check_documents.ts
+++ b/soak/check_documents.ts
@@ -18,7 +18,8 @@
     .filter((each) => changeIds.get(each.revision) !== each.changeId)
     .map((each) =>
       createViolation("lost-revision", {
-        ...each,
+        revision: each.revision,
+        changeId: each.changeId,
         found: changeIds.get(each.revision) ?? "nothing",
       })
     );
--- a/soak/document_changer.ts
+++ b/soak/document_changer.ts
@@ -11,6 +11,11 @@
   readonly changeId: string;
 }
 
+/** An acknowledged change, with the time of the acknowledgement. */
+export interface AcknowledgedDocument extends AcknowledgedChange {
+  readonly acknowledgedMilliseconds: number;
+}
+
 interface ChangeOutput {
   readonly revision?: number;
   readonly currentRevision?: number;
@@ -23,7 +28,7 @@
 
 /** Applies documents with the command line, as operators do. */
 export class DocumentChanger {
-  readonly acknowledged: AcknowledgedChange[] = [];
+  readonly acknowledged: AcknowledgedDocument[] = [];
   readonly #cluster: Cluster;
   readonly #removals = new Set<DocumentRemoval>();
   /** Texts of the changes, by number. */
@@ -93,7 +98,11 @@
       );
       const result = parseOutput(output);
       if (code === exitCodes.ok && result.revision !== undefined) {
-        this.acknowledged.push({ revision: result.revision, changeId });
+        this.acknowledged.push({
+          revision: result.revision,
+          changeId,
+          acknowledgedMilliseconds: Date.now(),
+        });
         this.#revision = Math.max(this.#revision, result.revision);
         return true;
       }
--- a/soak/process_timeline.ts
+++ b/soak/process_timeline.ts
@@ -104,4 +104,26 @@
       entry.toMilliseconds + effectMilliseconds >= fromMilliseconds
     );
   }
+
+  /**
+   * Gets the end of the first period in which nothing is done to processes except
+   * drains.
+   * @param processes Names of the processes.
+   * @param period Earliest start of the period, and its length.
+   */
+  getCalmDeadline(
+    processes: readonly string[],
+    period: { fromMilliseconds: number; milliseconds: number },
+  ): number {
+    const entries = this.entries.filter(({ process, intervention }) =>
+      intervention !== "drained" && processes.includes(process)
+    ).toSorted((a, b) => a.fromMilliseconds - b.fromMilliseconds);
+    let deadline = period.fromMilliseconds + period.milliseconds;
+    for (const { fromMilliseconds, toMilliseconds } of entries) {
+      if (fromMilliseconds <= deadline) {
+        deadline = Math.max(deadline, toMilliseconds + period.milliseconds);
+      }
+    }
+    return deadline;
+  }
 }
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -13,6 +13,7 @@
 import { checkDenied } from "./check_denied.ts";
 import { checkDrains } from "./check_drains.ts";
 import { checkExchanges } from "./check_exchanges.ts";
+import { checkLateDocuments, getDueDocuments } from "./check_late_documents.ts";
 import { checkNestedCalls } from "./check_nested_calls.ts";
 import { checkTransfers } from "./check_transfers.ts";
 import {
@@ -20,7 +21,11 @@
   DocumentChanger,
 } from "./document_changer.ts";
 import type { DocumentRemoval } from "./document_removal.ts";
-import { DocumentsInForce, readDocumentStarts } from "./documents_in_force.ts";
+import {
+  DocumentsInForce,
+  type DocumentStart,
+  readDocumentStarts,
+} from "./documents_in_force.ts";
 import type { Exchange } from "./exchange.ts";
 import { ProcessSupervisor } from "./process_supervisor.ts";
 import { ProcessTimeline } from "./process_timeline.ts";
@@ -118,6 +123,7 @@
   readonly #drainer: TargetDrainer;
   #unconfirmedChanges = 0;
   #removals = 0;
+  #dueDocuments = 0;
   #isRunning = true;
 
   constructor(cluster: Cluster, size: SoakSize) {
@@ -134,12 +140,23 @@
     const clients = this.#startClients();
     await this.#playEvents();
     await this.#supervisor.waitUntilFree();
+    const endMilliseconds = Date.now();
     const history = await this.#readHistory();
     await this.#supervisor.stopAll("node");
     this.#isRunning = false;
     await Promise.race([Promise.all(clients), sleep(lastAnswerMilliseconds)]);
     await this.#supervisor.stopAll("control");
     const observation = this.#createObservation();
+    const documents = {
+      acknowledged: this.#changer.acknowledged,
+      starts: this.#readDocumentStarts(),
+      controlInstances: this.#cluster.controlAddresses.map((_, index) =>
+        `control-${index}`
+      ),
+      timeline: this.#timeline,
+      endMilliseconds,
+    };
+    this.#dueDocuments = getDueDocuments(documents).length;
     return [
       ...this.#supervisor.violations,
       ...checkExchanges(observation),
@@ -151,6 +168,7 @@
         documents: this.#createDocumentsInForce(history),
       }),
       ...checkHistory(this.#changer.acknowledged, history),
+      ...checkLateDocuments(documents),
       ...this.#cluster.nodes.flatMap(({ name }) =>
         checkNodeRevisions(name, this.#readLog(`${name}-node`))
       ),
@@ -187,6 +205,7 @@
       revisions: this.#changer.acknowledged.length,
       unconfirmedChanges: this.#unconfirmedChanges,
       removals: this.#removals,
+      dueDocuments: this.#dueDocuments,
       drains: this.#drainer.confirmed.length,
       requests: this.#exchanges.length,
       unknownRoutes: this.#countKnownRoutes(404),
@@ -328,6 +347,13 @@
     ]));
   }
 
+  #readDocumentStarts(): Map<string, DocumentStart[]> {
+    return new Map(this.#cluster.nodes.map(({ name }) => [
+      name,
+      readDocumentStarts(this.#readLog(`${name}-node`)),
+    ]));
+  }
+
   async #readHistory() {
     const end = Date.now() + lastAnswerMilliseconds;
     while (Date.now() < end) {
--- a/soak/violation.ts
+++ b/soak/violation.ts
@@ -14,6 +14,7 @@
   | "work-after-drain"
   | "lost-revision"
   | "older-revision"
+  | "late-document"
   | "not-stopped"
   | "unexpected-exit"
   | "run-failed";
