--- a/src/control_client/connection_search.ts
+++ b/src/control_client/connection_search.ts
@@ -136,8 +136,8 @@
         address: connection.address,
         reason,
       });
-      const hasFailed = this.#candidates.length > 0 || this.#pending.size === 0;
-      if (this.#pass !== undefined && this.isActive && hasFailed) {
+      const isNextDue = this.#candidates.length > 0 || this.#pending.size === 0;
+      if (this.#pass !== undefined && this.isActive && isNextDue) {
         this.#tryNext(this.#pass);
       }
     }
--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -17,6 +17,7 @@
   encodeControlMessage,
   type EncodedMessage,
 } from "./messages.ts";
+import type { QuarantineUpdate } from "./quarantine_update.ts";
 
 /** The stream of a node's session. */
 export type SessionStream = ServerDuplexStream<NodeMessage, ControlMessage>;
@@ -27,13 +28,6 @@
   options: { service: string; isPartKnown: boolean },
 ) => EncodedMessage;
 
-/** The quarantined fingerprints of an environment, as nodes get them. */
-export interface QuarantineUpdate {
-  /** Text that differs between lists. */
-  readonly key: string;
-  readonly message: EncodedMessage;
-}
-
 /** Why a node lacks a document that its instance has. */
 export type MissingDocumentCause =
   /** It was not sent to the node. */
@@ -63,7 +57,7 @@
   /** Value of `answeredSequence` when the last document was sent. */
   #documentSequence = 0;
   #partHash: string;
-  /** Key of the list that was sent last; `undefined` if none was. */
+  /** Key of the quarantine that was sent last; `undefined` if none was. */
   #quarantineKey: string | undefined;
   #isRedirected = false;
   #controlAddresses = "";
@@ -116,12 +110,12 @@
 
   /**
    * Sends the quarantined fingerprints unless they were sent before.
-   * @param list The whole list.
+   * @param update The whole list.
    */
-  sendQuarantine(list: QuarantineUpdate): void {
-    if (list.key !== this.#quarantineKey) {
-      this.#quarantineKey = list.key;
-      this.send(list.message);
+  sendQuarantine(update: QuarantineUpdate): void {
+    if (update.key !== this.#quarantineKey) {
+      this.#quarantineKey = update.key;
+      this.send(update.message);
     }
   }
 
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -33,7 +33,6 @@
   Hello,
   NodeMessage,
   Renew,
-  SuspectUpdate,
 } from "../protocol/generated/session.ts";
 import type { Availability, ControlState } from "./control_state.ts";
 import { DocumentParts } from "./document_parts.ts";
@@ -48,9 +47,9 @@
   createRedirect,
   type DocumentEncoder,
   NodeSession,
-  type QuarantineUpdate,
   type SessionStream,
 } from "./node_session.ts";
+import { createQuarantineUpdate } from "./quarantine_update.ts";
 import { SessionRegistry } from "./session_registry.ts";
 import { SessionViews } from "./session_views.ts";
 
@@ -227,7 +226,9 @@
    * available, it may lack newer ones, so only sessions that have its list get it.
    */
   onQuarantineChanged(environment: string): void {
-    const update = this.#createQuarantineUpdate(environment);
+    const update = createQuarantineUpdate(
+      this.#options.state.getQuarantined(environment),
+    );
     const isAvailable = this.#isAvailable();
     for (const session of this.#sessions.getByEnvironment(environment)) {
       if (isAvailable || session.hasQuarantine) {
@@ -245,12 +246,18 @@
     environment: string,
     change: { suspects: readonly string[]; cleared: readonly string[] },
   ): void {
-    this.#broadcast(environment, {
-      suspects: [...change.suspects],
-      cleared: [...change.cleared],
-      quarantined: [],
-      hasQuarantined: false,
+    const message = encodeControlMessage({
+      $case: "suspects",
+      suspects: {
+        suspects: [...change.suspects],
+        cleared: [...change.cleared],
+        quarantined: [],
+        hasQuarantined: false,
+      },
     });
+    for (const session of this.#sessions.getByEnvironment(environment)) {
+      session.send(message);
+    }
   }
 
   /** To be called when the result of `getAvailability` has changed. */
@@ -562,7 +569,9 @@
       },
     });
     if (availability === "available") {
-      session.sendQuarantine(this.#createQuarantineUpdate(environment));
+      session.sendQuarantine(createQuarantineUpdate(
+        this.#options.state.getQuarantined(environment),
+      ));
     }
     this.#views.open(session);
   }
@@ -760,30 +769,6 @@
     callback(null, answer);
   }
 
-  #createQuarantineUpdate(environment: string): QuarantineUpdate {
-    const quarantined = this.#options.state.getQuarantined(environment)
-      .toSorted();
-    return {
-      key: quarantined.join("\n"),
-      message: encodeControlMessage({
-        $case: "suspects",
-        suspects: {
-          suspects: [],
-          cleared: [],
-          quarantined,
-          hasQuarantined: true,
-        },
-      }),
-    };
-  }
-
-  #broadcast(environment: string, suspects: SuspectUpdate): void {
-    const message = encodeControlMessage({ $case: "suspects", suspects });
-    for (const session of this.#sessions.getByEnvironment(environment)) {
-      session.send(message);
-    }
-  }
-
   #getParts(environment: string): DocumentParts | undefined {
     const accepted = this.#options.state.getAcceptedDocument(environment);
     const known = this.#parts.get(environment);
