Detect a crash although the ending process accepts the probe

Cause, traced with the output of each process kept: after the second crash, the probe of the node was accepted by the process that was still ending, so the call got target-reset and the crash was not reported. The next calls were refused by the target within 10 ms, which the node did not take for a sign either. It reported the crash when the target was announced again, 465 ms later; the third call had been sent to the other target 62 ms before that.

Ruled out: late news between the control instances. The quarantine reached both nodes 10 ms after the report of the third crash, and the first one was known at the other node after 25 ms.

Change: the connection of an accepted probe is kept for 500 ms, and the target is probed again if it closes it. Calls that failed meanwhile are reported with the same crash; before, one crash was reported as two, which quarantines a request that was in flight in both parts.

--- a/src/node/crash_detector.ts
+++ b/src/node/crash_detector.ts
@@ -1,9 +1,14 @@
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { Clock } from "../common/mod.ts";
 import type { Endpoint } from "../settings/mod.ts";
 
 /** Time limit for the connection that checks whether the target is alive. */
 const probeTimeoutMilliseconds = 500;
+/**
+ * Time in which the end of a probe's connection may mean that the process of the
+ * target is ending.
+ */
+const watchMilliseconds = 500;
 /**
  * Time before a new incarnation of the target in which reset connections are
  * attributed to a crash of the former incarnation.
@@ -37,13 +42,17 @@
 /**
  * Detects whether failed connections were caused by a crash of the target. A
  * target that crashed refuses connections, or announces itself with a new
- * incarnation.
+ * incarnation. A process that is ending still accepts connections until its
+ * listening socket is closed, so the target is probed again when it closes the
+ * connection of a probe.
  */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
   #pendingCalls: FailedCall[] = [];
   #recentResets: RecentReset[] = [];
   #isProbing = false;
+  /** Connection that the target accepted last. */
+  #watchedConnection: Socket | undefined;
 
   /** @param options Clock, target address and listener. */
   constructor(options: CrashDetectorOptions) {
@@ -54,7 +63,7 @@
   examine(call: FailedCall): void {
     this.#pendingCalls.push(call);
     if (!this.#isProbing) {
-      this.#probe();
+      this.#probe((connection) => this.#watch(connection));
     }
   }
 
@@ -71,7 +80,7 @@
     }
   }
 
-  #probe(): void {
+  #probe(onAccepted: (connection: Socket) => void): void {
     const endpoint = this.#options.getEndpoint();
     if (endpoint === undefined) {
       this.#resolvePendingCalls(true);
@@ -80,16 +89,45 @@
     this.#isProbing = true;
     const socket = connect(endpoint.port, endpoint.host);
     socket.setTimeout(probeTimeoutMilliseconds);
-    const finish = (hasCrashed: boolean): void => {
-      socket.removeAllListeners();
-      socket.on("error", () => {});
-      socket.destroy();
+    let isFinished = false;
+    const finish = (result: "accepted" | "refused" | "timeout"): void => {
+      if (isFinished) {
+        return;
+      }
+      isFinished = true;
       this.#isProbing = false;
-      this.#resolvePendingCalls(hasCrashed);
+      if (result === "accepted") {
+        onAccepted(socket);
+      } else {
+        socket.destroy();
+      }
+      this.#resolvePendingCalls(result === "refused");
+    };
+    socket.once("connect", () => finish("accepted"));
+    socket.once("timeout", () => finish("timeout"));
+    socket.on("error", () => finish("refused"));
+  }
+
+  /** Probes again if the target closes a connection that it has accepted. */
+  #watch(connection: Socket): void {
+    this.#watchedConnection?.destroy();
+    this.#watchedConnection = connection;
+    const stopWatching = (): void => {
+      this.#watchedConnection = undefined;
+      connection.destroy();
     };
-    socket.once("connect", () => finish(false));
-    socket.once("timeout", () => finish(false));
-    socket.once("error", () => finish(true));
+    connection.setTimeout(watchMilliseconds, stopWatching);
+    connection.once("close", () => {
+      if (this.#watchedConnection === connection) {
+        this.#watchedConnection = undefined;
+        if (!this.#isProbing) {
+          this.#probe((accepted) => accepted.destroy());
+        }
+      }
+    });
+    // Without a reader, the end of the connection is not noticed.
+    connection.resume();
+    connection.unref();
   }
 
   #resolvePendingCalls(hasCrashed: boolean): void {
@@ -102,7 +140,14 @@
       milliseconds,
     }));
     if (hasCrashed) {
-      this.#reportCrash(resets);
+      // A target that held its connection for longer has crashed since then.
+      const earlier = this.#recentResets.filter((each) =>
+        milliseconds - each.milliseconds < watchMilliseconds
+      );
+      this.#recentResets = [];
+      if (earlier.length + resets.length > 0) {
+        this.#reportCrash([...earlier, ...resets]);
+      }
     } else {
       this.#recentResets = [...this.#recentResets, ...resets].slice(-1024);
     }
