Keep a restarted target ready when its former incarnation crashed

After a target that had crashed was announced again, calls got no-target for up to a second.

Cause: a crash that is known only by the announcement of the next incarnation was reported like any other, and the node marked the target that it has now, which had just been announced, as crashed. It stayed so until its next renewal was refused and it announced itself once more.

Ruled out: that the new process was not listening yet. It announces itself when it does, and it served after the second announcement without a change.

Change: a detected crash states whether the target was announced again since then.

Evidence: the new case of failures_test fails before (crashed in place of ready).

--- a/src/node/crash_detector.ts
+++ b/src/node/crash_detector.ts
@@ -24,13 +24,23 @@
   onResult(hasCrashed: boolean): void;
 }
 
+/** A crash of the target. */
+export interface DetectedCrash {
+  /** Fingerprints of the calls that failed. */
+  readonly fingerprints: readonly string[];
+  /** Whether the only one was a suspect, which ran alone. */
+  readonly wasAlone: boolean;
+  /** Whether the target has been announced with a new incarnation since then. */
+  readonly incarnation: "current" | "former";
+}
+
 /** Settings of a {@link CrashDetector}. */
 export interface CrashDetectorOptions {
   readonly clock: Clock;
   /** Gets the address of the target; `undefined` before its announcement. */
   getEndpoint(): Endpoint | undefined;
-  /** Called once for each crash, with the fingerprints of the failed calls. */
-  onCrash(fingerprints: readonly string[], wasAlone: boolean): void;
+  /** Called once for each crash. */
+  onCrash(crash: DetectedCrash): void;
 }
 
 interface RecentReset {
@@ -76,7 +86,7 @@
     );
     this.#recentResets = [];
     if (resets.length > 0) {
-      this.#reportCrash(resets);
+      this.#reportCrash(resets, "former");
     }
   }
 
@@ -146,7 +156,7 @@
       );
       this.#recentResets = [];
       if (earlier.length + resets.length > 0) {
-        this.#reportCrash([...earlier, ...resets]);
+        this.#reportCrash([...earlier, ...resets], "current");
       }
     } else {
       this.#recentResets = [...this.#recentResets, ...resets].slice(-1024);
@@ -156,8 +166,14 @@
     }
   }
 
-  #reportCrash(resets: readonly RecentReset[]): void {
-    const wasAlone = resets.length === 1 && resets[0]?.ranAlone === true;
-    this.#options.onCrash(resets.map((each) => each.fingerprint), wasAlone);
+  #reportCrash(
+    resets: readonly RecentReset[],
+    incarnation: DetectedCrash["incarnation"],
+  ): void {
+    this.#options.onCrash({
+      fingerprints: resets.map((each) => each.fingerprint),
+      wasAlone: resets.length === 1 && resets[0]?.ranAlone === true,
+      incarnation,
+    });
   }
 }
--- a/src/node/crash_detector_test.ts
+++ b/src/node/crash_detector_test.ts
@@ -9,25 +9,19 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../common/mod.ts";
-import { CrashDetector } from "./crash_detector.ts";
+import { CrashDetector, type DetectedCrash } from "./crash_detector.ts";
 
 /** Longer than an accepted connection is watched. */
 const settleMilliseconds = 700;
 
-interface Crash {
-  readonly fingerprints: readonly string[];
-  readonly wasAlone: boolean;
-}
-
 interface DetectorCase {
   readonly name: string;
   /** Handles a connection of a probe. */
   onConnection(server: Server, socket: Socket): void;
   /** Fingerprints of the calls that fail, each after the result of the last one. */
   readonly failed: readonly string[];
-  readonly crashes: readonly Crash[];
-  /** Crashes after the target was announced with a new incarnation. */
-  readonly crashesAfterAnnouncement: readonly Crash[];
+  /** Incarnation at which the only crash is detected. */
+  readonly incarnation: DetectedCrash["incarnation"];
 }
 
 const cases: readonly DetectorCase[] = [
@@ -41,8 +35,7 @@
       }, 20);
     },
     failed: ["a"],
-    crashes: [{ fingerprints: ["a"], wasAlone: true }],
-    crashesAfterAnnouncement: [{ fingerprints: ["a"], wasAlone: true }],
+    incarnation: "current",
   },
   {
     name:
@@ -54,8 +47,7 @@
       }, 20);
     },
     failed: ["a"],
-    crashes: [{ fingerprints: ["a"], wasAlone: true }],
-    crashesAfterAnnouncement: [{ fingerprints: ["a"], wasAlone: true }],
+    incarnation: "current",
   },
   {
     name:
@@ -64,34 +56,30 @@
       server.close();
     },
     failed: ["a", "b"],
-    crashes: [{ fingerprints: ["a", "b"], wasAlone: false }],
-    crashesAfterAnnouncement: [{ fingerprints: ["a", "b"], wasAlone: false }],
+    incarnation: "current",
   },
   {
     name: "a target that closes the connection of each probe has not crashed",
     onConnection: (_server, socket) => socket.end(),
     failed: ["a"],
-    crashes: [],
-    crashesAfterAnnouncement: [{ fingerprints: ["a"], wasAlone: true }],
+    incarnation: "former",
   },
   {
     name: "a target that keeps the connection of a probe has not crashed",
     onConnection: () => {},
     failed: ["a"],
-    crashes: [],
-    crashesAfterAnnouncement: [{ fingerprints: ["a"], wasAlone: true }],
+    incarnation: "former",
   },
 ];
 
 for (const each of cases) {
   test(each.name, async (context) => {
     const port = await startTarget(context, each.onConnection);
-    const crashes: Crash[] = [];
+    const crashes: DetectedCrash[] = [];
     const detector = new CrashDetector({
       clock: systemClock,
       getEndpoint: () => ({ host: "127.0.0.1", port }),
-      onCrash: (fingerprints, wasAlone) =>
-        crashes.push({ fingerprints, wasAlone }),
+      onCrash: (crash) => crashes.push(crash),
     });
     for (const fingerprint of each.failed) {
       await new Promise<void>((resolve) =>
@@ -103,9 +91,17 @@
       );
     }
     await sleep(settleMilliseconds);
-    assert.deepEqual(crashes, each.crashes);
+    const expected = [{
+      fingerprints: each.failed,
+      wasAlone: each.failed.length === 1,
+      incarnation: each.incarnation,
+    }];
+    assert.deepEqual(
+      crashes,
+      each.incarnation === "current" ? expected : [],
+    );
     detector.onNewIncarnation();
-    assert.deepEqual(crashes, each.crashesAfterAnnouncement);
+    assert.deepEqual(crashes, expected);
   });
 }
 
--- a/src/node/failures_test.ts
+++ b/src/node/failures_test.ts
@@ -9,7 +9,9 @@
   startPair,
   type TestPair,
 } from "../../tests/support/test_pair.ts";
+import { ManualClock } from "../common/mod.ts";
 import { getRequestFingerprint } from "../request/mod.ts";
+import type { TargetAnnouncement } from "./announced_target.ts";
 
 function getFingerprint(path: string): string {
   return getRequestFingerprint({ method: "GET", path, body: Buffer.alloc(0) });
@@ -225,6 +227,38 @@
   assert.equal(second.target.runs.length, 0);
 });
 
+for (
+  const { name, incarnationStep, crashes } of [
+    { name: "as a new incarnation", incarnationStep: 1, crashes: 1 },
+  ]
+) {
+  test(`a target that reset a call is ready when it is announced ${name}`, async (context) => {
+    const clock = new ManualClock();
+    const front = await start(context, "front-1", { clock });
+    await replaceTarget(context, front, "", true);
+    const { target } = front.node.targetDispatcher;
+    const reports: unknown[] = [];
+    front.node.events = {
+      onTargetChange: () => {},
+      onCrash: (report) => reports.push(report),
+      onSuspectCleared: () => {},
+    };
+    const response = await sendCall({ port: front.outside, path: "/views/1" });
+    assert.equal(response.headers["dogwoodwalk-reason"], "target-reset");
+    const { endpoint, incarnation } = target.announcement as TargetAnnouncement;
+    target.announce({ endpoint, incarnation }, { hasLease: true });
+    clock.advance(front.node.state.settings.targetLeaseMilliseconds);
+    target.checkLease();
+    assert.equal(target.state, "expired");
+    target.announce(
+      { endpoint, incarnation: incarnation + incarnationStep },
+      { hasLease: false },
+    );
+    assert.equal(target.state, "ready");
+    assert.equal(reports.length, crashes);
+  });
+}
+
 test("a suspect runs alone, and is cleared when it completes", async (context) => {
   const front = await start(context, "front-1", { serviceMilliseconds: 30 });
   const { suspects } = front.node.state;
--- a/src/node/target_dispatcher.ts
+++ b/src/node/target_dispatcher.ts
@@ -56,13 +56,16 @@
     this.crashDetector = new CrashDetector({
       clock: state.clock,
       getEndpoint: () => this.target.announcement?.endpoint,
-      onCrash: (fingerprints, wasAlone) => {
+      onCrash: ({ fingerprints, wasAlone, incarnation }) => {
         const report = state.suspects.onCrash(fingerprints, wasAlone);
         state.log.error("target crashed", {
           inFlight: fingerprints.length,
           alone: report.wasAlone,
+          incarnation,
         });
-        this.target.onCrash();
+        if (incarnation === "current") {
+          this.target.onCrash();
+        }
         this.#options.onCrash(report);
       },
     });
