Report no crash when a target comes back after the end of its lease

A target that had reset a call and whose lease ended, for example because its node or the machine stood still, was taken for crashed when it announced itself again with the same incarnation. The request of that call became a suspect at every node.

Cause: any return to "ready" counted as a new incarnation.

Ruled out: that the detector could tell; it knows no incarnations.

Change: the node compares the incarnation with the one that was ready last.

Evidence: the new case of failures_test fails before (one report in place of none). No process run has shown it.

--- a/src/node/failures_test.ts
+++ b/src/node/failures_test.ts
@@ -230,6 +230,7 @@
 for (
   const { name, incarnationStep, crashes } of [
     { name: "as a new incarnation", incarnationStep: 1, crashes: 1 },
+    { name: "after its lease has ended", incarnationStep: 0, crashes: 0 },
   ]
 ) {
   test(`a target that reset a call is ready when it is announced ${name}`, async (context) => {
--- a/src/node/target_dispatcher.ts
+++ b/src/node/target_dispatcher.ts
@@ -37,6 +37,8 @@
   #controller: AdmissionController | undefined;
   #classCount = 0;
   #pool: ConnectionPool | undefined;
+  /** Incarnation of the target that was ready last. */
+  #readyIncarnation: number | undefined;
   #poolIncarnation = 0;
   #timer: NodeJS.Timeout | undefined;
   #timerDueMilliseconds = Infinity;
@@ -289,7 +291,7 @@
   }
 
   #onTargetChange(previous: LocalTargetState): void {
-    const { state, announcement, sequence } = this.target;
+    const { state, announcement } = this.target;
     this.#state.log.info("target changed", {
       state,
       previous,
@@ -297,7 +299,10 @@
         `${announcement.endpoint.host}:${announcement.endpoint.port}`,
       incarnation: announcement?.incarnation,
     });
-    if (state === "ready" && sequence > 1) {
+    if (
+      state === "ready" && announcement?.incarnation !== this.#readyIncarnation
+    ) {
+      this.#readyIncarnation = announcement?.incarnation;
       this.crashDetector.onNewIncarnation();
     }
     if (state === "ready") {
