Wait for an accepted probe to settle before the result of a failed call

One send of a request that crashes its target could crash two targets.

Ruled out: that the origin could tell from the answer. A reset of a living target is retried for idempotent requests, and should be.

Change: the result of a failed call waits until the target closes the connection of the probe, for at most 25 ms. Only calls whose connection broke wait. Calls that wait when the target is announced again belong to the crash of its former incarnation.

--- a/src/node/crash_detector.ts
+++ b/src/node/crash_detector.ts
@@ -9,6 +9,11 @@
  * target is ending.
  */
 const watchMilliseconds = 500;
+/**
+ * Time for which the failed calls wait for the end of an accepted probe. Until it
+ * is known whether they crashed the target, they must not run at another one.
+ */
+const settleMilliseconds = 25;
 /**
  * Time before a new incarnation of the target in which reset connections are
  * attributed to a crash of the former incarnation.
@@ -79,15 +84,15 @@
 
   /** Records that a new incarnation of the target was announced. */
   onNewIncarnation(): void {
-    const oldest = this.#options.clock.monotonicMilliseconds() -
-      restartWindowMilliseconds;
-    const resets = this.#recentResets.filter((each) =>
-      each.milliseconds >= oldest
-    );
-    this.#recentResets = [];
+    const calls = this.#takePendingCalls();
+    const resets = [
+      ...this.#takeRecentResets(restartWindowMilliseconds),
+      ...this.#createResets(calls),
+    ];
     if (resets.length > 0) {
       this.#reportCrash(resets, "former");
     }
+    calls.forEach((call) => call.onResult(true));
   }
 
   #probe(onAccepted: (connection: Socket) => void): void {
@@ -105,13 +110,12 @@
         return;
       }
       isFinished = true;
-      this.#isProbing = false;
       if (result === "accepted") {
         onAccepted(socket);
       } else {
         socket.destroy();
+        this.#resolvePendingCalls(result === "refused");
       }
-      this.#resolvePendingCalls(result === "refused");
     };
     socket.once("connect", () => finish("accepted"));
     socket.once("timeout", () => finish("timeout"));
@@ -122,16 +126,24 @@
   #watch(connection: Socket): void {
     this.#watchedConnection?.destroy();
     this.#watchedConnection = connection;
-    const stopWatching = (): void => {
+    let isSettled = false;
+    const settleTimer = setTimeout(() => {
+      isSettled = true;
+      this.#resolvePendingCalls(false);
+    }, settleMilliseconds);
+    connection.setTimeout(watchMilliseconds, () => {
       this.#watchedConnection = undefined;
       connection.destroy();
-    };
-    connection.setTimeout(watchMilliseconds, stopWatching);
+    });
     connection.once("close", () => {
+      clearTimeout(settleTimer);
       if (this.#watchedConnection === connection) {
         this.#watchedConnection = undefined;
-        if (!this.#isProbing) {
-          this.#probe((accepted) => accepted.destroy());
+        if (!isSettled || !this.#isProbing) {
+          this.#probe((accepted) => {
+            accepted.destroy();
+            this.#resolvePendingCalls(false);
+          });
         }
       }
     });
@@ -141,29 +153,45 @@
   }
 
   #resolvePendingCalls(hasCrashed: boolean): void {
+    this.#isProbing = false;
+    const calls = this.#takePendingCalls();
+    const resets = this.#createResets(calls);
+    if (hasCrashed) {
+      // A target that held its connection for longer has crashed since then.
+      const crashed = [...this.#takeRecentResets(watchMilliseconds), ...resets];
+      if (crashed.length > 0) {
+        this.#reportCrash(crashed, "current");
+      }
+    } else {
+      this.#recentResets = [...this.#recentResets, ...resets].slice(-1024);
+    }
+    calls.forEach((call) => call.onResult(hasCrashed));
+  }
+
+  #takePendingCalls(): FailedCall[] {
     const calls = this.#pendingCalls;
     this.#pendingCalls = [];
+    return calls;
+  }
+
+  /** Removes all resets, and gets those that are not older than a given time. */
+  #takeRecentResets(windowMilliseconds: number): RecentReset[] {
+    const oldest = this.#options.clock.monotonicMilliseconds() -
+      windowMilliseconds;
+    const resets = this.#recentResets.filter((each) =>
+      each.milliseconds >= oldest
+    );
+    this.#recentResets = [];
+    return resets;
+  }
+
+  #createResets(calls: readonly FailedCall[]): RecentReset[] {
     const milliseconds = this.#options.clock.monotonicMilliseconds();
-    const resets = calls.map(({ fingerprint, ranAlone }) => ({
+    return calls.map(({ fingerprint, ranAlone }) => ({
       fingerprint,
       ranAlone,
       milliseconds,
     }));
-    if (hasCrashed) {
-      // A target that held its connection for longer has crashed since then.
-      const earlier = this.#recentResets.filter((each) =>
-        milliseconds - each.milliseconds < watchMilliseconds
-      );
-      this.#recentResets = [];
-      if (earlier.length + resets.length > 0) {
-        this.#reportCrash([...earlier, ...resets], "current");
-      }
-    } else {
-      this.#recentResets = [...this.#recentResets, ...resets].slice(-1024);
-    }
-    for (const call of calls) {
-      call.onResult(hasCrashed);
-    }
   }
 
   #reportCrash(
