Restart a crashed target in the test also if its process ends late

The test of crashing requests could wait for 30 s for a target that it had not restarted.

Cause: it looked once whether the target's process runs, right after the result of the call, which may arrive before the process has ended.

Ruled out: a target that is not found again.

Change: the test looks again with each attempt. What it asserts is unchanged.

--- a/tests/process_failures_test.ts
+++ b/tests/process_failures_test.ts
@@ -210,13 +210,13 @@
       assert.equal(result.disposition, "unknown", JSON.stringify(result));
     }
     for (const eachPortal of portals) {
-      if (!cluster.processes.isRunning(`${eachPortal.name}-target`)) {
-        cluster.startTarget(eachPortal);
-      }
-      await waitFor(
-        async () => (await sendView(eachPortal)).status === 200,
-        30_000,
-      );
+      await waitFor(async () => {
+        // The result may arrive before the crashed process has ended.
+        if (!cluster.processes.isRunning(`${eachPortal.name}-target`)) {
+          cluster.startTarget(eachPortal);
+        }
+        return (await sendView(eachPortal)).status === 200;
+      }, 30_000);
     }
   }
   assert.ok(countCrashes() <= 2, `${countCrashes()} targets crashed`);
