Ask a node again to drain its target if the request was lost

The request of an operator to drain a target was lost when the session ended on its way: the command had succeeded, and the target went on taking calls.

Cause: the request was written to the stream once, and nothing compared it with the state of the target. It is the last message of the list in design.md that changes what a node does and was compared with nothing.

Ruled out: that the command could wait for the node. It would tell the operator that the request was lost, not repeat it.

Change: the instance records the target as drained when it sends the request. As after a restart of a node, an announcement of the target that does not know of the drain is answered with that record, and the node drains it. Other nodes learn of the drain from the record, without waiting for the node.

Not covered: an instance that ends within the 0.2 s that it takes to tell the others.

--- a/src/control_client/control_session_moves_test.ts
+++ b/src/control_client/control_session_moves_test.ts
@@ -238,6 +238,27 @@
   );
 });
 
+test("a request to drain a target that is lost with its session is repeated", async () => {
+  const { first, second, proxy } = await startInstancesBehindProxy();
+  const node = startNode([proxy.address, second.address], "n1");
+  const request = { environment: "trial", targetId: "n1-target" };
+  node.announce("ready");
+  await waitUntil(
+    () => node.getStates("balances")["n1-target"] === "ready",
+    "the target is known",
+  );
+  second.setAvailability("available");
+  proxy.dropTraffic();
+  assert.deepEqual(first.sessionHost.drain(request), {
+    kind: "asked",
+    state: "ready",
+  });
+  await waitUntil(
+    () => node.drainRequests.includes("n1-target"),
+    "the node got the request at its next session",
+  );
+});
+
 test("nodes leave an isolated instance, and stay when all are isolated", async () => {
   const instances = await startControl(2, { graceMilliseconds: 5000 });
   const [first, second] = instances;
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -207,6 +207,26 @@
     return undefined;
   }
 
+  /**
+   * Records that a target is to be drained. A node that announces the target
+   * without knowing of it is told to drain it.
+   * @param name The target.
+   * @param now Monotonic time in milliseconds.
+   */
+  drain(
+    name: { environment: string; targetId: string },
+    now: number,
+  ): void {
+    const known = this.getTarget(name);
+    if (known !== undefined && !isDrained(known)) {
+      this.#targets.merge({
+        ...known,
+        state: "draining",
+        drainedIncarnation: known.incarnation,
+      }, { owner: this.#owner, now });
+    }
+  }
+
   /** Gets whether a session still holds its lease. */
   hasLease(session: { nodeKey: string; sessionSequence: number }): boolean {
     return this.#getLease(session) !== undefined;
--- a/src/session_server/session_host.ts
+++ b/src/session_server/session_host.ts
@@ -277,7 +277,8 @@
   }
 
   /**
-   * Asks the node of a target to drain it.
+   * Asks the node of a target to drain it. The target is recorded as drained, so
+   * that the node is asked again if the request is lost with its session.
    * @param request The target.
    * @returns Whether the request was sent, or why not.
    */
@@ -295,6 +296,8 @@
       nodeId: target.nodeId,
     }));
     if (session !== undefined) {
+      this.#directory.drain(request, this.#now());
+      this.#views.scheduleFlush();
       session.send({ $case: "drainTarget", drainTarget: { targetId } });
       return { kind: "asked", state: target.state };
     }
