Log crash reports that are dropped for a silent instance

Above 1000 crash reports for an instance that does not answer, further ones were dropped without a line, so nobody could tell why it knew no suspects.

Cause: the limit of the queue had no other branch.

Ruled out: a longer queue; the limit holds the memory of an instance, and what was quarantined is in the replicated log in any case.

Change: the first dropped report is logged, and their number when the instance answers again.

--- a/src/session_server/instance_exchange.ts
+++ b/src/session_server/instance_exchange.ts
@@ -43,6 +43,8 @@
   /** Buckets that the peer requested in its last answer. */
   requestedBuckets: BucketKey[];
   crashNews: CrashNews[];
+  /** Number of crash reports and clearances that were dropped since the last answer. */
+  droppedCrashNews: number;
   isPushing: boolean;
   consecutiveFailures: number;
   lastDigestAt: number;
@@ -82,6 +84,11 @@
       if (peer.crashNews.length < maximumQueuedCrashNews) {
         peer.crashNews.push(news);
         this.#push(peer);
+      } else {
+        peer.droppedCrashNews++;
+        if (peer.droppedCrashNews === 1) {
+          this.#logDroppedCrashNews(peer);
+        }
       }
     }
   }
@@ -158,6 +165,7 @@
           nodes: new Map(),
           requestedBuckets: [],
           crashNews: [],
+          droppedCrashNews: 0,
           isPushing: false,
           consecutiveFailures: 0,
           lastDigestAt: Number.NEGATIVE_INFINITY,
@@ -210,6 +218,10 @@
         removeSent(peer.targets, sent.targets);
         removeSent(peer.nodes, sent.nodes);
         peer.crashNews.splice(0, sent.crashNews);
+        if (peer.droppedCrashNews > 0) {
+          this.#logDroppedCrashNews(peer);
+          peer.droppedCrashNews = 0;
+        }
         peer.requestedBuckets = answer.wanted;
         if (peer.crashNews.length > 0) {
           this.#push(peer);
@@ -227,6 +239,14 @@
     });
   }
 
+  #logDroppedCrashNews(peer: Peer): void {
+    this.#options.log.warn("crash reports dropped", {
+      peer: peer.instance.instanceId,
+      dropped: peer.droppedCrashNews,
+      reason: "the instance does not answer",
+    });
+  }
+
   #onFailure(peer: Peer, message: string): void {
     peer.consecutiveFailures++;
     if (peer.consecutiveFailures === 1) {
