Say what a probe passes on, and which resets a crash explains

Cause: read as a newcomer, the callback of the probe had no contract, and the comment on older resets took two readings.

Ruled out: renaming.

Change: comments only.

--- a/src/node/crash_detector.ts
+++ b/src/node/crash_detector.ts
@@ -95,6 +95,10 @@
     calls.forEach((call) => call.onResult(true));
   }
 
+  /**
+   * Connects to the target, and resolves the pending calls unless it accepts.
+   * @param onAccepted Called with the connection; has to resolve the calls.
+   */
   #probe(onAccepted: (connection: Socket) => void): void {
     const endpoint = this.#options.getEndpoint();
     if (endpoint === undefined) {
@@ -157,7 +161,7 @@
     const calls = this.#takePendingCalls();
     const resets = this.#createResets(calls);
     if (hasCrashed) {
-      // A target that held its connection for longer has crashed since then.
+      // The target outlived the older ones: it held the connection of their probe.
       const crashed = [...this.#takeRecentResets(watchMilliseconds), ...resets];
       if (crashed.length > 0) {
         this.#reportCrash(crashed, "current");
