Encode the quarantine only for a node that needs it

Ruled out: a second copy of the last key at the host; each session has it.

Change: the message is encoded when the first session needs it. What is sent, and when, is unchanged. No figure was measured.

--- a/src/session_server/node_session.ts
+++ b/src/session_server/node_session.ts
@@ -115,7 +115,7 @@
   sendQuarantine(update: QuarantineUpdate): void {
     if (update.key !== this.#quarantineKey) {
       this.#quarantineKey = update.key;
-      this.send(update.message);
+      this.send(update.getMessage());
     }
   }
 
--- a/src/session_server/quarantine_update.ts
+++ b/src/session_server/quarantine_update.ts
@@ -4,7 +4,8 @@
 export interface QuarantineUpdate {
   /** Text that differs between lists. */
   readonly key: string;
-  readonly message: EncodedMessage;
+  /** Gets the message, which is encoded when the first node needs it. */
+  getMessage(): EncodedMessage;
 }
 
 /**
@@ -15,16 +16,18 @@
   fingerprints: readonly string[],
 ): QuarantineUpdate {
   const quarantined = fingerprints.toSorted();
+  let message: EncodedMessage | undefined;
   return {
     key: quarantined.join("\n"),
-    message: encodeControlMessage({
-      $case: "suspects",
-      suspects: {
-        suspects: [],
-        cleared: [],
-        quarantined,
-        hasQuarantined: true,
-      },
-    }),
+    getMessage: () =>
+      message ??= encodeControlMessage({
+        $case: "suspects",
+        suspects: {
+          suspects: [],
+          cleared: [],
+          quarantined,
+          hasQuarantined: true,
+        },
+      }),
   };
 }
