Log which start of a target crashed under a key of its own

Cause: the line "target crashed" had incarnation=current, while incarnation is a number in all other lines, and the page of the log lines did not list it.

Ruled out: the number; the former incarnation is not known where the crash is found.

--- a/src/node/target_dispatcher.ts
+++ b/src/node/target_dispatcher.ts
@@ -63,7 +63,7 @@
         state.log.error("target crashed", {
           inFlight: fingerprints.length,
           alone: report.wasAlone,
-          incarnation,
+          crashed: incarnation,
         });
         if (incarnation === "current") {
           this.target.onCrash();
