Read the documents of each node once in a soak

Cause: two checks read and parsed the log of each node for the same starts.

Ruled out: one check for both; they bind different things.

Change: both get the starts that were read once. A comment in the directory says "asked" for what the request to drain does.

--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -165,7 +165,7 @@
       ...checkDrains(observation, this.#drainer.confirmed),
       ...checkDenied({
         ...observation,
-        documents: this.#createDocumentsInForce(history),
+        documents: this.#createDocumentsInForce(history, documents.starts),
       }),
       ...checkHistory(this.#changer.acknowledged, history),
       ...checkLateDocuments(documents),
@@ -329,6 +329,7 @@
 
   #createDocumentsInForce(
     history: readonly AcknowledgedChange[],
+    starts: ReadonlyMap<string, readonly DocumentStart[]>,
   ): Map<string, DocumentsInForce> {
     const changeIds = new Map(
       history.map((each) => [each.revision, each.changeId]),
@@ -341,7 +342,7 @@
       name,
       new DocumentsInForce(
         service,
-        readDocumentStarts(this.#readLog(`${name}-node`)),
+        starts.get(name) ?? [],
         getText,
       ),
     ]));
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -209,7 +209,7 @@
 
   /**
    * Records that a target is to be drained. A node that announces the target
-   * without knowing of it is told to drain it.
+   * without knowing of it is asked to drain it.
    * @param name The target.
    * @param now Monotonic time in milliseconds.
    */
