--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -30,16 +30,25 @@
 
 /** Writes what was sent, answered and run, with the time since the start. */
 export class Record {
+  #text = "";
   constructor(file) {
     this.file = file;
     this.start = performance.now();
     writeFileSync(file, "");
+    setInterval(() => this.flush(), 200).unref();
+    process.once("exit", () => this.flush());
   }
   get seconds() {
     return (performance.now() - this.start) / 1000;
   }
   add(text) {
-    appendFileSync(this.file, `${this.seconds.toFixed(3)} ${text}\n`);
+    this.#text += `${this.seconds.toFixed(3)} ${text}\n`;
+  }
+  flush() {
+    if (this.#text !== "") {
+      appendFileSync(this.file, this.#text);
+      this.#text = "";
+    }
   }
 }
 
@@ -64,6 +73,9 @@
     this.machines = new Map();
     this.endpoints = [];
     this.seeds = [1, 2, 3];
+    for (const name of ["SIGTERM", "SIGINT"]) {
+      process.once(name, () => void this.close().then(() => process.exit(2)));
+    }
   }
 
   ip(machine) {
@@ -179,6 +191,26 @@
     return entry;
   }
 
+  /** Starts a stand-in endpoint in a process of its own. */
+  startEndpointProcess(machine, options) {
+    const child = spawn(process.execPath, [
+      join(import.meta.dirname, "endpoint_process.mjs"),
+      JSON.stringify({
+        ip: this.ip(machine),
+        ports: this.ports,
+        machine,
+        ...options,
+      }),
+    ], { stdio: ["ignore", "pipe", "inherit"] });
+    let rest = "";
+    child.stdout.on("data", (chunk) => {
+      const lines = `${rest}${chunk}`.split("\n");
+      rest = lines.pop();
+      lines.forEach((line) => this.record.add(line));
+    });
+    this.endpoints.push({ close: () => child.kill("SIGKILL") });
+  }
+
   signal(machine, name) {
     this.record.add(`machine ${machine}: ${name}`);
     this.machines.get(machine).child.kill(name);
