--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -82,6 +82,7 @@
     const acknowledgedAt = performance.now();
     await sleep(2 * configApplyMs + 1000);
     const after = await sendAtAll(30);
+    const isReady = await fleet.whenReady(11, 2000);
     const runs = [...endpoints.values()].flatMap((each) => each.runs);
     const outdated = after.filter(({ id, sentAt }) =>
       sentAt > acknowledgedAt + configApplyMs &&
@@ -93,7 +94,7 @@
       after.filter(({ status }) => status === 200).length
     } answered 200, ${outdated.length} run by the service of r1 (at machines ${
       [...new Set(outdated.map(({ machine }) => machine))].join(", ") || "none"
-    })`;
+    }); machine 11 is ${isReady ? "" : "not "}ready`;
     record.add(summary);
     console.log(summary);
     if (second === 200) {
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -28,6 +28,33 @@
   return /^run = "(.*)"$/m.exec(section)[1].split(" ");
 }
 
+/** Number of consecutive ports that a machine uses. */
+const portCount = 25;
+
+/** Finds consecutive ports that are free at every address of this machine. */
+async function findFreePorts() {
+  for (let turn = 0; turn < 50; turn++) {
+    const base = 21_000 + Math.floor(Math.random() * 8000);
+    const servers = [];
+    let isFree = true;
+    for (let port = base; isFree && port < base + portCount; port++) {
+      const server = net.createServer();
+      isFree = await new Promise((resolve) => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "0.0.0.0", () => resolve(true));
+      });
+      servers.push(server);
+    }
+    await Promise.all(
+      servers.map((each) => new Promise((resolve) => each.close(resolve))),
+    );
+    if (isFree) {
+      return base;
+    }
+  }
+  throw new Error("no free ports");
+}
+
 /** Writes what was sent, answered and run, with the time since the start. */
 export class Record {
   #text = "";
@@ -52,6 +79,9 @@
   }
 }
 
+const isEndpointProcess = process.argv[1]?.endsWith("endpoint_process.mjs");
+const basePort = isEndpointProcess ? 0 : await findFreePorts();
+
 export class Fleet {
   constructor({ repository, record, ports }) {
     this.repository = repository;
@@ -60,7 +90,7 @@
     this.net = `127.${64 + Math.floor(Math.random() * 60)}.${
       1 + Math.floor(Math.random() * 250)
     }`;
-    const base = 21000 + Math.floor(Math.random() * 8000);
+    const base = basePort;
     this.ports = {
       internal: base,
       control: base + 20,
@@ -76,6 +106,10 @@
     for (const name of ["SIGTERM", "SIGINT"]) {
       process.once(name, () => void this.close().then(() => process.exit(2)));
     }
+    process.once("uncaughtException", (error) => {
+      console.error(error);
+      void this.close().then(() => process.exit(2));
+    });
   }
 
   ip(machine) {
@@ -421,8 +455,12 @@
       return;
     }
     const chunks = [];
-    for await (const chunk of incoming) {
-      chunks.push(chunk);
+    try {
+      for await (const chunk of incoming) {
+        chunks.push(chunk);
+      }
+    } catch {
+      return;
     }
     const expected = headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
