Give suspects their turn at targets that are always in use

What callers saw: a sound request that was in flight when a target crashed had to run alone from then on, waited at a busy target until its deadline and was refused with 503, for up to ten minutes.

Cause: suspects wait behind the other calls of their class, and start only while no call runs. At a target that always runs something that moment never comes. This was read from the queue order; the wait was not traced in a log.

A call that arrives while only suspects wait starts at once if a slot is free. `setSuspect` changes a queued call.

Measured: the new test at steady load runs at least 10 of 20 suspects and 80% of the other calls; before, the queue order lets no suspect start.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -22,6 +22,7 @@
   getObjectiveParameters,
   type ObjectiveParameters,
 } from "./objective_parameters.ts";
+import { SuspectTurns } from "./suspect_turns.ts";
 
 /** A target counts as idle while fewer calls than this share of its limit run. */
 const idleLimitShare = 0.75;
@@ -68,6 +69,7 @@
   #callerShare: number;
   #parameters: ObjectiveParameters;
   #running = 0;
+  readonly #suspectTurns = new SuspectTurns();
   #isSuspectRunning = false;
   #queuedSuspects = 0;
   #sequence = 0;
@@ -141,6 +143,15 @@
       return runDecision;
     }
     this.#enqueue(entry);
+    // A queue of suspects does not mean that there is no free slot.
+    if (
+      this.#queuedSuspects > 0 && this.#getNextEntry(now) === entry &&
+      this.#canStart(entry)
+    ) {
+      this.#dequeue(entry);
+      this.#start(entry, now);
+      return runDecision;
+    }
     return queuedDecision;
   }
 
@@ -162,6 +173,7 @@
       (this.#runningByClass[entry.classIndex] ?? 0) - 1;
     if (entry.isSuspect) {
       this.#isSuspectRunning = false;
+      this.#suspectTurns.onFinished(now);
     }
     entry.callerUsage.running--;
     this.#callers.deleteIfUnused(entry.callerUsage);
@@ -180,6 +192,26 @@
     this.#startQueued(this.#clock.monotonicMilliseconds());
   }
 
+  /**
+   * Changes whether a queued call must run alone.
+   * @param id The call; one that does not wait is ignored.
+   * @param isSuspect Whether it is a suspect now.
+   */
+  setSuspect(id: string, isSuspect: boolean): void {
+    const entry = this.#entries.get(id);
+    if (
+      entry === undefined || entry.startedMilliseconds !== undefined ||
+      entry.isSuspect === isSuspect
+    ) {
+      return;
+    }
+    // Its place in the queue depends on it.
+    this.#dequeue(entry);
+    entry.isSuspect = isSuspect;
+    this.#enqueue(entry);
+    this.#startQueued(this.#clock.monotonicMilliseconds());
+  }
+
   /** Gets and clears the queued calls that started or were refused. */
   takeEvents(): AdmissionEvent[] {
     const now = this.#clock.monotonicMilliseconds();
@@ -259,6 +291,7 @@
       depth: request.depth,
       hash: request.hash,
       isSuspect: request.isSuspect,
+      offeredMilliseconds: now,
       deadlineMilliseconds: now + request.remainingMilliseconds,
       sequence: this.#sequence++,
       startedMilliseconds: undefined,
@@ -510,7 +543,7 @@
 
   #startQueued(now: number): void {
     while (this.#queue.length > 0) {
-      const entry = this.#getNextEntry();
+      const entry = this.#getNextEntry(now);
       if (entry === undefined || !this.#canStart(entry)) {
         return;
       }
@@ -528,15 +561,21 @@
   }
 
   /**
-   * Gets the entry to run next: in the most important class that waits, the
-   * first whose caller is within its share of the running calls, or else the
-   * first.
+   * Gets the entry to run next: in the most important class that waits, a
+   * suspect whose turn it is, or else the first whose caller is within its share
+   * of the running calls, or else the first.
    */
-  #getNextEntry(): AdmissionEntry | undefined {
+  #getNextEntry(now: number): AdmissionEntry | undefined {
     const first = this.#queue.at(0);
     if (first === undefined) {
       return undefined;
     }
+    const suspect = this.#queuedSuspects === 0
+      ? undefined
+      : this.#suspectTurns.getDue(this.#queue, now);
+    if (suspect !== undefined) {
+      return suspect;
+    }
     const count = this.#queue.getClassCount(first.classIndex);
     for (let i = 0; i < count; i++) {
       const entry = this.#queue.at(i);
--- a/src/admission/admission_controller_test.ts
+++ b/src/admission/admission_controller_test.ts
@@ -82,6 +82,16 @@
     }
   }
 
+  setSuspect(index: number, isSuspect: boolean): void {
+    const requests = [...this.waiting.values()];
+    const request = requests[index % Math.max(1, requests.length)];
+    if (request !== undefined) {
+      this.waiting.set(request.id, { ...request, isSuspect });
+      this.controller.setSuspect(request.id, isSuspect);
+      this.takeEvents();
+    }
+  }
+
   takeEvents(): void {
     for (const event of this.controller.takeEvents()) {
       const request = this.waiting.get(event.id);
@@ -135,6 +145,11 @@
     }),
   },
   fc.record({ kind: fc.constant("cancel" as const), index: fc.nat(40) }),
+  fc.record({
+    kind: fc.constant("set-suspect" as const),
+    index: fc.nat(40),
+    isSuspect: fc.boolean(),
+  }),
   fc.record({ kind: fc.constant("advance" as const), by: fc.nat(120) }),
 );
 
@@ -156,6 +171,8 @@
             checker.finish(each.index, outcome);
           } else if (each.kind === "cancel") {
             checker.cancel(each.index);
+          } else if (each.kind === "set-suspect") {
+            checker.setSuspect(each.index, each.isSuspect);
           } else {
             clock.advance(each.by);
             checker.takeEvents();
@@ -175,6 +192,51 @@
   );
 });
 
+// Guards against sound suspects that are refused at targets that are always in use.
+test("a suspect runs alone beside steady load of its class, which keeps most of the target", () => {
+  const { clock, controller } = createController({ slots: 4 });
+  const ends = new Map<string, number>();
+  let suspectRuns = 0;
+  let finished = 0;
+  const suspects = new Set<string>();
+  const start = (id: string): void => {
+    suspectRuns += suspects.has(id) ? 1 : 0;
+    ends.set(id, clock.monotonicMilliseconds() + 100);
+  };
+  const offer = (isSuspect: boolean): void => {
+    const request = createRequest({ isSuspect });
+    if (isSuspect) {
+      suspects.add(request.id);
+    }
+    if (controller.offer(request).kind === "run") {
+      start(request.id);
+    }
+  };
+  for (let milliseconds = 0; milliseconds < 20_000; milliseconds += 10) {
+    if (milliseconds % 1000 === 0) {
+      offer(true);
+    }
+    if (milliseconds % 40 === 0) {
+      offer(false);
+    }
+    for (const [id, end] of ends) {
+      if (end <= clock.monotonicMilliseconds()) {
+        ends.delete(id);
+        finished++;
+        controller.finish(id, completed);
+      }
+    }
+    for (const event of controller.takeEvents()) {
+      if (event.kind === "run") {
+        start(event.id);
+      }
+    }
+    clock.advance(10);
+  }
+  assert.ok(suspectRuns >= 10, `${suspectRuns} suspects ran`);
+  assert.ok(finished >= 0.8 * 500, `${finished} calls ran`);
+});
+
 test("a surge of every class at once sheds the least important first", () => {
   const { controller } = createController({ slots: 4 });
   const classes = new Map<string, number>();
--- a/src/admission/admission_queue.ts
+++ b/src/admission/admission_queue.ts
@@ -7,11 +7,12 @@
   readonly classIndex: number;
   readonly depth: number;
   readonly hash: number;
-  readonly isSuspect: boolean;
+  isSuspect: boolean;
   /** Monotonic time of the call's deadline. */
   readonly deadlineMilliseconds: number;
   /** Order of arrival; breaks ties between calls that are otherwise equal. */
   readonly sequence: number;
+  readonly offeredMilliseconds: number;
   /** Monotonic time at which the call started; undefined while queued. */
   startedMilliseconds: number | undefined;
 }
