Take only requests that never complete for the cause of crashes

Cause: a fingerprint that was the only one in flight at two crashes was quarantined at once. A busy kind of request is in flight at every crash, so that was no evidence. The fingerprint had no caller and only 4 KiB of the body, so one request stood for all members; and nothing but time ended a mistake. Adding the caller alone would leave a public page, whose requests are the same in everything.

Ruled out: that the caller in the fingerprint is enough (the users saw the same on a public page, as GET and as a POST with one body), and that the crashes have to be at one moment: the rule did not look at times.

Change: a request that crashes targets never completes, so a completion anywhere clears the fingerprints of its request, also if the call started before the crash, and ends a quarantine. Only a crash of a target that ran the request alone is evidence. Fingerprints go from wide to narrow (path and body; credentials; all headers that do not differ between attempts), and the narrowest one that fits is quarantined. Bodies count as a whole: a streamed one is hashed while it is sent, and nodes with suspects buffer bodies up to 1 MiB. The first quarantine takes 60 s and leads to a trial; both are in the replicated log. Queued calls follow changes of the list.

--- a/src/command_line/fleet_commands.ts
+++ b/src/command_line/fleet_commands.ts
@@ -106,7 +106,7 @@
 }
 
 /**
- * Lists the fingerprints in quarantine.
+ * Lists the fingerprints in quarantine, and those that are on trial after it.
  * @param context Context of the command.
  * @param environment Name of the environment.
  * @returns The entries.
@@ -126,6 +126,9 @@
     fingerprint: entry.fingerprint,
     since: new Date(entry.sinceMilliseconds).toISOString(),
     until: new Date(entry.untilMilliseconds).toISOString(),
+    trialUntil: entry.trialUntilMilliseconds === 0
+      ? "-"
+      : new Date(entry.trialUntilMilliseconds).toISOString(),
     reason: entry.reason,
     reportedBy: entry.reportedBy,
   }));
@@ -135,7 +138,14 @@
     lines: entries.length === 0
       ? [`${environment}: nothing in quarantine`]
       : formatColumns([
-        ["FINGERPRINT", "SINCE", "UNTIL", "REASON", "REPORTED BY"],
+        [
+          "FINGERPRINT",
+          "SINCE",
+          "UNTIL",
+          "TRIAL UNTIL",
+          "REASON",
+          "REPORTED BY",
+        ],
         ...entries.map((entry) => Object.values(entry)),
       ]),
   };
--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -10,7 +10,7 @@
 export { type Finding, formatFinding } from "./finding.ts";
 export { failed, ok, type Result } from "./result.ts";
 export { StopPhases } from "./stop_phases.ts";
-export { getBytesHash, getStableHash } from "./stable_hash.ts";
+export { BytesHasher, getBytesHash, getStableHash } from "./stable_hash.ts";
 export {
   createMetrics,
   disabledMetrics,
--- a/src/common/stable_hash.ts
+++ b/src/common/stable_hash.ts
@@ -20,3 +20,18 @@
 export function getBytesHash(bytes: Uint8Array): string {
   return hasher.h64Raw(bytes).toString(16).padStart(16, "0");
 }
+
+/** Computes the hash of {@link getBytesHash} of bytes that come in parts. */
+export class BytesHasher {
+  readonly #hash = hasher.create64();
+
+  /** Adds bytes. */
+  update(bytes: Uint8Array): void {
+    this.#hash.update(bytes);
+  }
+
+  /** Gets the hash of the bytes so far as 16 hexadecimal digits. */
+  getDigest(): string {
+    return this.#hash.digest().toString(16).padStart(16, "0");
+  }
+}
--- a/src/configuration/document_history_test.ts
+++ b/src/configuration/document_history_test.ts
@@ -209,6 +209,7 @@
       environment: "trial",
       fingerprint,
       seconds,
+      firstSeconds: 0,
       reason: "crash",
       reportedBy: "c1",
     }, { time: new Date(0) });
@@ -229,6 +230,40 @@
   assert.deepEqual(getFingerprints(0), ["b"]);
 });
 
+// Guards against a mistaken quarantine that lasts for the whole time.
+test("the first quarantine is short, and a crash in its trial leads to a long one", () => {
+  const list = new QuarantineList();
+  const add = (seconds: number) =>
+    list.add({
+      environment: "trial",
+      fingerprint: "a",
+      seconds: 100,
+      firstSeconds: 10,
+      reason: "crash",
+      reportedBy: "c1",
+    }, { time: new Date(seconds * 1000) });
+  const getState = (seconds: number): string => {
+    const now = new Date(seconds * 1000);
+    const isQuarantined = list.getEntries("trial", now).length > 0;
+    const isOnTrial = list.getTrials("trial", now).length > 0;
+    return isQuarantined ? "quarantined" : isOnTrial ? "on trial" : "none";
+  };
+  add(0);
+  // Another instance records the same crash.
+  add(1);
+  assert.deepEqual([getState(10), getState(11), getState(110), getState(111)], [
+    "quarantined",
+    "on trial",
+    "on trial",
+    "none",
+  ]);
+  add(20);
+  const restored = new QuarantineList();
+  restored.restoreSnapshot(list.takeSnapshot());
+  assert.deepEqual(restored.takeSnapshot(), list.takeSnapshot());
+  assert.deepEqual([getState(119), getState(120)], ["quarantined", "none"]);
+});
+
 const diffs = [
   { before: "a\nb\nc\n", after: "a\nb\nc\n", lines: [] },
   { before: "a\nb\nc\n", after: "a\nx\nc\n", lines: ["-b", "+x"] },
--- a/src/configuration/quarantine_list.ts
+++ b/src/configuration/quarantine_list.ts
@@ -17,7 +17,9 @@
   readonly #entries = new Map<string, QuarantineEntry>();
 
   /**
-   * Adds a fingerprint, or extends its quarantine.
+   * Adds a fingerprint, or extends its quarantine. The first quarantine of a
+   * fingerprint is shorter, and a trial follows it: the request runs alone, and
+   * is quarantined for the whole time if it crashes a target once more.
    * @param command The fingerprint and the length of its quarantine.
    * @param entry The log entry.
    * @returns The number of changed entries, and whether the list is full.
@@ -30,14 +32,25 @@
       return { changed: 0, isFull: true };
     }
     const now = Math.max(0, entry.time.getTime());
+    const { seconds } = command;
+    // Several instances may report the crash that led to a quarantine.
+    const isOnTrial = known !== undefined && known.untilMilliseconds <= now;
+    const firstSeconds = command.firstSeconds === 0
+      ? seconds
+      : Math.min(command.firstSeconds, seconds);
+    const lengthSeconds = isOnTrial ? seconds : firstSeconds;
+    const untilMilliseconds = Math.max(
+      known?.untilMilliseconds ?? 0,
+      now + lengthSeconds * 1000,
+    );
     this.#entries.set(key, {
       environment: command.environment,
       fingerprint: command.fingerprint,
       sinceMilliseconds: known?.sinceMilliseconds ?? now,
-      untilMilliseconds: Math.max(
-        known?.untilMilliseconds ?? 0,
-        now + command.seconds * 1000,
-      ),
+      untilMilliseconds,
+      trialUntilMilliseconds: lengthSeconds < seconds
+        ? untilMilliseconds + seconds * 1000
+        : 0,
       reason: command.reason,
       reportedBy: command.reportedBy,
     });
@@ -76,6 +89,34 @@
     );
   }
 
+  /**
+   * Gets the entries of an environment whose quarantine has ended and that are on
+   * trial.
+   * @param environment Its name.
+   * @param now The current time.
+   * @returns The entries, oldest first.
+   */
+  getTrials(environment: string, now: Date): QuarantineEntry[] {
+    return [...this.#entries.values()].filter((each) =>
+      each.environment === environment &&
+      each.untilMilliseconds <= now.getTime() &&
+      each.trialUntilMilliseconds > now.getTime()
+    );
+  }
+
+  /**
+   * Gets the entries of an environment that are in quarantine or on trial.
+   * @param environment Its name.
+   * @param now The current time.
+   * @returns The entries, oldest first.
+   */
+  getEntriesAndTrials(environment: string, now: Date): QuarantineEntry[] {
+    return [
+      ...this.getEntries(environment, now),
+      ...this.getTrials(environment, now),
+    ].toSorted((a, b) => a.sinceMilliseconds - b.sinceMilliseconds);
+  }
+
   /** Takes a snapshot of the state; equal states give equal snapshots. */
   takeSnapshot(): QuarantineEntry[] {
     return [...this.#entries.values()];
@@ -91,7 +132,11 @@
 
   #removeExpired(now: Date): void {
     for (const [key, each] of this.#entries) {
-      if (each.untilMilliseconds <= now.getTime()) {
+      const endMilliseconds = Math.max(
+        each.untilMilliseconds,
+        each.trialUntilMilliseconds,
+      );
+      if (endMilliseconds <= now.getTime()) {
         this.#entries.delete(key);
       }
     }
--- a/src/control/control_state_machine_test.ts
+++ b/src/control/control_state_machine_test.ts
@@ -63,6 +63,7 @@
     environment,
     fingerprint: fc.constantFrom("f", "g"),
     seconds: fc.nat(100),
+    firstSeconds: fc.nat(10),
     reason: fc.constant("crash"),
     reportedBy: fc.constant("c1"),
   }).map((quarantine): Command => ({ $case: "quarantine", quarantine })),
--- a/src/control/node_session_manager.ts
+++ b/src/control/node_session_manager.ts
@@ -22,10 +22,19 @@
   StateChange,
 } from "./control_state_machine.ts";
 import type { Proposer } from "./proposer.ts";
-import { SuspectCoordinator } from "./suspect_coordinator.ts";
+import {
+  type QuarantineChange,
+  type QuarantineRecord,
+  SuspectCoordinator,
+} from "./suspect_coordinator.ts";
 
 /** Duration of a quarantine while its environment has no document. */
 const defaultQuarantineSeconds = 3600;
+/**
+ * Duration of the first quarantine of a request. A sound request may run alone at
+ * a target that crashes for another reason.
+ */
+const firstQuarantineSeconds = 60;
 
 /** Options of {@link NodeSessionManager}. */
 export interface NodeSessionManagerOptions {
@@ -76,11 +85,11 @@
     this.#suspectCoordinator = new SuspectCoordinator({
       clock: systemClock,
       isLeader: () => log.getStatus().role === "leader",
-      isQuarantined: (environment, fingerprint) =>
-        this.#getRecordedQuarantine(environment).includes(fingerprint),
+      getRecord: (environment, fingerprint) =>
+        this.#getRecord(environment, fingerprint),
       publishQuarantine: () => this.checkQuarantine(),
-      proposeQuarantine: (environment, fingerprint) =>
-        this.#proposeQuarantine(environment, fingerprint),
+      propose: (change, environment, fingerprint) =>
+        this.#propose(change, environment, fingerprint),
       publishSuspects: (environment, change) =>
         this.sessionHost.publishSuspects(environment, change),
     });
@@ -123,6 +132,14 @@
       const quarantined = this.#getQuarantined(environment).join("\n");
       if (quarantined !== (this.#publishedQuarantine.get(environment) ?? "")) {
         this.#publishedQuarantine.set(environment, quarantined);
+        // A node must not admit a request between its quarantine and its trial.
+        const trials = this.#getTrials(environment);
+        if (trials.length > 0) {
+          this.sessionHost.publishSuspects(environment, {
+            suspects: trials,
+            cleared: [],
+          });
+        }
         this.sessionHost.onQuarantineChanged(environment);
       }
     }
@@ -144,8 +161,10 @@
         this.#documents.isReadable(environment),
       getAvailability: () => this.#getAvailability(),
       getQuarantined: (environment) => this.#getQuarantined(environment),
-      getSuspects: (environment) =>
-        this.#suspectCoordinator.getSuspects(environment),
+      getSuspects: (environment) => [
+        ...this.#suspectCoordinator.getSuspects(environment),
+        ...this.#getTrials(environment),
+      ],
       getLedgerIndex: () => stateMachine.index,
       getPeers: () => {
         const { id, members } = log.getStatus();
@@ -171,40 +190,79 @@
   }
 
   #getQuarantined(environment: string): string[] {
-    const pending = this.#suspectCoordinator.getPendingQuarantines(environment);
-    return [
-      ...new Set([...this.#getRecordedQuarantine(environment), ...pending]),
-    ];
+    const fingerprints = new Set(
+      this.#options.stateMachine.quarantine
+        .getEntries(environment, systemClock.now())
+        .map((each) => each.fingerprint),
+    );
+    const changes = this.#suspectCoordinator.getPendingChanges(environment);
+    for (const [fingerprint, change] of changes) {
+      if (change === "quarantine") {
+        fingerprints.add(fingerprint);
+      } else {
+        fingerprints.delete(fingerprint);
+      }
+    }
+    return [...fingerprints];
   }
 
-  #getRecordedQuarantine(environment: string): string[] {
+  /** Gets the fingerprints that are on trial after their first quarantine. */
+  #getTrials(environment: string): string[] {
+    const changes = this.#suspectCoordinator.getPendingChanges(environment);
     return this.#options.stateMachine.quarantine
-      .getEntries(environment, systemClock.now())
-      .map((each) => each.fingerprint);
+      .getTrials(environment, systemClock.now())
+      .map((each) => each.fingerprint)
+      .filter((each) => !changes.has(each));
+  }
+
+  #getRecord(environment: string, fingerprint: string): QuarantineRecord {
+    const { quarantine } = this.#options.stateMachine;
+    const now = systemClock.now();
+    const isSame = (each: { fingerprint: string }): boolean =>
+      each.fingerprint === fingerprint;
+    if (quarantine.getEntries(environment, now).some(isSame)) {
+      return "quarantined";
+    }
+    return quarantine.getTrials(environment, now).some(isSame)
+      ? "on-trial"
+      : "none";
   }
 
-  async #proposeQuarantine(
+  async #propose(
+    change: QuarantineChange,
     environment: string,
     fingerprint: string,
   ): Promise<boolean> {
-    const { log, proposer, eventLog } = this.#options;
-    const proposed = await proposer.propose({
-      $case: "quarantine",
-      quarantine: {
-        environment,
-        fingerprint,
-        seconds: this.#documents.get(environment)?.document.quarantineSeconds ??
-          defaultQuarantineSeconds,
-        reason: "crash",
-        reportedBy: log.getStatus().address,
-      },
-    });
+    const { log, proposer, eventLog, metrics } = this.#options;
+    const { address } = log.getStatus();
+    const proposed = await proposer.propose(
+      change === "quarantine"
+        ? {
+          $case: "quarantine",
+          quarantine: {
+            environment,
+            fingerprint,
+            seconds:
+              this.#documents.get(environment)?.document.quarantineSeconds ??
+                defaultQuarantineSeconds,
+            firstSeconds: firstQuarantineSeconds,
+            reason: "crash",
+            reportedBy: address,
+          },
+        }
+        : {
+          $case: "clearQuarantine",
+          clearQuarantine: { environment, fingerprint, operator: address },
+        },
+    );
     const isRecorded = proposed.kind === "ok";
-    eventLog.warn("quarantine", {
-      environment,
-      fingerprint,
-      isRecorded,
-    });
+    const event = change === "quarantine"
+      ? "quarantine"
+      : "quarantine cleared by a completion";
+    eventLog.warn(event, { environment, fingerprint, isRecorded });
+    if (isRecorded) {
+      metrics.increment("quarantine.changes", { environment, change });
+    }
     return isRecorded;
   }
 
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -125,7 +125,7 @@
     })),
     listQuarantine: toUnaryHandler(async ({ environment }) => ({
       ...createAnswerFields(await handlers.confirmRead()),
-      entries: options.stateMachine.quarantine.getEntries(
+      entries: options.stateMachine.quarantine.getEntriesAndTrials(
         environment,
         options.now(),
       ),
--- a/src/control/suspect_coordinator.ts
+++ b/src/control/suspect_coordinator.ts
@@ -12,22 +12,29 @@
  */
 const maximumAttempts = 60;
 
+/** What the replicated state records about a fingerprint. */
+export type QuarantineRecord = "none" | "quarantined" | "on-trial";
+
+/** A change of the quarantine that an instance wants to be recorded. */
+export type QuarantineChange = "quarantine" | "clear";
+
 /** Options of {@link SuspectCoordinator}. */
 export interface SuspectCoordinatorOptions {
   readonly clock: Clock;
   readonly isLeader: () => boolean;
-  /** Checks whether a quarantine is recorded in the replicated state. */
-  readonly isQuarantined: (
+  /** Gets what the replicated state records about a fingerprint. */
+  readonly getRecord: (
     environment: string,
     fingerprint: string,
-  ) => boolean;
+  ) => QuarantineRecord;
   /** Publishes the whole quarantine to the nodes of this instance. */
   readonly publishQuarantine: (environment: string) => void;
   /**
-   * Proposes a quarantine; returns false when the proposal was refused or its
-   * outcome is unknown.
+   * Proposes a quarantine or its end; returns false when the proposal was refused
+   * or its outcome is unknown.
    */
-  readonly proposeQuarantine: (
+  readonly propose: (
+    change: QuarantineChange,
     environment: string,
     fingerprint: string,
   ) => Promise<boolean>;
@@ -42,14 +49,17 @@
   readonly correlator: CrashCorrelator;
   /** Monotonic time of the last report of each suspect, oldest first. */
   readonly suspects: Map<string, number>;
-  /** Quarantined fingerprints that are not yet known to be recorded. */
-  readonly pendingQuarantines: Set<string>;
+  /** Changes by fingerprint that are not yet known to be recorded. */
+  readonly pendingChanges: Map<string, QuarantineChange>;
+  /** Fingerprints with a proposal that is not decided yet. */
+  readonly proposed: Set<string>;
 }
 
 /**
- * Derives suspects and quarantines from crash reports. Every instance receives
- * every report. The leader records a quarantine at once; the other instances
- * record it if it is still missing after the retry interval.
+ * Derives suspects and quarantines from crash reports, and clears them when a
+ * request completes. Every instance receives every report. The leader records a
+ * change at once; the other instances record it if it is still missing after the
+ * retry interval.
  */
 export class SuspectCoordinator {
   readonly #options: SuspectCoordinatorOptions;
@@ -78,7 +88,7 @@
     }
     for (const fingerprint of decision.quarantined) {
       state.suspects.delete(fingerprint);
-      state.pendingQuarantines.add(fingerprint);
+      state.pendingChanges.set(fingerprint, "quarantine");
     }
     // The nodes are notified before the quarantine is committed. The request
     // may be sent again before the commit completes, or while there is no
@@ -87,15 +97,14 @@
       this.#options.publishQuarantine(environment);
     }
     for (const fingerprint of decision.quarantined) {
-      if (this.#options.isLeader()) {
-        void this.#recordQuarantine(environment, fingerprint, maximumAttempts);
-      } else {
-        this.#scheduleRetry(environment, fingerprint, maximumAttempts);
-      }
+      this.#startRecording(environment, fingerprint);
     }
   }
 
-  /** Handles the completion of a suspect: it is no longer suspected. */
+  /**
+   * Handles the completion of a request: it is no longer suspected, and is
+   * admitted again if it was quarantined by mistake.
+   */
   onCleared(environment: string, fingerprint: string): void {
     const state = this.#getOrCreate(environment);
     state.correlator.onCleared(fingerprint);
@@ -104,6 +113,13 @@
       suspects: [],
       cleared: [fingerprint],
     });
+    const wasPending = state.pendingChanges.get(fingerprint) === "quarantine";
+    const record = this.#options.getRecord(environment, fingerprint);
+    if (wasPending || record !== "none") {
+      state.pendingChanges.set(fingerprint, "clear");
+      this.#options.publishQuarantine(environment);
+      this.#startRecording(environment, fingerprint);
+    }
   }
 
   /** Gets the suspects of an environment. */
@@ -116,9 +132,11 @@
     return [...suspects.keys()];
   }
 
-  /** Gets the quarantined fingerprints that are not yet known to be recorded. */
-  getPendingQuarantines(environment: string): readonly string[] {
-    return [...this.#getOrCreate(environment).pendingQuarantines];
+  /** Gets the changes by fingerprint that are not yet known to be recorded. */
+  getPendingChanges(
+    environment: string,
+  ): ReadonlyMap<string, QuarantineChange> {
+    return this.#getOrCreate(environment).pendingChanges;
   }
 
   /** Stops the retries. */
@@ -127,18 +145,41 @@
     this.#timers.clear();
   }
 
-  async #recordQuarantine(
+  #startRecording(environment: string, fingerprint: string): void {
+    if (this.#options.isLeader()) {
+      void this.#record(environment, fingerprint, maximumAttempts);
+    } else {
+      this.#scheduleRetry(environment, fingerprint, maximumAttempts);
+    }
+  }
+
+  /** Records the pending change of a fingerprint, which may have changed since. */
+  async #record(
     environment: string,
     fingerprint: string,
     attemptsLeft: number,
   ): Promise<void> {
-    const { isQuarantined, proposeQuarantine } = this.#options;
-    if (isQuarantined(environment, fingerprint) || attemptsLeft === 0) {
-      this.#getOrCreate(environment).pendingQuarantines.delete(fingerprint);
+    const { getRecord, propose } = this.#options;
+    const { pendingChanges, proposed } = this.#getOrCreate(environment);
+    if (proposed.has(fingerprint)) {
+      // The outcome of that proposal has to be known first.
+      this.#scheduleRetry(environment, fingerprint, attemptsLeft);
+      return;
+    }
+    const change = pendingChanges.get(fingerprint);
+    const record = getRecord(environment, fingerprint);
+    const isRecorded = change === "quarantine"
+      ? record === "quarantined"
+      : record === "none";
+    if (change === undefined || attemptsLeft === 0 || isRecorded) {
+      pendingChanges.delete(fingerprint);
       return;
     }
-    if (await proposeQuarantine(environment, fingerprint)) {
-      this.#getOrCreate(environment).pendingQuarantines.delete(fingerprint);
+    proposed.add(fingerprint);
+    const isDone = await propose(change, environment, fingerprint);
+    proposed.delete(fingerprint);
+    if (isDone && pendingChanges.get(fingerprint) === change) {
+      pendingChanges.delete(fingerprint);
     } else {
       this.#scheduleRetry(environment, fingerprint, attemptsLeft - 1);
     }
@@ -151,7 +192,7 @@
   ): void {
     const timer = setTimeout(() => {
       this.#timers.delete(timer);
-      void this.#recordQuarantine(environment, fingerprint, attemptsLeft);
+      void this.#record(environment, fingerprint, attemptsLeft);
     }, retryIntervalMilliseconds);
     this.#timers.add(timer);
   }
@@ -162,7 +203,8 @@
       known = {
         correlator: new CrashCorrelator({ clock: this.#options.clock }),
         suspects: new Map(),
-        pendingQuarantines: new Set(),
+        pendingChanges: new Map(),
+        proposed: new Set(),
       };
       this.#environments.set(environment, known);
     }
--- a/src/node/body_collector.ts
+++ b/src/node/body_collector.ts
@@ -27,6 +27,7 @@
   readonly #message: IncomingMessage;
   readonly #memory: BodyMemoryBudget;
   readonly #events: BodyCollectorEvents;
+  readonly #maximumBytes: number;
   readonly #buffer = new ByteBuffer();
   #isDone = false;
 
@@ -34,15 +35,18 @@
    * @param message Message whose body was not read yet.
    * @param memory Budget in which the bytes are reserved.
    * @param events Receiver of the body.
+   * @param maximumBytes Maximum size of a body that is buffered.
    */
   constructor(
     message: IncomingMessage,
     memory: BodyMemoryBudget,
     events: BodyCollectorEvents,
+    maximumBytes = maximumBufferedBodyBytes,
   ) {
     this.#message = message;
     this.#memory = memory;
     this.#events = events;
+    this.#maximumBytes = maximumBytes;
     message.on("data", this.#onData);
     message.on("end", this.#onEnd);
     message.on("error", this.#onClose);
@@ -58,7 +62,7 @@
   }
 
   readonly #onData = (chunk: Buffer): void => {
-    if (this.#buffer.size + chunk.length > maximumBufferedBodyBytes) {
+    if (this.#buffer.size + chunk.length > this.#maximumBytes) {
       this.#overflow(chunk, "body-size");
       return;
     }
--- a/src/node/call_protocol.ts
+++ b/src/node/call_protocol.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { CallFailure, RefusalReason } from "../request/mod.ts";
+import type {
+  CallFailure,
+  FingerprintHeaders,
+  RefusalReason,
+} from "../request/mod.ts";
 import type { TargetAnnouncement } from "./announced_target.ts";
 import type { CallDetails } from "./call_details.ts";
 import type { DocumentView, RoutePlan } from "./document_view.ts";
@@ -92,6 +96,8 @@
    * could resolve them to the path of another route.
    */
   readonly allowsDotSegments: boolean;
+  /** Headers of this protocol in the fingerprints of requests; absent for none. */
+  readonly fingerprintHeaders?: FingerprintHeaders;
   /** Gets the idempotency key of a request. Absent without keys. */
   getKey?(request: IncomingMessage): string | undefined;
   /**
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -130,6 +130,7 @@
           cleared: update.cleared,
           quarantined: update.hasQuarantined ? update.quarantined : undefined,
         });
+        node.targetDispatcher.onSuspectsChanged();
       },
       onDrainRequest: (targetId) => {
         if (targetId === settings.nodeId) {
--- a/src/node/crash_detector.ts
+++ b/src/node/crash_detector.ts
@@ -22,7 +22,8 @@
 
 /** A call whose connection to the target failed. */
 export interface FailedCall {
-  readonly fingerprint: string;
+  /** From the widest to the narrowest. */
+  readonly fingerprints: readonly string[];
   /** Whether the call was a suspect, which ran with no other call in flight. */
   readonly ranAlone: boolean;
   /** Called when it is known whether the target crashed. */
@@ -31,8 +32,8 @@
 
 /** A crash of the target. */
 export interface DetectedCrash {
-  /** Fingerprints of the calls that failed. */
-  readonly fingerprints: readonly string[];
+  /** Fingerprints of each call that failed. */
+  readonly calls: readonly (readonly string[])[];
   /** Whether the only one was a suspect, which ran alone. */
   readonly wasAlone: boolean;
   /** Whether the target has been announced with a new incarnation since then. */
@@ -49,7 +50,7 @@
 }
 
 interface RecentReset {
-  readonly fingerprint: string;
+  readonly fingerprints: readonly string[];
   readonly ranAlone: boolean;
   readonly milliseconds: number;
 }
@@ -191,8 +192,8 @@
 
   #createResets(calls: readonly FailedCall[]): RecentReset[] {
     const milliseconds = this.#options.clock.monotonicMilliseconds();
-    return calls.map(({ fingerprint, ranAlone }) => ({
-      fingerprint,
+    return calls.map(({ fingerprints, ranAlone }) => ({
+      fingerprints,
       ranAlone,
       milliseconds,
     }));
@@ -203,7 +204,7 @@
     incarnation: DetectedCrash["incarnation"],
   ): void {
     this.#options.onCrash({
-      fingerprints: resets.map((each) => each.fingerprint),
+      calls: resets.map((each) => each.fingerprints),
       wasAlone: resets.length === 1 && resets[0]?.ranAlone === true,
       incarnation,
     });
--- a/src/node/exchange.ts
+++ b/src/node/exchange.ts
@@ -1,5 +1,6 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
+import type { StreamedBodyHashes } from "../request/mod.ts";
 import { endWithBody } from "./end_with_body.ts";
 import { BodyCollector, type BodyCollectorEvents } from "./body_collector.ts";
 import {
@@ -42,6 +43,8 @@
   readonly chunks: readonly Buffer[];
   /** Maximum size of the body. */
   readonly limit: number;
+  /** Computes the hashes of the body while it is streamed; absent for none. */
+  readonly hashes?: StreamedBodyHashes;
 }
 
 /** Status and headers of a response. */
@@ -266,7 +269,11 @@
     pipeBody(source.message, request, {
       chunks: source.chunks,
       limit: source.limit,
+      onChunk: (chunk) => source.hashes?.update(chunk),
       onEnd: (bodyError) => {
+        if (bodyError === undefined) {
+          source.hashes?.end();
+        }
         if (bodyError === undefined || this.#isDone) {
           return;
         }
--- a/src/node/inbound_call.ts
+++ b/src/node/inbound_call.ts
@@ -100,6 +100,7 @@
       framing,
       memory: this.#state.bodyMemory,
       mustBuffer: details.needsClaim,
+      mustRecognize: !this.#state.suspects.isEmpty,
       events: {
         onBody: (body) => this.#onBody(body),
         onTooLarge: (message) => this.#refuse("not-run", "too-large", message),
--- a/src/node/origin_call.ts
+++ b/src/node/origin_call.ts
@@ -206,6 +206,7 @@
       memory: this.#dispatcher.state.bodyMemory,
       maximumBytes: this.#options.maximumBodyBytes,
       mustBuffer: details.needsClaim,
+      mustRecognize: !this.#dispatcher.state.suspects.isEmpty,
       events: {
         onBody: (body) => this.#onBody(body),
         onTooLarge: (message) => this.#refuse("too-large", message),
--- a/src/node/pipe_body.ts
+++ b/src/node/pipe_body.ts
@@ -7,6 +7,8 @@
   readonly chunks: readonly Buffer[];
   /** Maximum size of the body, in bytes. */
   readonly limit: number;
+  /** Called with each chunk before it is written. */
+  onChunk?(chunk: Buffer): void;
   /** Called when the destination takes no further bytes for now. */
   onBlocked?(): void;
   /** Called when the destination took what was written. */
@@ -68,7 +70,10 @@
     bytes += chunk.length;
     if (bytes > options.limit) {
       finish("too-large");
-    } else if (!destination.write(chunk)) {
+      return;
+    }
+    options.onChunk?.(chunk);
+    if (!destination.write(chunk)) {
       source.pause();
       options.onBlocked?.();
     }
--- a/src/node/plan_retry.ts
+++ b/src/node/plan_retry.ts
@@ -1,4 +1,3 @@
-import { getRequestFingerprint } from "../request/mod.ts";
 import {
   decideRetry,
   type RetryDecision,
@@ -10,6 +9,7 @@
   isShedWithFreeSlots,
 } from "./attempt.ts";
 import { incrementReason } from "./call_counters.ts";
+import { getCallFingerprints } from "./call_fingerprints.ts";
 import type { CallBody, CallDetails } from "./call_details.ts";
 import type { NodeState } from "./node_state.ts";
 import type { RetryBudget } from "./retry_budget.ts";
@@ -98,10 +98,10 @@
   });
 }
 
-function isSuspect({ suspects }: NodeState, attempt: FailedAttempt): boolean {
-  return !suspects.isEmpty && suspects.isSuspect(getRequestFingerprint({
-    ...attempt.details,
-    body: attempt.body?.body,
-    streamedLength: attempt.body?.streamedLength ?? -1,
-  }));
+function isSuspect(
+  { suspects, protocol }: NodeState,
+  { details, body }: FailedAttempt,
+): boolean {
+  return body !== undefined && !suspects.isEmpty &&
+    suspects.isSuspect(getCallFingerprints(protocol, details, body));
 }
--- a/src/node/request_body.ts
+++ b/src/node/request_body.ts
@@ -19,12 +19,20 @@
   onAborted(message: string): void;
 }
 
+/** Maximum size of a body that is buffered to recognize its call. */
+const maximumRecognizedBodyBytes = 1024 * 1024;
+
 /** Settings of {@link readRequestBody}. */
 export interface RequestBodyOptions {
   readonly framing: Pick<ForwardedHeaders, "contentLength" | "isChunked">;
   readonly memory: BodyMemoryBudget;
   /** Maximum size of the body; that of a streamed one when absent. */
   readonly maximumBytes?: number | undefined;
+  /**
+   * Whether longer bodies are buffered too, because the node has to tell the call
+   * from suspects; false when absent.
+   */
+  readonly mustRecognize?: boolean;
   /** Whether the body must be buffered, because the call has a key. */
   readonly mustBuffer: boolean;
   readonly events: RequestBodyEvents;
@@ -72,7 +80,8 @@
       );
     }
   };
-  if (framing.contentLength > maximumBufferedBodyBytes) {
+  const { mustRecognize = false } = options;
+  if (framing.contentLength > maximumBufferedBodyBytes && !mustRecognize) {
     overflow([], "body-size");
     return undefined;
   }
@@ -87,5 +96,5 @@
     },
     onOverflow: overflow,
     onAborted: (text) => events.onAborted(text),
-  });
+  }, mustRecognize ? maximumRecognizedBodyBytes : maximumBufferedBodyBytes);
 }
--- a/src/node/target_call.ts
+++ b/src/node/target_call.ts
@@ -5,8 +5,8 @@
   type Answer,
   type Disposition,
   getClaimFingerprint,
-  getRequestFingerprint,
   type RefusalReason,
+  StreamedBodyHashes,
 } from "../request/mod.ts";
 import type { LogFields } from "../common/mod.ts";
 import { AllowanceAccount } from "../retries/mod.ts";
@@ -18,6 +18,7 @@
   isResponseBuffered,
 } from "./call_details.ts";
 import type { CallPhase } from "./call_phase.ts";
+import { getCallFingerprints } from "./call_fingerprints.ts";
 import { Claim } from "./claim.ts";
 import { type DecisionPriority, formatLoad } from "./decision_log.ts";
 import {
@@ -83,7 +84,9 @@
   #exchange: Exchange | undefined;
   #outgoing: Set<OutgoingCall> | undefined;
   #reachedServices: Set<string> | undefined;
-  #fingerprint: string | undefined;
+  #fingerprints: readonly string[] | undefined;
+  /** Hashes of a streamed body; `undefined` before it is sent. */
+  #streamedHashes: StreamedBodyHashes | undefined;
   /** Limits the time of a call whose caller disconnected. */
   #detachTimer: NodeJS.Timeout | undefined;
 
@@ -118,14 +121,29 @@
     }
   }
 
-  /** Gets the fingerprint that identifies requests that crash targets. */
-  getFingerprint(): string {
-    return this.#fingerprint ??= getRequestFingerprint({
-      ...this.#getFingerprintSource(),
-      streamedLength: this.#body.streamedLength,
+  /**
+   * Gets the fingerprints by which a request that crashes targets is recognized.
+   * Those of a streamed body change until it was sent.
+   */
+  getFingerprints(): readonly string[] {
+    if (this.#body.source === undefined) {
+      return this.#fingerprints ??= getCallFingerprints(
+        this.#state.protocol,
+        this.details,
+        this.#body,
+      );
+    }
+    return getCallFingerprints(this.#state.protocol, this.details, {
+      ...this.#body,
+      hashes: this.#streamedHashes,
     });
   }
 
+  /** Whether the call was admitted and waits for its turn to run. */
+  get isQueued(): boolean {
+    return this.#phase === "queued";
+  }
+
   /** Logs the decision of the admission controller. */
   recordAdmission(decision: "run" | "queued"): void {
     this.#record("routine", "admission", {
@@ -319,7 +337,7 @@
     const ranAlone = this.isSuspect;
     const serviceMilliseconds = this.serviceTime.get(this.#now());
     this.#dispatcher.crashDetector.examine({
-      fingerprint: this.getFingerprint(),
+      fingerprints: this.getFingerprints(),
       ranAlone,
       onResult: (hasTargetCrashed) => {
         if (this.#phase === "ended") {
@@ -379,12 +397,17 @@
       announcement,
       remainingMilliseconds: details.deadlineMilliseconds - this.#now(),
     });
+    let { source } = this.#body;
+    if (source !== undefined) {
+      this.#streamedHashes = new StreamedBodyHashes();
+      source = { ...source, hashes: this.#streamedHashes };
+    }
     this.#exchange = new Exchange({
       method: details.method,
       path: details.path,
       headers,
       body: this.#body.body,
-      source: this.#body.source,
+      source,
     }, {
       pool: this.#dispatcher.getPool(),
       memory: this.#state.bodyMemory,
@@ -427,9 +450,7 @@
       kind: "completed",
       serviceMilliseconds: this.serviceTime.get(this.#now()),
     });
-    if (this.isSuspect) {
-      this.#dispatcher.onSuspectCompleted(this.getFingerprint());
-    }
+    this.#dispatcher.onCallCompleted(this);
   }
 
   /** Continues a claimed call after its caller disconnected. */
--- a/src/node/target_dispatcher.ts
+++ b/src/node/target_dispatcher.ts
@@ -60,11 +60,13 @@
     this.crashDetector = new CrashDetector({
       clock: state.clock,
       getEndpoint: () => this.target.announcement?.endpoint,
-      onCrash: ({ fingerprints, wasAlone, incarnation }) => {
-        const report = state.suspects.onCrash(fingerprints, wasAlone);
+      onCrash: ({ calls, wasAlone, incarnation }) => {
+        const report = state.suspects.onCrash(calls, wasAlone);
         state.log.error("target crashed", {
-          inFlight: fingerprints.length,
+          inFlight: calls.length,
           alone: report.wasAlone,
+          // Only the one of a call that ran alone is evidence by itself.
+          fingerprint: report.wasAlone ? report.fingerprints.at(-1) : undefined,
           crashed: incarnation,
         });
         if (incarnation === "current") {
@@ -141,12 +143,12 @@
     const { suspects, clock } = this.#state;
     let isSuspect = false;
     if (!suspects.isEmpty) {
-      const fingerprint = call.getFingerprint();
-      if (suspects.isQuarantined(fingerprint)) {
+      const fingerprints = call.getFingerprints();
+      if (suspects.isQuarantined(fingerprints)) {
         call.refuse("quarantined");
         return;
       }
-      isSuspect = suspects.isSuspect(fingerprint);
+      isSuspect = suspects.isSuspect(fingerprints);
     }
     call.isSuspect = isSuspect;
     const { details } = call;
@@ -192,11 +194,47 @@
     this.#applyAdmissionEvents();
   }
 
-  /** Records that a suspected request completed without a crash. */
-  onSuspectCompleted(fingerprint: string): void {
-    if (this.#state.suspects.onCompleted(fingerprint)) {
+  /**
+   * Records that a call completed without a crash. It also clears a suspect if it
+   * started before the crash that made the request one.
+   */
+  onCallCompleted(call: TargetCall): void {
+    const { suspects, log } = this.#state;
+    if (suspects.isEmpty) {
+      return;
+    }
+    const cleared = suspects.onCompleted(call.getFingerprints());
+    for (const fingerprint of cleared) {
+      log.info("suspect cleared", {
+        fingerprint,
+        requestId: call.details.requestId,
+      });
       this.#options.onSuspectCleared(fingerprint);
     }
+    if (cleared.length > 0) {
+      this.onSuspectsChanged();
+    }
+  }
+
+  /**
+   * Applies a change of the suspects to the queued calls: those in quarantine are
+   * refused, and only suspects run alone.
+   */
+  onSuspectsChanged(): void {
+    const { suspects } = this.#state;
+    for (const call of [...this.#calls.values()]) {
+      if (!call.isQueued) {
+        continue;
+      }
+      const fingerprints = call.getFingerprints();
+      if (suspects.isQuarantined(fingerprints)) {
+        call.refuseIfQueued("quarantined");
+        continue;
+      }
+      call.isSuspect = suspects.isSuspect(fingerprints);
+      this.#controller?.setSuspect(call.token, call.isSuspect);
+    }
+    this.#applyAdmissionEvents();
   }
 
   /**
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -24,4 +24,13 @@
   getReasonStatus,
 } from "./error_body.ts";
 export { fieldLimits } from "./field_limits.ts";
-export { getClaimFingerprint, getRequestFingerprint } from "./fingerprint.ts";
+export {
+  type BodyHashes,
+  getBodyHashes,
+  StreamedBodyHashes,
+} from "./body_hashes.ts";
+export {
+  type FingerprintHeaders,
+  getClaimFingerprint,
+  getRequestFingerprints,
+} from "./fingerprint.ts";
--- a/src/suspects/crash_correlator.ts
+++ b/src/suspects/crash_correlator.ts
@@ -23,22 +23,39 @@
   readonly maximumReports?: number;
   /** Maximum number of fingerprints stored per report. */
   readonly maximumFingerprints?: number;
+  /** Maximum number of clearances that are remembered. */
+  readonly maximumClearances?: number;
   /** Time after which a report is removed. */
   readonly retentionMilliseconds?: number;
 }
 
 interface StoredReport {
   readonly fingerprints: Set<string>;
+  readonly wasAlone: boolean;
   readonly receivedMilliseconds: number;
 }
 
+/**
+ * Time for which a node may not know of a clearance, or still run a request that
+ * was dispatched as a suspect before.
+ */
+const clearanceMilliseconds = 10_000;
+
 const emptyDecision: CrashDecision = { suspects: [], quarantined: [] };
 
 /**
  * Decides from the crash reports of all nodes which fingerprints are suspects
- * and which are quarantined. A fingerprint is quarantined when it ran alone while
- * a target crashed, or when it is the only one that two crashes share. All others
- * of a report are suspects.
+ * and which are quarantined.
+ *
+ * All requests in flight at a crash become suspects, which run alone. Only a crash
+ * of a target that ran a single request is evidence against that request: a
+ * busy kind of request is in flight at every crash. The narrowest fingerprint of
+ * the request is quarantined if it was in flight at an earlier crash. A wider one,
+ * which requests of other callers have too, is quarantined if it ran alone at an
+ * earlier crash, and only if the narrowest was never seen before.
+ *
+ * A request that crashes targets never completes. A completion anywhere therefore
+ * removes the evidence against its fingerprints.
  */
 export class CrashCorrelator {
   readonly #clock: Clock;
@@ -48,12 +65,16 @@
   /** Stored reports by identity, oldest first. */
   readonly #reports = new Map<string, StoredReport>();
   readonly #reportsByFingerprint = new Map<string, Set<StoredReport>>();
+  readonly #maximumClearances: number;
+  /** Monotonic time of each clearance, oldest first. */
+  readonly #clearances = new Map<string, number>();
 
   /** @param options Clock and limits. */
   constructor(options: CrashCorrelatorOptions) {
     this.#clock = options.clock;
-    this.#maximumReports = options.maximumReports ?? 1000;
-    this.#maximumFingerprints = options.maximumFingerprints ?? 256;
+    this.#maximumReports = options.maximumReports ?? 500;
+    this.#maximumFingerprints = options.maximumFingerprints ?? 512;
+    this.#maximumClearances = options.maximumClearances ?? 10_000;
     this.#retentionMilliseconds = options.retentionMilliseconds ?? 600_000;
   }
 
@@ -79,47 +100,79 @@
     }
     const fingerprints = [...new Set(report.fingerprints)]
       .slice(0, this.#maximumFingerprints);
-    const quarantined = report.wasAlone && fingerprints.length === 1
-      ? fingerprints
-      : this.#getSoleSharedFingerprints(fingerprints);
-    this.#addReport(report.reportId, fingerprints);
-    quarantined.forEach((each) => this.onCleared(each));
+    const proven = report.wasAlone
+      ? this.#findProvenFingerprint(fingerprints)
+      : undefined;
+    const quarantined = proven === undefined ? [] : [proven];
+    this.#addReport(report.reportId, fingerprints, report.wasAlone);
+    quarantined.forEach((each) => this.#removeFingerprint(each));
     const suspects = fingerprints.filter((each) => !quarantined.includes(each));
     return { suspects, quarantined };
   }
 
   /**
-   * Removes a fingerprint from the stored reports, so that it no longer counts
-   * as shared between crashes. Called when a suspect completed or was
-   * quarantined.
+   * Records that a request completed: the stored reports are no evidence against
+   * its fingerprint any more.
    * @param fingerprint The fingerprint.
    */
   onCleared(fingerprint: string): void {
-    this.#reportsByFingerprint.get(fingerprint)?.forEach((report) =>
-      report.fingerprints.delete(fingerprint)
-    );
-    this.#reportsByFingerprint.delete(fingerprint);
+    this.#removeFingerprint(fingerprint);
+    this.#clearances.delete(fingerprint);
+    this.#clearances.set(fingerprint, this.#clock.monotonicMilliseconds());
+    if (this.#clearances.size > this.#maximumClearances) {
+      const [oldest] = this.#clearances.keys();
+      this.#clearances.delete(oldest ?? "");
+    }
   }
 
   /**
-   * Gets the fingerprints that are the only one shared with some earlier report.
+   * Finds the fingerprint by which a request is recognized that crashed a target
+   * while it ran alone.
+   * @param fingerprints Its fingerprints, from the widest to the narrowest.
    */
-  #getSoleSharedFingerprints(fingerprints: readonly string[]): string[] {
-    const common = new Map<StoredReport, string[]>();
-    for (const fingerprint of fingerprints) {
-      for (const report of this.#reportsByFingerprint.get(fingerprint) ?? []) {
-        const shared = common.get(report) ?? [];
-        shared.push(fingerprint);
-        common.set(report, shared);
-      }
+  #findProvenFingerprint(fingerprints: readonly string[]): string | undefined {
+    const narrowest = fingerprints.at(-1);
+    if (narrowest === undefined || this.#reportsByFingerprint.has(narrowest)) {
+      return narrowest;
     }
-    const single = [...common.values()].filter(({ length }) => length === 1);
-    return [...new Set(single.flat())];
+    const isKnown = fingerprints.some((each) =>
+      this.#reportsByFingerprint.has(each)
+    );
+    if (isKnown) {
+      return fingerprints.findLast((each) =>
+        [...this.#reportsByFingerprint.get(each) ?? []].some((report) =>
+          report.wasAlone
+        )
+      );
+    }
+    // The node got the suspect from an instance whose reports are lost, unless
+    // it does not know yet that the suspect was cleared.
+    return fingerprints.some((each) => this.#isRecentlyCleared(each))
+      ? undefined
+      : narrowest;
+  }
+
+  #isRecentlyCleared(fingerprint: string): boolean {
+    const cleared = this.#clearances.get(fingerprint);
+    return cleared !== undefined &&
+      this.#clock.monotonicMilliseconds() - cleared < clearanceMilliseconds;
+  }
+
+  #removeFingerprint(fingerprint: string): void {
+    this.#reportsByFingerprint.get(fingerprint)?.forEach((report) =>
+      report.fingerprints.delete(fingerprint)
+    );
+    this.#reportsByFingerprint.delete(fingerprint);
   }
 
-  #addReport(reportId: string, fingerprints: readonly string[]): void {
+  #addReport(
+    reportId: string,
+    fingerprints: readonly string[],
+    wasAlone: boolean,
+  ): void {
     const report = {
       fingerprints: new Set(fingerprints),
+      wasAlone,
       receivedMilliseconds: this.#clock.monotonicMilliseconds(),
     };
     this.#reports.set(reportId, report);
--- a/src/suspects/suspect_list.ts
+++ b/src/suspects/suspect_list.ts
@@ -2,8 +2,12 @@
 
 /** Report to control of the requests that were in flight when a target crashed. */
 export interface CrashReport {
+  /**
+   * Fingerprints of the requests. Those of one request stand from the widest to
+   * the narrowest.
+   */
   readonly fingerprints: readonly string[];
-  /** True when the only fingerprint was a suspect that ran alone. */
+  /** True when the only request was a suspect that ran alone. */
   readonly wasAlone: boolean;
 }
 
@@ -41,8 +45,23 @@
       600_000;
   }
 
-  /** Checks whether a request must run alone. */
-  isSuspect(fingerprint: string): boolean {
+  /**
+   * Checks whether a request must run alone.
+   * @param fingerprints Its fingerprints.
+   */
+  isSuspect(fingerprints: readonly string[]): boolean {
+    return fingerprints.some((each) => this.#isSuspect(each));
+  }
+
+  /**
+   * Checks whether a request must not run at all.
+   * @param fingerprints Its fingerprints.
+   */
+  isQuarantined(fingerprints: readonly string[]): boolean {
+    return fingerprints.some((each) => this.#quarantined.has(each));
+  }
+
+  #isSuspect(fingerprint: string): boolean {
     const end = this.#suspects.get(fingerprint);
     if (end === undefined) {
       return false;
@@ -54,11 +73,6 @@
     return true;
   }
 
-  /** Checks whether a request must not run at all. */
-  isQuarantined(fingerprint: string): boolean {
-    return this.#quarantined.has(fingerprint);
-  }
-
   /** Checks whether no fingerprint is a suspect or quarantined. */
   get isEmpty(): boolean {
     this.#removeExpiredSuspects();
@@ -67,23 +81,37 @@
 
   /**
    * Handles a crash of the target: every call in flight becomes a suspect.
-   * @param inFlight Fingerprints of the calls in flight at the crash.
+   * @param inFlight Fingerprints of each call in flight at the crash.
    * @param wasAlone Whether the only call in flight was a suspect that ran alone.
    * @returns The report for control.
    */
-  onCrash(inFlight: readonly string[], wasAlone: boolean): CrashReport {
-    const fingerprints = [...new Set(inFlight)];
+  onCrash(
+    inFlight: readonly (readonly string[])[],
+    wasAlone: boolean,
+  ): CrashReport {
+    const fingerprints = [...new Set(inFlight.flat())];
     fingerprints.forEach((each) => this.#addSuspect(each));
-    return { fingerprints, wasAlone: wasAlone && fingerprints.length === 1 };
+    return { fingerprints, wasAlone: wasAlone && inFlight.length === 1 };
   }
 
   /**
-   * Handles a completed call; clears its fingerprint if it is a suspect.
-   * @param fingerprint Its fingerprint.
-   * @returns Whether it was a suspect and is cleared now.
+   * Handles a completed call. A request that crashes targets never completes, so
+   * none of its fingerprints is that of one: suspects among them are cleared, and
+   * those in quarantine are admitted again.
+   * @param fingerprints Its fingerprints.
+   * @returns The fingerprints that were cleared.
    */
-  onCompleted(fingerprint: string): boolean {
-    return this.#suspects.size > 0 && this.#suspects.delete(fingerprint);
+  onCompleted(fingerprints: readonly string[]): string[] {
+    const cleared = fingerprints.filter((each) =>
+      this.#suspects.has(each) || this.#quarantined.has(each)
+    );
+    cleared.forEach((each) => this.#suspects.delete(each));
+    if (cleared.some((each) => this.#quarantined.has(each))) {
+      this.#quarantined = new Set(
+        [...this.#quarantined].filter((each) => !cleared.includes(each)),
+      );
+    }
+    return cleared;
   }
 
   /** Applies an update from control. */
