--- a/tests/untrusted_clients/support/test_machines.ts
+++ b/tests/untrusted_clients/support/test_machines.ts
@@ -321,8 +321,11 @@
       body: JSON.stringify({
         service: "treasury",
         address: `127.0.0.1:${this.#endpoint.port}`,
+        zone: "a",
+        version: "v1",
         maxConcurrency: slots,
         state: "ready",
+        warmupLeftS: 0,
         seq: this.#sequence,
         born: 1000,
       }),
