Keep sessions with control when one message cannot be sent

The node served its old document without end and said that it was ready.

Cause: values were checked where they are used, but not where they enter a session. An announcement is sent again in each session, so one bad value ends all of them; nothing counted that, and a session that ends at once looks like a lost connection.

Ruled out: that the check of heartbeats is enough.

Change: a target record whose numbers the wire cannot hold is dropped where it enters, at nodes, instances and in their exchange, with a line in the log. A message that cannot be encoded is dropped, counted in `control.messages_not_sent`, and the session goes on. A node whose document control does not confirm logs that every 5 s, and `control.connected` says whether it has a session.

--- a/src/control_client/announced_targets.ts
+++ b/src/control_client/announced_targets.ts
@@ -81,6 +81,9 @@
       return undefined;
     }
     this.#lastSequence = Math.max(this.#lastSequence, known.sequence);
+    if (isIncarnationEnded && known.incarnation >= Number.MAX_SAFE_INTEGER) {
+      return undefined;
+    }
     return this.#assignNewSequence(
       // The clock was set back between two starts of the target, so that the
       // later start got the lower incarnation, or its node restarted.
--- a/src/control_client/connection_search.ts
+++ b/src/control_client/connection_search.ts
@@ -1,7 +1,11 @@
 import type { Interceptor } from "@grpc/grpc-js";
 import type { Log } from "../common/mod.ts";
-import type { ControlMessage, Hello } from "../protocol/generated/session.ts";
-import { SessionConnection } from "./session_connection.ts";
+import type {
+  ControlMessage,
+  Hello,
+  NodeMessage,
+} from "../protocol/generated/session.ts";
+import { SessionConnection, type SessionEnd } from "./session_connection.ts";
 import type { SearchTiming } from "./session_timing.ts";
 
 /** Settings and events of a {@link ConnectionSearch}; times in milliseconds. */
@@ -16,8 +20,12 @@
   onAccepted(connection: SessionConnection): void;
   /** Called with each message of an accepted connection, the first one included. */
   onMessage(connection: SessionConnection, message: ControlMessage): void;
+  /** Called with a message that was not sent, because it cannot be encoded. */
+  onNotSent(message: NodeMessage["message"], reason: string): void;
   /** Called when an accepted connection has ended. */
-  onEnded(connection: SessionConnection, reason: string): void;
+  onEnded(connection: SessionConnection, end: SessionEnd): void;
+  /** Called when an instance could not handle the hello. */
+  onHelloFault(reason: string): void;
   /** Called when no instance has accepted the node. */
   onExhausted(): void;
 }
@@ -88,7 +96,8 @@
       interceptors: this.#options.interceptors,
       hello: this.#options.createHello({ acceptsIsolated }),
       onMessage: (from, message) => this.#onMessage(from, message),
-      onConnectionEnded: (from, reason) => this.#onEnded(from, reason),
+      onNotSent: this.#options.onNotSent,
+      onConnectionEnded: (from, end) => this.#onEnded(from, end),
     });
     this.#pending.add(connection);
     setTimeout(
@@ -121,12 +130,15 @@
     this.#options.onMessage(connection, message);
   }
 
-  #onEnded(connection: SessionConnection, reason: string): void {
-    if (this.#pending.has(connection)) {
-      this.#onAttemptFailed(connection, reason);
-    } else {
-      this.#options.onEnded(connection, reason);
+  #onEnded(connection: SessionConnection, end: SessionEnd): void {
+    if (!this.#pending.has(connection)) {
+      this.#options.onEnded(connection, end);
+      return;
+    }
+    if (end.isProtocolError) {
+      this.#options.onHelloFault(end.reason);
     }
+    this.#onAttemptFailed(connection, end.reason);
   }
 
   #onAttemptFailed(connection: SessionConnection, reason: string): void {
--- a/src/control_client/control_session.ts
+++ b/src/control_client/control_session.ts
@@ -35,7 +35,8 @@
 import { ControlAddresses } from "./control_addresses.ts";
 import { LinkByteCounter } from "./link_byte_counter.ts";
 import { ReceivedViews } from "./received_views.ts";
-import type { SessionConnection } from "./session_connection.ts";
+import type { SessionConnection, SessionEnd } from "./session_connection.ts";
+import { SessionFaults } from "./session_faults.ts";
 import {
   getMoveDelays,
   getSearchTiming,
@@ -76,6 +77,11 @@
    * never did.
    */
   readonly documentAgeMilliseconds?: number;
+  /**
+   * Why sessions end again and again because of a message; absent while they do
+   * not. The node gets no documents then, although control is reached.
+   */
+  readonly fault?: string;
 }
 
 /** A document part that control sent, after its hash was checked. */
@@ -184,6 +190,9 @@
     renew: () => this.#renew(),
   });
   readonly #search: ConnectionSearch;
+  readonly #faults = new SessionFaults();
+  /** Sequence of the first renewal of the session. */
+  #firstRenewSequence = 0;
   #currentConnection: SessionConnection | undefined;
   readonly #controlAddresses: ControlAddresses;
   /** Address of the session that was lost last. */
@@ -233,8 +242,9 @@
       createHello: (state) => this.#createHello(state),
       onAccepted: (connection) => this.#activateConnection(connection),
       onMessage: (connection, message) => this.#onMessage(connection, message),
-      onEnded: (connection, reason) =>
-        this.#onConnectionEnded(connection, reason),
+      onNotSent: (message, reason) => this.#onNotSent(message, reason),
+      onEnded: (connection, end) => this.#onConnectionEnded(connection, end),
+      onHelloFault: (reason) => this.#onSessionFault(reason),
       onExhausted: () => this.#onSearchExhausted(),
     });
     this.#scheduleMove(this.#random() * this.#options.jitterMilliseconds / 4);
@@ -243,11 +253,23 @@
   /**
    * Announces the node's target, or a new state of it. The session sets the
    * sequence, and announces the target again after each move.
-   * @param record The target; its `sequence` is ignored.
+   * @param record The target; its `sequence` is ignored. One with a value that
+   * cannot be sent is logged and dropped; the former one stays announced.
    * @param listener Waits for the confirmation of the announcement, unless another
    * one is made before.
    */
   announce(record: TargetRecord, listener?: ConfirmationListener): void {
+    if (parseTargetRecord(record) === undefined) {
+      // Control could not read it, and would end each session that announces it.
+      this.#options.log?.error("announcement not sent", {
+        target: record.targetId,
+        state: record.state,
+        incarnation: record.incarnation,
+        reason: "a value cannot be sent",
+      });
+      this.#options.metrics?.increment("announcements.invalid", {});
+      return;
+    }
     this.#confirmation.setListener(listener);
     const sent = this.#announcedTargets.set({
       ...record,
@@ -310,6 +332,7 @@
       ...(Number.isFinite(this.#documentConfirmedAt) && {
         documentAgeMilliseconds: Math.round(this.#getDocumentAge()),
       }),
+      ...(this.#faults.reason !== undefined && { fault: this.#faults.reason }),
     };
   }
 
@@ -545,6 +568,7 @@
       connection.send({ $case: "hello", hello });
     }
     this.#hadSession = true;
+    this.#firstRenewSequence = this.#renewSequence + 1;
     this.#endPermitRequests();
     this.#unansweredSince = undefined;
     this.#documentMissingSince = undefined;
@@ -582,15 +606,39 @@
     }
   }
 
-  #onConnectionEnded(connection: SessionConnection, reason: string): void {
+  #onConnectionEnded(connection: SessionConnection, end: SessionEnd): void {
     if (connection !== this.#currentConnection) {
       return;
     }
     if (this.#isStopped) {
       this.#onStreamEnded?.();
-    } else {
-      this.#onSessionLost(reason);
+      return;
+    }
+    if (end.isProtocolError) {
+      this.#onSessionFault(end.reason);
     }
+    this.#onSessionLost(end.reason);
+  }
+
+  #onSessionFault(reason: string): void {
+    const sessions = this.#faults.record(reason);
+    this.#options.metrics?.increment("control.session_faults", {});
+    if (this.#faults.reason !== undefined) {
+      this.#options.log?.error("sessions end again and again", {
+        reason,
+        sessions,
+        revision: this.#revision,
+      });
+    }
+  }
+
+  #onNotSent(message: NodeMessage["message"], reason: string): void {
+    const kind = message?.$case ?? "none";
+    this.#options.metrics?.increment("control.messages_not_sent", { kind });
+    this.#options.log?.error("message not sent to control", {
+      message: kind,
+      reason,
+    });
   }
 
   /**
@@ -733,6 +781,13 @@
     } else if (this.#unansweredSince !== undefined) {
       this.#unansweredSince = this.#clock.monotonicMilliseconds();
     }
+    if (
+      answer.sequence >= this.#firstRenewSequence && this.#faults.reset()
+    ) {
+      this.#options.log?.info("session holds again", {
+        address: this.#currentConnection?.address,
+      });
+    }
     this.#onStatedRevision(answer.revision);
     this.#views.takeDueRequests(this.#clock.monotonicMilliseconds())
       .forEach((service) => this.#sendViewRequest(service));
--- a/src/control_client/session_connection.ts
+++ b/src/control_client/session_connection.ts
@@ -2,12 +2,13 @@
   type ClientDuplexStream,
   credentials,
   type Interceptor,
+  status,
 } from "@grpc/grpc-js";
 import { formatVersion } from "../protocol/format_version.ts";
 import {
   type ControlMessage,
   type Hello,
-  type NodeMessage,
+  NodeMessage,
   SessionClient,
 } from "../protocol/generated/session.ts";
 
@@ -20,10 +21,33 @@
   readonly interceptors: readonly Interceptor[];
   readonly hello: Hello;
   onMessage(connection: SessionConnection, message: ControlMessage): void;
+  /** Called with a message that was not sent, because it cannot be encoded. */
+  onNotSent(message: NodeMessage["message"], reason: string): void;
   /** Called once, unless the connection was closed from this side. */
-  onConnectionEnded(connection: SessionConnection, reason: string): void;
+  onConnectionEnded(connection: SessionConnection, end: SessionEnd): void;
 }
 
+/** Why a session stream ended. */
+export interface SessionEnd {
+  readonly reason: string;
+  /** Whether one of the sides could not handle a message of the other. */
+  readonly isProtocolError: boolean;
+}
+
+/**
+ * Statuses of a stream that ended because of a message. A connection that is lost
+ * and an instance that ends have others.
+ */
+const protocolErrors: ReadonlySet<status> = new Set([
+  status.INVALID_ARGUMENT,
+  status.RESOURCE_EXHAUSTED,
+  status.FAILED_PRECONDITION,
+  status.OUT_OF_RANGE,
+  status.UNIMPLEMENTED,
+  status.INTERNAL,
+  status.DATA_LOSS,
+]);
+
 /** A session stream to one control instance, on a TCP connection of its own. */
 export class SessionConnection {
   readonly address: string;
@@ -31,12 +55,14 @@
   readonly acceptsIsolated: boolean;
   readonly #client: SessionClient;
   readonly #stream: ClientDuplexStream<NodeMessage, ControlMessage>;
+  readonly #onNotSent: SessionConnectionOptions["onNotSent"];
   #isClosed = false;
   /** Sequence of the last hello that was sent on this connection. */
   sessionSequence: number;
 
   constructor(options: SessionConnectionOptions) {
     this.address = options.address;
+    this.#onNotSent = options.onNotSent;
     this.acceptsIsolated = options.hello.acceptsIsolated;
     this.sessionSequence = options.hello.sessionSequence;
     // Uses a channel pool of its own, so that closing the client also closes the
@@ -58,21 +84,39 @@
         options.onMessage(this, message);
       }
     });
-    const onEnd = (reason: string) => {
+    const onEnd = (end: SessionEnd) => {
       if (!this.#isClosed) {
         this.close();
-        options.onConnectionEnded(this, reason);
+        options.onConnectionEnded(this, end);
       }
     };
-    this.#stream.on("error", (error) => onEnd(error.message));
-    this.#stream.on("end", () => onEnd("the instance ended the session"));
+    this.#stream.on("error", (error: Error & { code?: status }) =>
+      onEnd({
+        reason: error.message,
+        isProtocolError: error.code !== undefined &&
+          protocolErrors.has(error.code),
+      }));
+    this.#stream.on("end", () =>
+      onEnd({
+        reason: "the instance ended the session",
+        isProtocolError: false,
+      }));
     this.send({ $case: "hello", hello: options.hello });
   }
 
+  /** Sends a message. One that cannot be encoded would end the stream. */
   send(message: NodeMessage["message"]): void {
-    if (!this.#isClosed) {
-      this.#stream.write({ formatVersion, message });
+    if (this.#isClosed) {
+      return;
+    }
+    const encoded = { formatVersion, message };
+    try {
+      NodeMessage.encode(encoded);
+    } catch (error) {
+      this.#onNotSent(message, (error as Error).message);
+      return;
     }
+    this.#stream.write(encoded);
   }
 
   close(): void {
--- a/src/membership/target_record.ts
+++ b/src/membership/target_record.ts
@@ -147,18 +147,32 @@
 /**
  * Validates a received record.
  * @param record The fields of the message.
- * @returns The record, or `undefined` when its state is unknown or it has no
- * id.
+ * @returns The record, or `undefined` when its state is unknown, it has no id, or
+ * one of its numbers cannot be sent.
  */
 export function parseTargetRecord(
   record: Omit<TargetRecord, "state"> & { readonly state: string },
 ): TargetRecord | undefined {
   const { state, targetId } = record;
-  return targetId !== "" && isTargetState(state)
+  return targetId !== "" && isTargetState(state) && hasSendableNumbers(record)
     ? { ...record, state }
     : undefined;
 }
 
+/** Reports whether the wire can hold each number of a record. */
+function hasSendableNumbers(
+  record: Omit<TargetRecord, "state">,
+): boolean {
+  const { incarnation, sequence, drainedIncarnation, ageMilliseconds } = record;
+  return [incarnation, sequence, drainedIncarnation].every((each) =>
+    Number.isSafeInteger(each) && each >= 0
+  ) && isUint32(ageMilliseconds);
+}
+
+function isUint32(value: number): boolean {
+  return Number.isInteger(value) && value >= 0 && value < 2 ** 32;
+}
+
 function isTargetState(text: string): text is TargetState {
   return Object.hasOwn(stateRanks, text);
 }
--- a/src/node/control_link.ts
+++ b/src/node/control_link.ts
@@ -197,9 +197,20 @@
   }
 
   #reportGauges(): void {
-    const { revision, documentAgeMilliseconds } = this.#session.getStatus();
-    const { metrics } = this.#node;
+    const { revision, documentAgeMilliseconds, connected, fault } = this
+      .#session.getStatus();
+    const { metrics, state } = this.#node;
     metrics.gauge("node.revision", revision, {});
+    metrics.gauge("control.connected", connected ? 1 : 0, {});
+    metrics.gauge("control.session_faulty", fault === undefined ? 0 : 1, {});
+    if (!this.#session.isDocumentConfirmed) {
+      state.log.warn("document unconfirmed", {
+        revision,
+        ageMilliseconds: documentAgeMilliseconds,
+        connected,
+        fault,
+      });
+    }
     if (documentAgeMilliseconds !== undefined) {
       metrics.gauge(
         "node.document_age_milliseconds",
--- a/src/node/status_page.ts
+++ b/src/node/status_page.ts
@@ -6,6 +6,8 @@
 export interface ControlStatus {
   readonly connected: boolean;
   readonly controlAddress?: string | undefined;
+  /** Why sessions end again and again; absent while they do not. */
+  readonly fault?: string | undefined;
 }
 
 /** Bounds the size of the page. */
--- a/tests/support/scripted_session_server.ts
+++ b/tests/support/scripted_session_server.ts
@@ -2,6 +2,7 @@
   Server,
   ServerCredentials,
   type ServerDuplexStream,
+  type status,
 } from "@grpc/grpc-js";
 import { formatVersion } from "../../src/protocol/format_version.ts";
 import {
@@ -20,6 +21,11 @@
    * @param session Number of the session; 1 is the first one.
    */
   getDocument(session: number): DocumentUpdate | undefined;
+  /**
+   * Gets the status with which a session ends on an announcement; `undefined` when
+   * it goes on.
+   */
+  getAnnouncementStatus?(): status | undefined;
 }
 
 /** Serves sessions of nodes with fixed messages, as a faulty instance may do. */
@@ -64,6 +70,13 @@
     if (message?.$case === "renew") {
       this.#answer(stream, message.renew.sequence);
     }
+    const code = message?.$case === "announcement"
+      ? this.#options.getAnnouncementStatus?.()
+      : undefined;
+    if (code !== undefined) {
+      stream.emit("error", { code, details: "the announcement is refused" });
+      return;
+    }
     if (message?.$case === "hello") {
       this.sessionCount++;
       this.#answer(stream, 0);
