Measure the pause of suspects by the turn of one suspect

Cause: the start of a turn was kept when its suspect left the queue without having run, so that the next pause was four times the time since then. Found in a reading of the change; no caller has seen it. Ruled out: that the expiry of the suspect ended the turn; nothing did.

Change: a turn belongs to one suspect and ends with it, whether it ran or not. A session that breaks with RST_STREAM is no longer taken for one that ends on a message, because a broken connection can have the same status.

The new test fails before the change (the second suspect has no turn); after it, the 49 tests of admission and session faults pass.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -173,7 +173,7 @@
       (this.#runningByClass[entry.classIndex] ?? 0) - 1;
     if (entry.isSuspect) {
       this.#isSuspectRunning = false;
-      this.#suspectTurns.onFinished(now);
+      this.#suspectTurns.onEnded(entry, now);
     }
     entry.callerUsage.running--;
     this.#callers.deleteIfUnused(entry.callerUsage);
@@ -519,6 +519,9 @@
   #deleteEntry(entry: AdmissionEntry): void {
     this.#entries.delete(entry.id);
     this.#callers.deleteIfUnused(entry.callerUsage);
+    if (entry.isSuspect) {
+      this.#suspectTurns.onEnded(entry, this.#clock.monotonicMilliseconds());
+    }
   }
 
   #refuse(entry: AdmissionEntry, reason: RefusalReason): void {
--- a/src/admission/admission_controller_test.ts
+++ b/src/admission/admission_controller_test.ts
@@ -237,6 +237,38 @@
   assert.ok(finished >= 0.8 * 500, `${finished} calls ran`);
 });
 
+// Guards against suspects without a turn after one that left the queue.
+test("a suspect that leaves the queue does not delay the turn of the next one", () => {
+  const { clock, controller } = createController({ slots: 2 });
+  const running = createRequest({ remainingMilliseconds: 1e6 });
+  controller.offer(running);
+  const [first, second] = [1, 2].map(() =>
+    createRequest({ isSuspect: true, remainingMilliseconds: 1e6 })
+  ) as [AdmissionRequest, AdmissionRequest];
+  controller.offer(first);
+  clock.advance(300);
+  const waiting = createRequest({ remainingMilliseconds: 1e6 });
+  assert.equal(controller.offer(waiting).kind, "queued");
+  clock.advance(100);
+  controller.cancel(first.id);
+  assert.deepEqual(controller.takeEvents(), [{ kind: "run", id: waiting.id }]);
+  clock.advance(100_000);
+  controller.offer(second);
+  clock.advance(300);
+  const last = createRequest({ remainingMilliseconds: 1e6 });
+  assert.equal(controller.offer(last).kind, "queued");
+  controller.finish(running.id, completed);
+  controller.finish(waiting.id, completed);
+  assert.deepEqual(controller.takeEvents(), [{ kind: "run", id: second.id }]);
+  controller.finish(second.id, completed);
+  assert.deepEqual(controller.takeEvents(), [{ kind: "run", id: last.id }]);
+  // The next turn waits for four times the time that this one took.
+  const third = createRequest({ isSuspect: true, remainingMilliseconds: 1e6 });
+  controller.offer(third);
+  clock.advance(300);
+  assert.equal(controller.offer(createRequest({})).kind, "queued");
+});
+
 test("a surge of every class at once sheds the least important first", () => {
   const { controller } = createController({ slots: 4 });
   const classes = new Map<string, number>();
--- a/src/admission/suspect_turns.ts
+++ b/src/admission/suspect_turns.ts
@@ -14,8 +14,10 @@
  * in use would never run them.
  */
 export class SuspectTurns {
-  /** Monotonic time at which other calls started to wait for a suspect. */
-  #turnStartMilliseconds: number | undefined;
+  /** The suspect that other calls wait for, and the time since which they do. */
+  #turn:
+    | { readonly suspect: AdmissionEntry; readonly start: number }
+    | undefined;
   #nextTurnMilliseconds = 0;
 
   /**
@@ -33,16 +35,22 @@
     ) {
       return undefined;
     }
-    this.#turnStartMilliseconds ??= now;
+    if (this.#turn?.suspect !== suspect) {
+      this.#turn = { suspect, start: now };
+    }
     return suspect;
   }
 
-  /** Records that a suspect that ran alone has ended. */
-  onFinished(now: number): void {
-    const start = this.#turnStartMilliseconds;
-    if (start !== undefined) {
-      this.#turnStartMilliseconds = undefined;
-      this.#nextTurnMilliseconds = now + pauseFactor * (now - start);
+  /**
+   * Records that a call has ended, or left the queue without having run.
+   * @param entry The call.
+   * @param now Monotonic time in milliseconds.
+   */
+  onEnded(entry: AdmissionEntry, now: number): void {
+    if (this.#turn?.suspect === entry) {
+      const pause = pauseFactor * (now - this.#turn.start);
+      this.#turn = undefined;
+      this.#nextTurnMilliseconds = now + pause;
     }
   }
 }
--- a/src/control_client/session_connection.ts
+++ b/src/control_client/session_connection.ts
@@ -3,6 +3,7 @@
   credentials,
   type Interceptor,
   status,
+  type StatusObject,
 } from "@grpc/grpc-js";
 import { formatVersion } from "../protocol/format_version.ts";
 import {
@@ -90,11 +91,10 @@
         options.onConnectionEnded(this, end);
       }
     };
-    this.#stream.on("error", (error: Error & { code?: status }) =>
+    this.#stream.on("error", (error: Error & Partial<StatusObject>) =>
       onEnd({
         reason: error.message,
-        isProtocolError: error.code !== undefined &&
-          protocolErrors.has(error.code),
+        isProtocolError: isProtocolError(error),
       }));
     this.#stream.on("end", () =>
       onEnd({
@@ -127,3 +127,9 @@
     }
   }
 }
+
+function isProtocolError({ code, details }: Partial<StatusObject>): boolean {
+  // The connection may break in a way that has the status of a bad message.
+  const isReset = details?.startsWith("Received RST_STREAM") === true;
+  return code !== undefined && protocolErrors.has(code) && !isReset;
+}
