Take no delayed message of the leader for a recent one

Cause: an append has no time. An instance took what it states as committed for the state at the moment of its arrival. On a slow link, appends and heartbeats wait behind large entries; each one that was sent before the next commit then made the instance current for 0.75 s, however old it was, and during that time its nodes were not moved.

Ruled out: an instance that had caught up (the status has its old revision); a slow test (documents and reads were as in green runs).

Change: a response to an append has the time of its sender, and an append the time of the last response of its recipient, with the time since. An append that may have been on its way for more than 1.5 s (isolation time) confirms nothing; so does one with the time of an earlier start. Appends of older releases have no such time, and are treated as before.

--- a/src/consensus/codec.ts
+++ b/src/consensus/codec.ts
@@ -175,10 +175,20 @@
     case "append":
       return {
         $case: "append",
-        append: { ...message, entries: message.entries.map(toEntryRecord) },
+        append: {
+          ...message,
+          entries: message.entries.map(toEntryRecord),
+          sentAfter: message.sentAfter,
+        },
       };
     case "appendResponse":
-      return { $case: "appendResponse", appendResponse: message };
+      return {
+        $case: "appendResponse",
+        appendResponse: {
+          ...message,
+          sentAtMilliseconds: message.sentAtMilliseconds ?? 0,
+        },
+      };
     case "snapshotChunk":
       return {
         $case: "snapshotChunk",
--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -532,11 +532,25 @@
     this.#messages.push(
       ...this.#writeBuffer.takeReadyMessages(this.#peerStates),
     );
-    const outgoingMessages = this.#messages;
+    const outgoingMessages = this.#messages.map((each) => this.#addTime(each));
     this.#messages = [];
     return outgoingMessages;
   }
 
+  /** Adds the time to a response, which may have waited for a write. */
+  #addTime(envelope: Envelope): Envelope {
+    const { message } = envelope;
+    return message.kind === "appendResponse"
+      ? {
+        ...envelope,
+        message: {
+          ...message,
+          sentAtMilliseconds: Math.floor(this.#monotonicNow),
+        },
+      }
+      : envelope;
+  }
+
   /** Removes and returns the events since the previous call. */
   takeEvents(): CoreEvent[] {
     const events = this.#events;
@@ -915,17 +929,19 @@
 
   #onAppendResponse(
     envelope: Envelope,
-    message: {
-      isSuccess: boolean;
-      index: number;
-      round: number;
-      canVote: boolean;
-    },
+    message: Extract<ConsensusMessage, { kind: "appendResponse" }>,
   ): void {
     const progress = this.#recordFollowerContact(envelope, message.canVote);
     if (progress === undefined) {
       return;
     }
+    progress.lastResponse = {
+      sentAt: {
+        bootId: envelope.fromBootId,
+        milliseconds: message.sentAtMilliseconds ?? 0,
+      },
+      receivedAtMilliseconds: this.#monotonicNow,
+    };
     progress.readRound = Math.max(progress.readRound, message.round);
     this.#completeReads();
     if (message.isSuccess) {
@@ -1053,7 +1069,26 @@
       majorityContactAt,
     );
     this.#addEntries(envelope, message);
-    this.#recordCommitIndex(message.commitIndex, majorityContactAt);
+    if (this.#isDelayed(message)) {
+      this.#unconfirmedSince ??= this.#monotonicNow;
+    } else {
+      this.#recordCommitIndex(message.commitIndex, majorityContactAt);
+    }
+  }
+
+  /**
+   * Reports whether a message may have been on its way for so long, for example
+   * behind large entries, that it does not show what is committed now.
+   */
+  #isDelayed(
+    { sentAfter }: Extract<ConsensusMessage, { kind: "append" }>,
+  ): boolean {
+    if (sentAfter === undefined) {
+      return false;
+    }
+    return sentAfter.bootId !== this.identity.bootId ||
+      this.#monotonicNow - sentAfter.milliseconds >
+        this.#timing.isolationMilliseconds;
   }
 
   /** Appends the entries of a message to the log, and responds to it. */
--- a/src/consensus/consensus_core_test.ts
+++ b/src/consensus/consensus_core_test.ts
@@ -6,7 +6,7 @@
 import type { ConsensusTiming, CoreEvent } from "./core_types.ts";
 import { emptySnapshotInfo, type LogEntry } from "./log_entry.ts";
 import { getMajority, type Member } from "./member.ts";
-import type { Envelope } from "./message.ts";
+import type { Envelope, RecipientTime } from "./message.ts";
 import {
   emptyHardState,
   type PersistedState,
@@ -857,6 +857,8 @@
   /** Index of the last entry that the message adds; none by default. */
   readonly entriesTo?: number;
   readonly commitIndex: number;
+  /** When the message was sent at the earliest; by default not recorded. */
+  readonly sentAfter?: RecipientTime;
 }
 
 const current: LeaderMessage = {
@@ -867,6 +869,19 @@
 const missing: LeaderMessage = { atMilliseconds: 60, commitIndex: 3 };
 const outdated: LeaderMessage = { atMilliseconds: 220, commitIndex: 3 };
 
+const currentLater: LeaderMessage = { ...current, atMilliseconds: 1000 };
+/** Messages that would show a current state if they had just been sent. */
+const delayedMessages: LeaderMessage[] = [1100, 1200, 1300].map((
+  atMilliseconds,
+) => ({
+  atMilliseconds,
+  commitIndex: 2,
+  sentAfter: {
+    bootId: "a2",
+    milliseconds: atMilliseconds - timing.isolationMilliseconds - 1,
+  },
+}));
+
 const outdatedCases: {
   name: string;
   messages: LeaderMessage[];
@@ -910,13 +925,46 @@
     }],
     isOutdated: false,
   },
+  {
+    name: "once a message has been on its way for a short time",
+    messages: [{ ...current, sentAfter: { bootId: "a2", milliseconds: 0 } }],
+    isOutdated: false,
+  },
+  {
+    name: "before the leader has received a response",
+    messages: [{ ...current, sentAfter: { bootId: "", milliseconds: 0 } }],
+    isOutdated: true,
+  },
+  {
+    name: "once a message has the time of an earlier start",
+    messages: [{
+      ...current,
+      sentAfter: { bootId: "a1", milliseconds: 10 },
+    }],
+    isOutdated: true,
+  },
+  {
+    name: "when all messages have been on their way for long",
+    messages: [currentLater, ...delayedMessages],
+    isOutdated: true,
+  },
+  {
+    name: "when a single message has been on its way for long",
+    messages: [currentLater, ...delayedMessages.slice(0, 1), {
+      atMilliseconds: 1300,
+      commitIndex: 2,
+      sentAfter: { bootId: "a2", milliseconds: 1290 },
+    }],
+    isOutdated: false,
+  },
 ];
 
 /** Creates a core that has received messages of the leader of term 2. */
 function createFollower(messages: readonly LeaderMessage[]): ConsensusCore {
   const core = createConfirmedCore(1, "");
   let lastIndex = 1;
-  for (const { atMilliseconds, entriesTo, commitIndex } of messages) {
+  for (const message of messages) {
+    const { atMilliseconds, entriesTo, commitIndex, sentAfter } = message;
     core.setTime({
       monotonicMilliseconds: atMilliseconds,
       wallMilliseconds: atMilliseconds,
@@ -938,6 +986,7 @@
       commitIndex,
       round: 0,
       majorityAgeMilliseconds: 0,
+      sentAfter,
     });
     lastIndex += entries.length;
   }
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -6,6 +6,16 @@
  */
 export type Verdict = "confirmed" | "denied";
 
+/**
+ * A time before which the sender had not sent a message yet, on the monotonic
+ * clock of the recipient.
+ */
+export interface RecipientTime {
+  /** Start of the recipient that the clock belongs to; empty while unknown. */
+  readonly bootId: string;
+  readonly milliseconds: number;
+}
+
 /** A message between instances. Its term is in the envelope. */
 export type ConsensusMessage =
   | { readonly kind: "hello" }
@@ -47,6 +57,8 @@
     readonly round: number;
     /** Time since the leader last had contact with a majority. */
     readonly majorityAgeMilliseconds: number;
+    /** Unset in messages of releases that do not record when they are sent. */
+    readonly sentAfter?: RecipientTime | undefined;
   }
   | {
     readonly kind: "appendResponse";
@@ -59,6 +71,8 @@
      * it has confirmed the start of the leader.
      */
     readonly canVote: boolean;
+    /** Monotonic time of the sender; set when the message is taken. */
+    readonly sentAtMilliseconds?: number;
   }
   | {
     readonly kind: "snapshotChunk";
--- a/src/consensus/progress.ts
+++ b/src/consensus/progress.ts
@@ -1,9 +1,17 @@
+import type { RecipientTime } from "./message.ts";
+
 /** An append with entries that is not acknowledged yet. */
 export interface InFlightAppend {
   readonly lastIndex: number;
   readonly bytes: number;
 }
 
+/** Times of a response, on the monotonic clocks of its sender and recipient. */
+export interface ResponseTimes {
+  readonly sentAt: RecipientTime;
+  readonly receivedAtMilliseconds: number;
+}
+
 /** What a leader knows about the replication to another member. */
 export interface Progress {
   /** Highest index up to which the member durably holds the leader's log. */
@@ -26,6 +34,8 @@
   resendTimerStartedAtMilliseconds: number;
   /** Start of the member that sent the last response; empty before the first. */
   bootId: string;
+  /** Times of the last response to an append; `undefined` before the first. */
+  lastResponse: ResponseTimes | undefined;
   /** Latest read round that the member echoed in a response. */
   readRound: number;
   /**
@@ -56,6 +66,7 @@
     lastContactAtMilliseconds: -Infinity,
     resendTimerStartedAtMilliseconds: nowMilliseconds,
     bootId: "",
+    lastResponse: undefined,
     readRound: 0,
     isStartConfirmed: false,
     snapshotIndex: 0,
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -1,7 +1,7 @@
 import type { EntryLog } from "./entry_log.ts";
 import { getEntrySize, type LogEntry, type SnapshotInfo } from "./log_entry.ts";
 import { getMajority, type Member } from "./member.ts";
-import type { ConsensusMessage } from "./message.ts";
+import type { ConsensusMessage, RecipientTime } from "./message.ts";
 import { createProgress, type Progress } from "./progress.ts";
 import { getTransferMilliseconds } from "./transfer_time.ts";
 
@@ -360,9 +360,25 @@
       commitIndex,
       round: readRound,
       majorityAgeMilliseconds: Math.max(0, Math.round(now - majorityContactAt)),
+      sentAfter: this.#getRecipientTime(member),
     });
   }
 
+  /**
+   * Gets the latest time that the clock of a member must have passed. It is late
+   * by as much as the last response of the member was on its way.
+   */
+  #getRecipientTime({ id }: Member): RecipientTime {
+    const response = this.#progress.get(id)?.lastResponse;
+    if (response === undefined) {
+      return { bootId: "", milliseconds: 0 };
+    }
+    const { sentAt, receivedAtMilliseconds } = response;
+    const { now } = this.#options.getState();
+    const elapsed = Math.floor(now - receivedAtMilliseconds);
+    return { ...sentAt, milliseconds: sentAt.milliseconds + elapsed };
+  }
+
   #sendSnapshotChunk(member: Member, progress: Progress): void {
     const { now, snapshot } = this.#options.getState();
     if (progress.snapshotIndex !== snapshot.index) {
--- a/src/consensus/replication_test.ts
+++ b/src/consensus/replication_test.ts
@@ -205,3 +205,15 @@
     assert.deepEqual(started.takeEntryIndexes(), resent);
   });
 }
+
+// Guards against members that take delayed messages for recent ones.
+test("an append has the time of the last response of its recipient, and the time since", () => {
+  const { progress, advance } = start(1);
+  const getSentAfter = () => advance(250).at(-1)?.sentAfter;
+  assert.deepEqual(getSentAfter(), { bootId: "", milliseconds: 0 });
+  progress.lastResponse = {
+    sentAt: { bootId: "f1", milliseconds: 9000 },
+    receivedAtMilliseconds: 250,
+  };
+  assert.deepEqual(getSentAfter(), { bootId: "f1", milliseconds: 9250 });
+});
--- a/tests/lagging_instance_test.ts
+++ b/tests/lagging_instance_test.ts
@@ -5,7 +5,10 @@
 import { join } from "node:path";
 import { after, test } from "node:test";
 import { credentials, Metadata } from "@grpc/grpc-js";
-import { OperatorClient } from "../src/protocol/generated/operator.ts";
+import {
+  OperatorClient,
+  type StatusAnswer,
+} from "../src/protocol/generated/operator.ts";
 import { ControlGroup, type ControlProcess } from "./support/control_group.ts";
 import { getFreePorts } from "./support/free_ports.ts";
 import { ProcessGroup } from "./support/process_group.ts";
@@ -28,6 +31,9 @@
 /** Changes that an instance misses, and in which it has to catch up again. */
 const missedChanges = 24;
 const readTimeoutMilliseconds = 8000;
+const statusIntervalMilliseconds = 50;
+/** Time after which an instance that lacks an acknowledged change is outdated. */
+const outdatedMilliseconds = 2500;
 
 const document = readFileSync("examples/strike-fund.toml", "utf8");
 /** Comments that make the document about 400 KB large, without repetitions. */
@@ -75,6 +81,15 @@
   return environment?.revision ?? 0;
 }
 
+function createClient({ listenAddress }: ControlProcess): OperatorClient {
+  const client = new OperatorClient(
+    listenAddress,
+    credentials.createInsecure(),
+  );
+  after(() => client.close());
+  return client;
+}
+
 /** Starts a group with 12 ms to each instance, and applies a document. */
 async function startGroup() {
   const group = await ControlGroup.start(3, {
@@ -176,17 +191,58 @@
   }
 });
 
+async function getStatus(client: OperatorClient): Promise<StatusAnswer> {
+  return await new Promise((resolve, reject) =>
+    client.getStatus(
+      { formatVersion: 1 },
+      (error, answer) => error === null ? resolve(answer) : reject(error),
+    )
+  );
+}
+
+// Guards against delayed messages of the leader that are taken for recent ones.
+test("an instance that is behind reports so all the time", async () => {
+  const { changes, behind } = await startWithSlowInstance();
+  const client = createClient(behind);
+  const acknowledgedAt = new Map<number, number>();
+  let isChanging = true;
+  const silent: string[] = [];
+  const watch = (async () => {
+    while (isChanging) {
+      const { instance, environments } = await getStatus(client);
+      const held = environments[0]?.revision ?? 0;
+      const missedAt = acknowledgedAt.get(held + 1) ?? Infinity;
+      const missedMilliseconds = performance.now() - missedAt;
+      if (
+        missedMilliseconds > outdatedMilliseconds && !instance?.outdated &&
+        !instance?.isolated
+      ) {
+        silent.push(
+          `revision ${held} of ${changes.revision}, ` +
+            `${Math.round(missedMilliseconds)} ms after the next one`,
+        );
+      }
+      await new Promise((resolve) =>
+        setTimeout(resolve, statusIntervalMilliseconds)
+      );
+    }
+  })();
+  for (let count = 0; count < 20; count++) {
+    await changes.apply();
+    acknowledgedAt.set(changes.revision, performance.now());
+  }
+  isChanging = false;
+  await watch;
+  assert.deepEqual(silent, []);
+});
+
 // Guards against a read that waits as long as its instance is behind.
 test("a read at an instance that is behind is refused in time", async () => {
   const { group, changes, behind } = await startWithSlowInstance();
   for (let count = 0; count < 10; count++) {
     await changes.apply();
   }
-  const client = new OperatorClient(
-    behind.listenAddress,
-    credentials.createInsecure(),
-  );
-  after(() => client.close());
+  const client = createClient(behind);
   const reason = await new Promise((resolve) =>
     client.getHistory(
       { formatVersion: 1, environment: "trial", limit: 1 },
