--- a/src/control_client/session_faults_test.ts
+++ b/src/control_client/session_faults_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { constants, createServer } from "node:http2";
+import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { status } from "@grpc/grpc-js";
 import { startFakeControlInstances } from "../../tests/support/fake_control_instance.ts";
@@ -79,3 +81,29 @@
     );
   });
 }
+
+// Guards against a fault that is reported because of broken connections: an
+// instance that resets a stream has the status of one that refuses a message.
+test("a node whose session streams are reset reports no fault", async (context) => {
+  let streamCount = 0;
+  const server = createServer();
+  server.on("stream", (stream) => {
+    streamCount++;
+    stream.on("error", () => {});
+    stream.close(constants.NGHTTP2_INTERNAL_ERROR);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const node = new SessionNode({
+    controlAddresses: [`127.0.0.1:${port}`],
+    identity: { nodeId: "n1" },
+    renewalIntervalMilliseconds: 100,
+    jitterMilliseconds: 10,
+  });
+  context.after(async () => {
+    await node.session.stop();
+    server.close();
+  });
+  await waitUntil(() => streamCount >= 5, "streams are reset");
+  assert.equal(node.session.getStatus().fault, undefined);
+});
--- a/tests/support/scripted_session_server.ts
+++ b/tests/support/scripted_session_server.ts
@@ -47,16 +47,19 @@
     });
   }
 
-  /** Listens on a free port of loopback, and gets the address. */
-  async listen(): Promise<string> {
+  /**
+   * Listens, and gets the address.
+   * @param address Where to listen; by default on a free port of loopback.
+   */
+  async listen(address: string = "127.0.0.1:0"): Promise<string> {
     const port = await new Promise<number>((resolve, reject) =>
       this.#server.bindAsync(
-        "127.0.0.1:0",
+        address,
         ServerCredentials.createInsecure(),
         (error, bound) => error === null ? resolve(bound) : reject(error),
       )
     );
-    return `127.0.0.1:${port}`;
+    return address.replace(/\d+$/, `${port}`);
   }
 
   stop(): void {
