Tell requests to two services apart by their fingerprints

What callers saw: a call that a sound target had run all the while got 503, since its request was quarantined after two kills of other targets; a completion was to end that quarantine.

Cause: the fingerprint had method, path, headers and body, but no service. The target called the next service with the same path, and that call was refused as the one in quarantine. A completion of such a call would also clear a request that crashes the service before it.

Ruled out: the quarantine of queued calls (the call was running), and the deadline (40 s; the response came after 12 s, when the next service was called).

Change: the service is part of what is requested, unless the host tells it, as on the platform, whose routes may split a host over services: its fingerprints stay as they are.

--- a/src/node/call_fingerprints.ts
+++ b/src/node/call_fingerprints.ts
@@ -20,8 +20,12 @@
   details: CallDetails,
   body: CallBody & { readonly hashes?: BodyHashes | undefined },
 ): readonly string[] {
-  const { method, path, headers, tenant } = details;
+  const { plan, method, path, headers, tenant } = details;
+  const { fingerprintHeaders } = protocol;
+  // A split may send the attempts of one request to several services.
+  const isKnownByHost = fingerprintHeaders?.request.has("host") === true;
   return getRequestFingerprints({
+    service: isKnownByHost ? undefined : plan.service.name,
     method,
     path,
     headers,
@@ -29,7 +33,7 @@
     body: body.body !== undefined
       ? getBodyHashes(body.body)
       : body.hashes ?? getHashesOfChunks(body),
-  }, protocol.fingerprintHeaders);
+  }, fingerprintHeaders);
 }
 
 function getHashesOfChunks({ source }: CallBody): BodyHashes {
--- a/src/node/failures_test.ts
+++ b/src/node/failures_test.ts
@@ -16,6 +16,7 @@
 /** Gets the widest fingerprint of a request without a body. */
 function getFingerprint(path: string): string {
   const [widest] = getRequestFingerprints({
+    service: "front",
     method: "GET",
     path,
     headers: [],
--- a/src/request/fingerprint.ts
+++ b/src/request/fingerprint.ts
@@ -4,6 +4,8 @@
 
 /** Parts of a request that tell it from others. */
 export interface FingerprintSource {
+  /** Service that runs the request; absent where its headers tell what does. */
+  readonly service?: string | undefined;
   readonly method: string;
   /** Path with its query. */
   readonly path: string;
@@ -67,7 +69,7 @@
  * from the widest to the narrowest, each once:
  *
  * 1. the start of a long body, with all that the last one has;
- * 2. what is requested: method, path and body;
+ * 2. what is requested: service, method, path and body;
  * 3. that, and the credentials of the caller;
  * 4. that, and all headers that do not differ between attempts.
  *
@@ -83,8 +85,11 @@
   source: FingerprintSource,
   headers?: FingerprintHeaders,
 ): readonly string[] {
-  const { method, path, tenant = "", body } = source;
+  const { service, method, path, tenant = "", body } = source;
   const requested = [`${method} ${path}`];
+  if (service !== undefined) {
+    requested.push(`service ${service}`);
+  }
   const credentials: string[] = [];
   const others: string[] = [];
   for (let index = 0; index + 1 < source.headers.length; index += 2) {
--- a/src/request/fingerprint_test.ts
+++ b/src/request/fingerprint_test.ts
@@ -7,13 +7,15 @@
 } from "./fingerprint.ts";
 
 interface Sent {
+  readonly service?: string;
   readonly path?: string;
   readonly headers?: readonly string[];
   readonly body?: Buffer;
 }
 
-function getFingerprints({ path = "/a", headers = [], body }: Sent) {
+function getFingerprints({ service, path = "/a", headers = [], body }: Sent) {
   return getRequestFingerprints({
+    service,
     method: "POST",
     path,
     headers,
@@ -48,6 +50,12 @@
     shared: "all",
   },
   { name: "another path", first: {}, second: { path: "/b" }, shared: "none" },
+  {
+    name: "another service",
+    first: { service: "a" },
+    second: { service: "b" },
+    shared: "none",
+  },
   {
     name: "another host",
     first: { headers: ["Host", "a"] },
