--- a/src/consensus/consensus_core.ts
+++ b/src/consensus/consensus_core.ts
@@ -532,13 +532,15 @@
     this.#messages.push(
       ...this.#writeBuffer.takeReadyMessages(this.#peerStates),
     );
-    const outgoingMessages = this.#messages.map((each) => this.#addTime(each));
+    const outgoingMessages = this.#messages.map((each) =>
+      this.#addSendTime(each)
+    );
     this.#messages = [];
     return outgoingMessages;
   }
 
-  /** Adds the time to a response, which may have waited for a write. */
-  #addTime(envelope: Envelope): Envelope {
+  /** Adds the current time to a response, which may have waited for a write. */
+  #addSendTime(envelope: Envelope): Envelope {
     const { message } = envelope;
     return message.kind === "appendResponse"
       ? {
--- a/src/consensus/message.ts
+++ b/src/consensus/message.ts
@@ -7,8 +7,8 @@
 export type Verdict = "confirmed" | "denied";
 
 /**
- * A time before which the sender had not sent a message yet, on the monotonic
- * clock of the recipient.
+ * A lower bound of the time at which a message was sent, on the monotonic clock of
+ * its recipient.
  */
 export interface RecipientTime {
   /** Start of the recipient that the clock belongs to; empty while unknown. */
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -365,8 +365,8 @@
   }
 
   /**
-   * Gets the latest time that the clock of a member must have passed. It is late
-   * by as much as the last response of the member was on its way.
+   * Gets a time that the clock of a member has passed. The clock is ahead of it by
+   * the time that the last response of the member was on its way.
    */
   #getRecipientTime({ id }: Member): RecipientTime {
     const response = this.#progress.get(id)?.lastResponse;
