Encode each message of a session once

Cause: a message was encoded to find out whether it can be, and then again by gRPC. Requests for permits are about one message a call. Found in a reading of the whole change; no caller has seen it. Ruled out: the interceptors, which add metadata and do not read messages.

Change: the session sends the bytes of the first encoding. No check changed.

--- a/src/control_client/session_connection.ts
+++ b/src/control_client/session_connection.ts
@@ -1,4 +1,5 @@
 import {
+  Client,
   type ClientDuplexStream,
   credentials,
   type Interceptor,
@@ -9,8 +10,8 @@
 import {
   type ControlMessage,
   type Hello,
-  NodeMessage,
-  SessionClient,
+  type NodeMessage,
+  SessionService,
 } from "../protocol/generated/session.ts";
 
 /** Maximum size of a message; a part with 100,000 keys takes 4 MiB. */
@@ -54,8 +55,8 @@
   readonly address: string;
   /** Whether the node accepts the instance although it is isolated. */
   readonly acceptsIsolated: boolean;
-  readonly #client: SessionClient;
-  readonly #stream: ClientDuplexStream<NodeMessage, ControlMessage>;
+  readonly #client: Client;
+  readonly #stream: ClientDuplexStream<Buffer, ControlMessage>;
   readonly #onNotSent: SessionConnectionOptions["onNotSent"];
   #isClosed = false;
   /** Sequence of the last hello that was sent on this connection. */
@@ -69,7 +70,7 @@
     // Uses a channel pool of its own, so that closing the client also closes the
     // TCP connection. A shared pool would reuse a connection that a network
     // partition has broken without a reset.
-    this.#client = new SessionClient(
+    this.#client = new Client(
       options.address,
       credentials.createInsecure(),
       {
@@ -79,7 +80,12 @@
         interceptors: [...options.interceptors],
       },
     );
-    this.#stream = this.#client.open();
+    const { path, responseDeserialize } = SessionService.open;
+    this.#stream = this.#client.makeBidiStreamRequest(
+      path,
+      (bytes: Buffer) => bytes,
+      responseDeserialize,
+    );
     this.#stream.on("data", (message: ControlMessage) => {
       if (!this.#isClosed && message.formatVersion === formatVersion) {
         options.onMessage(this, message);
@@ -109,14 +115,14 @@
     if (this.#isClosed) {
       return;
     }
-    const encoded = { formatVersion, message };
+    let bytes: Buffer;
     try {
-      NodeMessage.encode(encoded);
+      bytes = SessionService.open.requestSerialize({ formatVersion, message });
     } catch (error) {
       this.#onNotSent(message, (error as Error).message);
       return;
     }
-    this.#stream.write(encoded);
+    this.#stream.write(bytes);
   }
 
   close(): void {
--- a/src/node/request_body.ts
+++ b/src/node/request_body.ts
@@ -29,8 +29,8 @@
   /** Maximum size of the body; that of a streamed one when absent. */
   readonly maximumBytes?: number | undefined;
   /**
-   * Whether longer bodies are buffered too, because the node has to tell the call
-   * from suspects; false when absent.
+   * Whether longer bodies are buffered too, because the node has to know
+   * whether the call is a suspect; false when absent.
    */
   readonly mustRecognize?: boolean;
   /** Whether the body must be buffered, because the call has a key. */
--- a/src/request/fingerprint.ts
+++ b/src/request/fingerprint.ts
@@ -2,9 +2,9 @@
 import { getBytesHash } from "../common/mod.ts";
 import type { BodyHashes } from "./body_hashes.ts";
 
-/** Parts of a request that tell it from others. */
+/** Parts of a request that distinguish it from others. */
 export interface FingerprintSource {
-  /** Service that runs the request; absent where its headers tell what does. */
+  /** Service that runs the request; absent when its headers identify it. */
   readonly service?: string | undefined;
   readonly method: string;
   /** Path with its query. */
@@ -73,7 +73,7 @@
  * 3. that, and the credentials of the caller;
  * 4. that, and all headers that do not differ between attempts.
  *
- * The narrowest one tells the callers of a path apart even if a header that is
+ * The narrowest one distinguishes the callers of a path even if a header that is
  * not known as a credential identifies them. The wider ones recognize a request
  * whose other headers change each time that it is sent, and a long body that did
  * not reach the target as a whole.
